--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,86 @@
+/* Error kinds and the table from kind to answer.
+ *
+ * error_info_t is passed down by pointer.  A function that can fail takes it as
+ * its last parameter, returns false or NULL on failure, and fills it then.  It
+ * owns no memory.  Every kind has one row in the table of error.c, which gives
+ * the HTTP status, the exit code of the command-line tool, whether the caller
+ * may try again, and what is known about the run.
+ */
+#pragma once
+
+#include <stdbool.h>
+
+/* What is known about a piece of work when its caller is answered. */
+typedef enum
+{
+  OUTCOME_RESULT,  /* it ran and this is its answer */
+  OUTCOME_NOT_RUN, /* certain: no byte of it was sent to a backend server */
+  OUTCOME_UNKNOWN  /* it may have run; it is not sent again */
+} outcome_t;
+
+typedef enum
+{
+  ERROR_NONE,
+  ERROR_BAD_SETTING,
+  ERROR_BAD_REQUEST,
+  ERROR_BAD_DOCUMENT,
+  ERROR_UNSUPPORTED_TYPE,
+  ERROR_TOO_LARGE,
+  ERROR_METHOD_NOT_ALLOWED,
+  ERROR_NOT_FOUND,
+  ERROR_UNKNOWN_ENVIRONMENT,
+  ERROR_UNKNOWN_CLASS,
+  ERROR_UNKNOWN_CUSTOMER,
+  ERROR_KEY_REQUIRED,
+  ERROR_KEY_REUSED,
+  ERROR_CONFLICT,
+  ERROR_UNSCHEDULABLE,
+  ERROR_QUEUE_FULL,
+  ERROR_OVERLOADED,
+  ERROR_DEADLINE_PASSED,
+  ERROR_NO_BACKEND,
+  ERROR_REFUSED,
+  ERROR_STOPPING,
+  ERROR_PLATFORM_UNAVAILABLE,
+  ERROR_IN_PROGRESS,
+  ERROR_OWNER_LOST,
+  ERROR_ANSWER_LOST,
+  ERROR_ANSWER_TIMEOUT,
+  ERROR_ANSWER_INVALID,
+  ERROR_UNREACHABLE,
+  ERROR_INTERNAL,
+  ERROR_KIND_COUNT
+} error_kind_t;
+
+typedef struct
+{
+  const char *name; /* stable name in answers and logs */
+  unsigned http_status;
+  int exit_code;
+  bool retry; /* the caller may send the same request again */
+  outcome_t outcome;
+} error_answer_t;
+
+enum
+{
+  ERROR_DETAIL_BYTES = 240
+};
+
+typedef struct
+{
+  error_kind_t kind;
+  char detail[ERROR_DETAIL_BYTES];
+} error_info_t;
+
+/* Returns the row of `kind`.  Static storage, never NULL. */
+const error_answer_t *error_answer (error_kind_t kind);
+
+/* Returns the kind whose name is `name`, or ERROR_INTERNAL for an unknown one. */
+error_kind_t error_kind_from_name (const char *name);
+
+/* Fills `error` (which may be NULL) and returns false, for use in a return. */
+bool error_set (error_info_t *error, error_kind_t kind, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/* Returns "result", "not_run" or "unknown". */
+const char *outcome_name (outcome_t outcome);
--- /dev/null
+++ b/src/base/http_server.c
@@ -0,0 +1,535 @@
+#define LOG_MODULE "http"
+
+#include "base/http_server.h"
+
+#include "base/json.h"
+#include "base/list.h"
+#include "base/log.h"
+#include "base/settings.h"
+
+#include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+/* One accepted connection. */
+typedef struct
+{
+  list_node_t node;
+  http_server_t *server;
+  GSocketConnection *stream; /* weak */
+  GSocket *socket;           /* of the stream; only its address is used after it */
+  gint64 reading_since_us;   /* 0 while a request is answered */
+  bool has_headers;          /* part of a request has come */
+} link_t;
+
+struct http_server
+{
+  SoupServer *soup;
+  GSocketService *service;
+  http_limits_t limits;
+  http_handler_t handler;
+  void *data;
+  list_node_t links;
+  GHashTable *by_socket; /* GSocket -> link_t */
+  guint link_count;
+  guint busy;
+  guint timer;
+  guint16 port;
+  bool stopping;
+  http_counters_t counters;
+};
+
+struct http_request
+{
+  http_server_t *server;
+  SoupServerMessage *message;
+  GHashTable *query;
+  char *path;
+  GBytes *body;
+  http_gone_t gone;
+  void *gone_data;
+  gulong finished_id;
+  bool finished;
+  bool responded; /* the answer is on its way */
+};
+
+static const guint sweep_ms = 250;
+static const guint header_fields_too_large = 431;
+static const char *const json_type = "application/json";
+
+static void
+link_closed (gpointer data, GObject *stream G_GNUC_UNUSED)
+{
+  link_t *link = data;
+  http_server_t *server = link->server;
+
+  list_remove (&link->node);
+  g_hash_table_remove (server->by_socket, link->socket);
+  server->link_count--;
+  g_free (link);
+}
+
+static link_t *
+link_of (const http_server_t *server, SoupServerMessage *message)
+{
+  return g_hash_table_lookup (server->by_socket, soup_server_message_get_socket (message));
+}
+
+static void
+link_shut (const link_t *link)
+{
+  (void)g_socket_shutdown (link->socket, TRUE, TRUE, NULL);
+}
+
+static char *
+error_text (const error_info_t *error, outcome_t outcome, gint64 retry_after_ms)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "outcome", outcome_name (outcome));
+  json_put_text (builder, "error", error_answer (error->kind)->name);
+  json_put_text (builder, "reason", error->detail);
+  json_put_flag (builder, "retry", error_answer (error->kind)->retry);
+  if (retry_after_ms > 0)
+    json_put_number (builder, "retry_after_ms", retry_after_ms);
+  json_builder_end_object (builder);
+  return json_builder_text (builder);
+}
+
+/* Answers a request that the limits refuse, and closes its connection after. */
+static void
+refuse (http_server_t *server, SoupServerMessage *message, guint status, const char *reason)
+{
+  error_info_t error
+      = { .kind
+          = status == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE ? ERROR_TOO_LARGE : ERROR_BAD_REQUEST };
+  char *text;
+
+  g_strlcpy (error.detail, reason, sizeof error.detail);
+  text = error_text (&error, OUTCOME_NOT_RUN, 0);
+  server->counters.refused_requests++;
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection",
+                                "close");
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, json_type, SOUP_MEMORY_TAKE, text, strlen (text));
+}
+
+typedef struct
+{
+  gsize bytes;
+  guint lengths;
+  guint encodings;
+  guint keys;
+} header_sums_t;
+
+static void
+sum_header (const char *name, const char *value, gpointer data)
+{
+  header_sums_t *sums = data;
+
+  sums->bytes += strlen (name) + strlen (value) + 4;
+  sums->lengths += g_ascii_strcasecmp (name, "Content-Length") == 0;
+  sums->encodings += g_ascii_strcasecmp (name, "Transfer-Encoding") == 0;
+  sums->keys += g_ascii_strcasecmp (name, "Idempotency-Key") == 0;
+}
+
+/* Refuses a request by its headers, before its body is read.  A request with two
+ * lengths could be read in two ways by two readers. */
+static bool
+check_headers (http_server_t *server, SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  header_sums_t sums = { .bytes = 0 };
+
+  soup_message_headers_foreach (headers, sum_header, &sums);
+  if (sums.bytes > server->limits.header_bytes)
+    {
+      refuse (server, message, header_fields_too_large, "the headers are larger than allowed");
+      return false;
+    }
+  if (sums.lengths > 1 || sums.encodings > 1 || (sums.lengths > 0 && sums.encodings > 0))
+    {
+      refuse (server, message, SOUP_STATUS_BAD_REQUEST,
+              "the length of the body is given more than once");
+      return false;
+    }
+  if (sums.keys > 1)
+    {
+      refuse (server, message, SOUP_STATUS_BAD_REQUEST, "Idempotency-Key is given more than once");
+      return false;
+    }
+  if (soup_message_headers_get_content_length (headers) > server->limits.body_bytes)
+    {
+      refuse (server, message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+              "the body is larger than allowed");
+      return false;
+    }
+  return true;
+}
+
+static void
+early (SoupServer *soup G_GNUC_UNUSED,
+       SoupServerMessage *message,
+       const char *path G_GNUC_UNUSED,
+       GHashTable *query G_GNUC_UNUSED,
+       gpointer data)
+{
+  http_server_t *server = data;
+  link_t *link = link_of (server, message);
+
+  if (link != NULL)
+    link->has_headers = true;
+  (void)check_headers (server, message);
+}
+
+static void
+got_chunk (SoupServerMessage *message, GBytes *chunk G_GNUC_UNUSED, gpointer data)
+{
+  http_server_t *server = data;
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  link_t *link;
+
+  if (body->length <= (goffset)server->limits.body_bytes)
+    return;
+  /* A chunked body without a stated length is cut at the bound. */
+  link = link_of (server, message);
+  server->counters.refused_requests++;
+  if (link != NULL)
+    link_shut (link);
+}
+
+static void
+request_free (http_request_t *request)
+{
+  request->server->busy--;
+  g_signal_handler_disconnect (request->message, request->finished_id);
+  g_object_unref (request->message);
+  g_bytes_unref (request->body);
+  if (request->query != NULL)
+    g_hash_table_unref (request->query);
+  g_free (request->path);
+  g_free (request);
+}
+
+/* The answer is written, or the client went away. */
+static void
+message_finished (SoupServerMessage *message G_GNUC_UNUSED, gpointer data)
+{
+  http_request_t *request = data;
+  http_gone_t gone = request->gone;
+
+  request->finished = true;
+  request->gone = NULL;
+  if (request->responded)
+    request_free (request);
+  else if (gone != NULL)
+    gone (request->gone_data);
+}
+
+static void
+handle (SoupServer *soup G_GNUC_UNUSED,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query,
+        gpointer data)
+{
+  http_server_t *server = data;
+  http_request_t *request = g_new0 (http_request_t, 1);
+
+  server->counters.requests++;
+  server->busy++;
+  request->server = server;
+  request->message = g_object_ref (message);
+  request->query = query != NULL ? g_hash_table_ref (query) : NULL;
+  request->path = g_strdup (path);
+  request->body = soup_message_body_flatten (soup_server_message_get_request_body (message));
+  request->finished_id
+      = g_signal_connect (message, "finished", G_CALLBACK (message_finished), request);
+  soup_server_message_pause (message);
+  server->handler (request, server->data);
+}
+
+static void
+request_started (SoupServer *soup G_GNUC_UNUSED, SoupServerMessage *message, gpointer data)
+{
+  http_server_t *server = data;
+  link_t *link = link_of (server, message);
+
+  if (link != NULL)
+    {
+      link->reading_since_us = g_get_monotonic_time ();
+      link->has_headers = false;
+    }
+  g_signal_connect (message, "got-chunk", G_CALLBACK (got_chunk), server);
+}
+
+static void
+request_read (SoupServer *soup G_GNUC_UNUSED, SoupServerMessage *message, gpointer data)
+{
+  link_t *link = link_of (data, message);
+
+  if (link != NULL)
+    link->reading_since_us = 0;
+}
+
+static gboolean
+incoming (GSocketService *service G_GNUC_UNUSED,
+          GSocketConnection *stream,
+          GObject *source G_GNUC_UNUSED,
+          gpointer data)
+{
+  http_server_t *server = data;
+  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (stream, NULL);
+  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (stream, NULL);
+  link_t *link;
+
+  if (server->link_count >= server->limits.connections || local == NULL || remote == NULL)
+    {
+      server->counters.refused_connections++;
+      return TRUE;
+    }
+  link = g_new0 (link_t, 1);
+  link->server = server;
+  link->stream = stream;
+  link->socket = g_socket_connection_get_socket (stream);
+  (void)g_socket_set_option (link->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_hash_table_insert (server->by_socket, link->socket, link);
+  link->reading_since_us = g_get_monotonic_time ();
+  list_push_back (&server->links, &link->node);
+  server->link_count++;
+  g_object_weak_ref (G_OBJECT (stream), link_closed, link);
+  (void)soup_server_accept_iostream (server->soup, G_IO_STREAM (stream), local, remote, NULL);
+  return TRUE;
+}
+
+static gboolean
+sweep (gpointer data)
+{
+  http_server_t *server = data;
+  gint64 oldest_us = g_get_monotonic_time () - (gint64)server->limits.read_timeout_ms * 1000;
+
+  for (list_node_t *node = server->links.next; node != &server->links; node = node->next)
+    {
+      link_t *link = LIST_ENTRY (node, link_t, node);
+
+      if (link->reading_since_us == 0 || link->reading_since_us > oldest_us)
+        continue;
+      server->counters.timeouts++;
+      link->reading_since_us = 0;
+      link_shut (link);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static bool
+listen_on (http_server_t *server, const char *address, error_info_t *error)
+{
+  g_autofree char *host = NULL;
+  guint16 port = 0;
+  g_autoptr (GSocketAddress) wanted = NULL;
+  g_autoptr (GSocketAddress) bound = NULL;
+  g_autoptr (GError) problem = NULL;
+
+  if (!settings_split_address (address, &host, &port))
+    return error_set (error, ERROR_BAD_SETTING, "\"%s\" is not IP:PORT", address);
+  wanted = g_inet_socket_address_new_from_string (host, port);
+  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (server->service), wanted,
+                                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, &bound,
+                                      &problem))
+    return error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address,
+                      problem->message);
+  server->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
+  return true;
+}
+
+http_server_t *
+http_server_new (const char *address,
+                 const http_limits_t *limits,
+                 http_handler_t handler,
+                 void *data,
+                 error_info_t *error)
+{
+  http_server_t *server = g_new0 (http_server_t, 1);
+
+  server->limits = *limits;
+  server->handler = handler;
+  server->data = data;
+  list_init (&server->links);
+  server->by_socket = g_hash_table_new (NULL, NULL);
+  server->soup = soup_server_new ("server-header", "mimosastair", NULL);
+  server->service = g_socket_service_new ();
+  soup_server_add_early_handler (server->soup, NULL, early, server, NULL);
+  soup_server_add_handler (server->soup, NULL, handle, server, NULL);
+  g_signal_connect (server->soup, "request-started", G_CALLBACK (request_started), server);
+  g_signal_connect (server->soup, "request-read", G_CALLBACK (request_read), server);
+  g_signal_connect (server->service, "incoming", G_CALLBACK (incoming), server);
+  server->timer = g_timeout_add (sweep_ms, sweep, server);
+  if (!listen_on (server, address, error))
+    {
+      http_server_free (server);
+      return NULL;
+    }
+  g_socket_service_start (server->service);
+  return server;
+}
+
+void
+http_server_free (http_server_t *server)
+{
+  if (server == NULL)
+    return;
+  g_source_remove (server->timer);
+  g_socket_service_stop (server->service);
+  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
+  soup_server_disconnect (server->soup);
+  g_object_unref (server->soup);
+  g_object_unref (server->service);
+  while (!list_is_empty (&server->links))
+    {
+      link_t *link = LIST_ENTRY (server->links.next, link_t, node);
+
+      g_object_weak_unref (G_OBJECT (link->stream), link_closed, link);
+      list_remove (&link->node);
+      g_free (link);
+    }
+  g_hash_table_unref (server->by_socket);
+  g_free (server);
+}
+
+guint16
+http_server_port (const http_server_t *server)
+{
+  return server->port;
+}
+
+void
+http_server_stop (http_server_t *server)
+{
+  server->stopping = true;
+  g_socket_service_stop (server->service);
+  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
+}
+
+guint
+http_server_drain (http_server_t *server)
+{
+  guint reading = 0;
+
+  for (list_node_t *node = server->links.next; node != &server->links; node = node->next)
+    {
+      const link_t *link = LIST_ENTRY (node, link_t, node);
+
+      if (link->reading_since_us == 0)
+        continue;
+      if (link->has_headers)
+        reading++;
+      else
+        link_shut (link);
+    }
+  return server->busy + reading;
+}
+
+const http_counters_t *
+http_server_counters (const http_server_t *server)
+{
+  return &server->counters;
+}
+
+guint
+http_server_connections (const http_server_t *server)
+{
+  return server->link_count;
+}
+
+const char *
+http_request_method (const http_request_t *request)
+{
+  return soup_server_message_get_method (request->message);
+}
+
+const char *
+http_request_path (const http_request_t *request)
+{
+  return request->path;
+}
+
+const char *
+http_request_header (const http_request_t *request, const char *name)
+{
+  return soup_message_headers_get_one (soup_server_message_get_request_headers (request->message),
+                                       name);
+}
+
+const char *
+http_request_query (const http_request_t *request, const char *name)
+{
+  return request->query != NULL ? g_hash_table_lookup (request->query, name) : NULL;
+}
+
+GBytes *
+http_request_body (const http_request_t *request)
+{
+  return request->body;
+}
+
+void
+http_request_on_gone (http_request_t *request, http_gone_t gone, void *data)
+{
+  request->gone = gone;
+  request->gone_data = data;
+}
+
+void
+http_respond (http_request_t *request,
+              guint status,
+              const char *content_type,
+              GBytes *body,
+              const http_header_t *headers,
+              gsize header_count)
+{
+  SoupMessageHeaders *out = soup_server_message_get_response_headers (request->message);
+  gsize size = 0;
+  const char *bytes = body != NULL ? g_bytes_get_data (body, &size) : NULL;
+
+  if (request->finished)
+    {
+      request_free (request);
+      return;
+    }
+  for (gsize i = 0; i < header_count; i++)
+    soup_message_headers_append (out, headers[i].name, headers[i].value);
+  if (request->server->stopping)
+    soup_message_headers_replace (out, "Connection", "close");
+  soup_server_message_set_status (request->message, status, NULL);
+  soup_server_message_set_response (request->message, content_type, SOUP_MEMORY_COPY,
+                                    bytes != NULL ? bytes : "", size);
+  request->responded = true;
+  request->gone = NULL;
+  soup_server_message_unpause (request->message);
+}
+
+void
+http_respond_text (http_request_t *request, guint status, const char *content_type, char *text)
+{
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+
+  http_respond (request, status, content_type, body, NULL, 0);
+}
+
+void
+http_respond_error (http_request_t *request,
+                    const error_info_t *error,
+                    outcome_t outcome,
+                    gint64 retry_after_ms)
+{
+  g_autofree char *seconds = g_strdup_printf ("%" G_GINT64_FORMAT, (retry_after_ms + 999) / 1000);
+  const http_header_t headers[]
+      = { { "Mimosastair-Outcome", outcome_name (outcome) }, { "Retry-After", seconds } };
+  char *text = error_text (error, outcome, retry_after_ms);
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+
+  http_respond (request, error_answer (error->kind)->http_status, json_type, body, headers,
+                retry_after_ms > 0 ? 2 : 1);
+}
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,218 @@
+#include "base/settings.h"
+
+#include <argtable2.h>
+#include <gio/gio.h>
+#include <string.h>
+
+enum
+{
+  ARGTABLE_ERRORS = 20
+};
+
+static char *
+variable_name (const char *flag)
+{
+  g_autofree char *upper = g_ascii_strup (flag, -1);
+
+  g_strdelimit (upper, "-", '_');
+  return g_strconcat ("MIMOSASTAIR_", upper, NULL);
+}
+
+bool
+settings_split_address (const char *text, char **host, guint16 *port)
+{
+  const char *colon = strrchr (text, ':');
+  g_autofree char *name = NULL;
+  guint64 number;
+
+  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &number, NULL))
+    return false;
+  if (text[0] == '[' && colon > text + 1 && colon[-1] == ']')
+    name = g_strndup (text + 1, (gsize)(colon - text - 2));
+  else
+    name = g_strndup (text, (gsize)(colon - text));
+  if (!g_hostname_is_ip_address (name))
+    return false;
+  *host = g_steal_pointer (&name);
+  *port = (guint16)number;
+  return true;
+}
+
+static bool
+store_number (const setting_t *setting, const char *text, error_info_t *error)
+{
+  gint64 number;
+
+  if (!g_ascii_string_to_signed (text, 10, setting->min, setting->max, &number, NULL))
+    return error_set (error, ERROR_BAD_SETTING,
+                      "--%s: \"%s\" is not a whole number from %" G_GINT64_FORMAT
+                      " to %" G_GINT64_FORMAT,
+                      setting->flag, text, setting->min, setting->max);
+  *(gint64 *)setting->value = number;
+  return true;
+}
+
+static bool
+store_address (const setting_t *setting, const char *text, error_info_t *error)
+{
+  g_autofree char *host = NULL;
+  guint16 port;
+  bool optional = setting->fallback != NULL && setting->fallback[0] == '\0';
+
+  if (!(optional && text[0] == '\0') && !settings_split_address (text, &host, &port))
+    return error_set (error, ERROR_BAD_SETTING,
+                      "--%s: \"%s\" is not an address of the form IP:PORT, port 0 to 65535",
+                      setting->flag, text);
+  *(char **)setting->value = g_strdup (text);
+  return true;
+}
+
+static bool
+store_text (const setting_t *setting, const char *text, error_info_t *error)
+{
+  gsize length = strlen (text);
+
+  if (length < (gsize)setting->min || length > (gsize)setting->max)
+    return error_set (error, ERROR_BAD_SETTING,
+                      "--%s: \"%s\" must have %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+                      " characters",
+                      setting->flag, text, setting->min, setting->max);
+  *(char **)setting->value = g_strdup (text);
+  return true;
+}
+
+static bool
+store_switch (const setting_t *setting, const char *text, error_info_t *error)
+{
+  if (strcmp (text, "1") != 0 && strcmp (text, "0") != 0)
+    return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" must be 0 or 1", setting->flag, text);
+  *(gboolean *)setting->value = text[0] == '1';
+  return true;
+}
+
+static bool
+store (const setting_t *setting, const char *text, error_info_t *error)
+{
+  if (text == NULL)
+    return error_set (error, ERROR_BAD_SETTING, "--%s: a value is needed (%s)", setting->flag,
+                      setting->help);
+  switch (setting->kind)
+    {
+    case SETTING_TEXT:
+      return store_text (setting, text, error);
+    case SETTING_NUMBER:
+      return store_number (setting, text, error);
+    case SETTING_ADDRESS:
+      return store_address (setting, text, error);
+    case SETTING_SWITCH:
+      return store_switch (setting, text, error);
+    }
+  return false;
+}
+
+static const char *
+given_value (const setting_t *setting, void *parsed)
+{
+  if (setting->kind == SETTING_SWITCH)
+    return ((struct arg_lit *)parsed)->count > 0 ? "1" : NULL;
+  return ((struct arg_str *)parsed)->count > 0 ? ((struct arg_str *)parsed)->sval[0] : NULL;
+}
+
+static bool
+store_all (const setting_t *settings, size_t count, void **table, error_info_t *error)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      g_autofree char *variable = variable_name (settings[i].flag);
+      const char *text = given_value (&settings[i], table[i]);
+
+      if (text == NULL)
+        text = g_getenv (variable);
+      if (text == NULL)
+        text = settings[i].fallback;
+      if (!store (&settings[i], text, error))
+        return false;
+    }
+  return true;
+}
+
+/* Takes argtable's first complaint, without its leading program name. */
+static bool
+argument_error (struct arg_end *end, error_info_t *error)
+{
+  g_autofree char *text = NULL;
+  size_t size = 0;
+  FILE *stream = open_memstream (&text, &size);
+
+  if (stream == NULL)
+    return error_set (error, ERROR_BAD_SETTING, "the arguments could not be read");
+  arg_print_errors (stream, end, "arguments");
+  (void)fclose (stream);
+  g_strdelimit (text, "\n", '\0');
+  return error_set (error, ERROR_BAD_SETTING, "%s", text);
+}
+
+bool
+settings_load (const setting_t *settings,
+               size_t count,
+               int argc,
+               char **argv,
+               settings_result_t *result,
+               error_info_t *error)
+{
+  g_autofree void **table = g_new0 (void *, count + 3);
+  struct arg_lit *help = arg_lit0 ("h", "help", NULL);
+  struct arg_lit *version = arg_lit0 (NULL, "version", NULL);
+  struct arg_end *end = arg_end (ARGTABLE_ERRORS);
+  bool ok = true;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (settings[i].kind == SETTING_SWITCH)
+        table[i] = arg_lit0 (NULL, settings[i].flag, NULL);
+      else
+        table[i] = arg_str0 (NULL, settings[i].flag, settings[i].placeholder, NULL);
+    }
+  table[count] = help;
+  table[count + 1] = version;
+  table[count + 2] = end;
+
+  int errors = arg_parse (argc, argv, table);
+  *result = SETTINGS_READY;
+  if (help->count > 0)
+    *result = SETTINGS_HELP;
+  else if (version->count > 0)
+    *result = SETTINGS_VERSION;
+  else if (errors > 0)
+    ok = argument_error (end, error);
+  else
+    ok = store_all (settings, count, table, error);
+  arg_freetable (table, count + 3);
+  return ok;
+}
+
+static void
+print_setting (const setting_t *setting, FILE *out)
+{
+  g_autofree char *variable = variable_name (setting->flag);
+  const char *placeholder = setting->placeholder != NULL ? setting->placeholder : "";
+
+  (void)fprintf (out, "  --%s%s%s\n        %s", setting->flag, placeholder[0] != '\0' ? "=" : "",
+                 placeholder, setting->help);
+  if (setting->kind == SETTING_NUMBER)
+    (void)fprintf (out, "; %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, setting->min, setting->max);
+  if (setting->fallback == NULL)
+    (void)fprintf (out, " (required)");
+  else if (setting->fallback[0] != '\0' && setting->kind != SETTING_SWITCH)
+    (void)fprintf (out, " (default %s)", setting->fallback);
+  (void)fprintf (out, " [%s]\n", variable);
+}
+
+void
+settings_print_help (const setting_t *settings, size_t count, FILE *out)
+{
+  for (size_t i = 0; i < count; i++)
+    print_setting (&settings[i], out);
+  (void)fprintf (out,
+                 "  --help\n        print this help\n  --version\n        print the version\n");
+}
--- /dev/null
+++ b/src/daemon/daemon.c
@@ -0,0 +1,411 @@
+#define LOG_MODULE "daemon"
+
+#include "daemon/daemon.h"
+
+#include "base/json.h"
+#include "base/log.h"
+#include "caller/callers.h"
+#include "operator/operators.h"
+#include "platform/claims.h"
+#include "platform/vmlist.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <string.h>
+
+#define SEATS_KEY "/mimosastair/seats"
+#define RACKS_PREFIX "/mimosastair/racks/"
+
+typedef enum
+{
+  PHASE_SERVING,
+  PHASE_LEAVING,  /* the balancer is told; requests are still taken */
+  PHASE_DRAINING, /* no new connections; requests in progress end */
+  PHASE_RELEASING /* claims are given up */
+} phase_t;
+
+struct daemon_state
+{
+  GMainLoop *loop;
+  options_t options;
+  claimant_t self;
+  phase_t phase;
+  gint64 phase_since_us;
+  metrics_t *metrics;
+  kv_t *kv;
+  batch_t *batch;
+  idem_t *idem;
+  claims_t *seats;
+  claims_t *racks;
+  vmlist_t *vmlist;
+  executors_t *executors;
+  workers_t *workers;
+  requests_t *requests;
+  jobs_t *jobs;
+  environments_t *environments;
+  callers_t *callers;
+  operators_t *operators;
+  GPtrArray *seat_names;
+  guint term_source;
+  guint int_source;
+  guint drain_timer;
+};
+
+static const guint drain_step_ms = 20;
+static const gint64 release_timeout_us = 2 * G_USEC_PER_SEC;
+
+static void
+environment_changed (environment_t *environment, void *data)
+{
+  requests_set_environment (((daemon_t *)data)->requests, environment);
+}
+
+static void
+seats_changed (const GArray *table, void *data)
+{
+  daemon_t *daemon = data;
+  guint held = claim_count_held (table, &daemon->self);
+
+  requests_set_seats (daemon->requests, held > 0 ? table->len : 0, claim_count_used (table));
+}
+
+static void
+racks_changed (const GArray *table, void *data)
+{
+  jobs_set_racks (((daemon_t *)data)->jobs, table);
+}
+
+/* Racks of this zone that have workers, each once. */
+static GPtrArray *
+rack_names (const daemon_t *daemon, const member_list_t *list)
+{
+  GPtrArray *names = g_ptr_array_new ();
+
+  for (guint i = 0; i < list->members->len; i++)
+    {
+      const member_t *member = &g_array_index (list->members, member_t, i);
+
+      if (member->role != MEMBER_WORKER || strcmp (member->zone, daemon->options.zone) != 0)
+        continue;
+      if (!g_ptr_array_find_with_equal_func (names, member->rack, g_str_equal, NULL))
+        g_ptr_array_add (names, (gpointer)member->rack);
+    }
+  return names;
+}
+
+static void
+want_racks (daemon_t *daemon, const member_list_t *list)
+{
+  g_autoptr (GPtrArray) names = rack_names (daemon, list);
+  guint vms = MAX (1U, member_list_count_entry (list, daemon->options.zone));
+  guint wanted = (names->len + vms - 1) / vms;
+
+  claims_set_list (daemon->racks, list);
+  claims_want (daemon->racks, (const char *const *)names->pdata, names->len, wanted);
+}
+
+static void
+list_changed (const member_list_t *list, void *data)
+{
+  daemon_t *daemon = data;
+
+  LOG_INFO ("list_changed", "revision=%" G_GINT64_FORMAT " vms=%u", list->revision,
+            list->members->len);
+  idem_set_list (daemon->idem, list);
+  requests_set_list (daemon->requests, list);
+  jobs_set_list (daemon->jobs, list);
+  if (daemon->phase >= PHASE_RELEASING)
+    return;
+  claims_set_list (daemon->seats, list);
+  claims_want (daemon->seats, (const char *const *)daemon->seat_names->pdata,
+               daemon->seat_names->len, 1);
+  want_racks (daemon, list);
+}
+
+static bool
+is_ready (const char **reason, void *data)
+{
+  const daemon_t *daemon = data;
+
+  if (daemon->phase != PHASE_SERVING)
+    *reason = "stopping";
+  else if (claims_held (daemon->seats) == 0)
+    *reason = "no seat yet";
+  else
+    return true;
+  return false;
+}
+
+static void
+put_idempotency (JsonBuilder *builder, const idem_counters_t *counters)
+{
+  json_builder_set_member_name (builder, "idempotency");
+  json_builder_begin_object (builder);
+  json_put_number (builder, "claimed", (gint64)counters->claimed);
+  json_put_number (builder, "joined", (gint64)counters->joined);
+  json_put_number (builder, "replayed", (gint64)counters->replayed);
+  json_put_number (builder, "released", (gint64)counters->released);
+  json_put_number (builder, "unavailable", (gint64)counters->unavailable);
+  json_builder_end_object (builder);
+}
+
+static void
+put_platform (JsonBuilder *builder, const daemon_t *daemon)
+{
+  json_builder_set_member_name (builder, "platform");
+  json_builder_begin_object (builder);
+  json_put_number (builder, "calls", (gint64)kv_calls (daemon->kv));
+  json_put_number (builder, "failures", (gint64)kv_failures (daemon->kv));
+  json_put_number (builder, "transactions", (gint64)batch_transactions (daemon->batch));
+  json_put_number (builder, "writes", (gint64)batch_ops (daemon->batch));
+  json_put_number (builder, "writes_waiting", batch_length (daemon->batch));
+  json_put_number (builder, "list_revision", vmlist_current (daemon->vmlist)->revision);
+  json_builder_end_object (builder);
+}
+
+static void
+put_callers (JsonBuilder *builder, const daemon_t *daemon)
+{
+  const http_counters_t *counters = http_server_counters (callers_server (daemon->callers));
+
+  json_builder_set_member_name (builder, "callers");
+  json_builder_begin_object (builder);
+  json_put_number (builder, "connections",
+                   http_server_connections (callers_server (daemon->callers)));
+  json_put_number (builder, "requests", (gint64)counters->requests);
+  json_put_number (builder, "refused_connections", (gint64)counters->refused_connections);
+  json_put_number (builder, "refused_requests", (gint64)counters->refused_requests);
+  json_put_number (builder, "timeouts", (gint64)counters->timeouts);
+  json_builder_end_object (builder);
+}
+
+static void
+put_jobs (JsonBuilder *builder, const daemon_t *daemon)
+{
+  json_builder_set_member_name (builder, "jobs");
+  json_builder_begin_object (builder);
+  json_put_number (builder, "open", jobs_open (daemon->jobs));
+  json_put_number (builder, "running_tasks", jobs_running_tasks (daemon->jobs));
+  json_put_number (builder, "workers", jobs_workers (daemon->jobs));
+  json_put_number (builder, "racks", claims_held (daemon->racks));
+  json_builder_end_object (builder);
+}
+
+static void
+put_status (JsonBuilder *builder, void *data)
+{
+  const daemon_t *daemon = data;
+  const char *reason = "serving";
+  bool ready = is_ready (&reason, data);
+
+  json_put_text (builder, "vm", daemon->self.vm);
+  json_put_text (builder, "zone", daemon->options.zone);
+  json_put_text (builder, "version", MIMOSASTAIR_VERSION);
+  json_put_text (builder, "incarnation", daemon->self.incarnation);
+  json_put_flag (builder, "ready", ready);
+  json_put_text (builder, "state", reason);
+  json_put_number (builder, "seats_held", claims_held (daemon->seats));
+  json_put_number (builder, "seats_used", claim_count_used (claims_table (daemon->seats)));
+  json_put_number (builder, "in_progress", requests_busy (daemon->requests));
+  json_builder_set_member_name (builder, "environments");
+  requests_describe (daemon->requests, builder);
+  put_jobs (builder, daemon);
+  put_idempotency (builder, idem_counters (daemon->idem));
+  put_platform (builder, daemon);
+  put_callers (builder, daemon);
+}
+
+static void
+enter (daemon_t *daemon, phase_t phase, const char *name)
+{
+  daemon->phase = phase;
+  daemon->phase_since_us = g_get_monotonic_time ();
+  LOG_INFO ("phase", "phase=%s in_progress=%u", name, requests_busy (daemon->requests));
+}
+
+/* True when nothing in progress would be cut off. */
+static bool
+is_drained (daemon_t *daemon)
+{
+  guint busy = http_server_drain (callers_server (daemon->callers));
+
+  return busy == 0 && requests_busy (daemon->requests) == 0 && idem_pending (daemon->idem) == 0
+         && batch_length (daemon->batch) == 0;
+}
+
+static void
+release_claims (daemon_t *daemon)
+{
+  g_autoptr (GPtrArray) racks = rack_names (daemon, vmlist_current (daemon->vmlist));
+
+  claims_want (daemon->seats, (const char *const *)daemon->seat_names->pdata,
+               daemon->seat_names->len, 0);
+  claims_want (daemon->racks, (const char *const *)racks->pdata, racks->len, 0);
+}
+
+static gboolean
+drain_step (gpointer data)
+{
+  daemon_t *daemon = data;
+  gint64 passed_us = g_get_monotonic_time () - daemon->phase_since_us;
+
+  switch (daemon->phase)
+    {
+    case PHASE_SERVING:
+      break;
+    case PHASE_LEAVING:
+      if (passed_us < daemon->options.drain_delay_ms * 1000)
+        break;
+      http_server_stop (callers_server (daemon->callers));
+      enter (daemon, PHASE_DRAINING, "draining");
+      break;
+    case PHASE_DRAINING:
+      if (!is_drained (daemon) && passed_us < daemon->options.drain_timeout_ms * 1000)
+        break;
+      release_claims (daemon);
+      enter (daemon, PHASE_RELEASING, "releasing");
+      break;
+    case PHASE_RELEASING:
+      if (claims_held (daemon->seats) + claims_held (daemon->racks) > 0
+          && passed_us < release_timeout_us)
+        break;
+      LOG_INFO ("stopped", "claims_held=%u",
+                claims_held (daemon->seats) + claims_held (daemon->racks));
+      daemon->drain_timer = 0;
+      g_main_loop_quit (daemon->loop);
+      return G_SOURCE_REMOVE;
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+stop_asked (gpointer data)
+{
+  daemon_t *daemon = data;
+
+  if (daemon->phase != PHASE_SERVING)
+    return G_SOURCE_CONTINUE;
+  enter (daemon, PHASE_LEAVING, "leaving");
+  daemon->drain_timer = g_timeout_add (drain_step_ms, drain_step, daemon);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+identify (daemon_t *daemon)
+{
+  g_strlcpy (daemon->self.vm, daemon->options.vm, sizeof daemon->self.vm);
+  g_strlcpy (daemon->self.address, daemon->options.listen, sizeof daemon->self.address);
+  (void)g_snprintf (daemon->self.incarnation, sizeof daemon->self.incarnation, "%08x%08x",
+                    g_random_int (), g_random_int ());
+}
+
+static void
+start_platform (daemon_t *daemon)
+{
+  const options_t *options = &daemon->options;
+  g_autofree char *racks_key = g_strconcat (RACKS_PREFIX, options->zone, NULL);
+
+  daemon->kv = kv_new (options->platform_kv, (guint)options->kv_timeout_s);
+  daemon->batch = batch_new (daemon->kv, options->kv_batch_interval_ms * 1000);
+  daemon->idem = idem_new (daemon->kv, daemon->batch, daemon->self.vm, daemon->self.incarnation,
+                           options->idempotency_retention_s);
+  daemon->seats = claims_new (daemon->kv, SEATS_KEY, &daemon->self, seats_changed, daemon);
+  daemon->racks = claims_new (daemon->kv, racks_key, &daemon->self, racks_changed, daemon);
+  daemon->seat_names = g_ptr_array_new_with_free_func (g_free);
+  for (gint64 i = 0; i < options->seats; i++)
+    g_ptr_array_add (daemon->seat_names, g_strdup_printf ("%" G_GINT64_FORMAT, i));
+}
+
+static void
+start_work (daemon_t *daemon)
+{
+  const options_t *options = &daemon->options;
+
+  daemon->executors = executors_new (1);
+  daemon->workers = workers_new ();
+  daemon->requests = requests_new (options->zone, daemon->executors, daemon->idem, daemon->metrics);
+  daemon->jobs = jobs_new (daemon->kv, daemon->batch, daemon->workers, daemon->metrics,
+                           &daemon->self, options->zone);
+}
+
+static bool
+start_servers (daemon_t *daemon, error_info_t *error)
+{
+  const options_t *options = &daemon->options;
+  http_limits_t limits = { .connections = (guint)options->max_connections,
+                           .header_bytes = (guint)options->max_header_bytes,
+                           .body_bytes = (guint)options->max_body_bytes,
+                           .read_timeout_ms = (guint)options->read_timeout_ms };
+
+  daemon->callers = callers_new (options->listen, &limits, daemon->requests, daemon->jobs, is_ready,
+                                 daemon, error);
+  if (daemon->callers == NULL)
+    return false;
+  daemon->operators = operators_new (options->operator_listen, &limits, daemon->environments,
+                                     daemon->metrics, put_status, daemon, error);
+  return daemon->operators != NULL;
+}
+
+daemon_t *
+daemon_new (const options_t *options, error_info_t *error)
+{
+  daemon_t *daemon = g_new0 (daemon_t, 1);
+
+  daemon->options = *options;
+  daemon->loop = g_main_loop_new (NULL, FALSE);
+  daemon->metrics = metrics_new ();
+  identify (daemon);
+  start_platform (daemon);
+  start_work (daemon);
+  daemon->environments
+      = environments_new (daemon->kv, daemon->self.vm, environment_changed, daemon);
+  /* The address must be held before claims of a former process are taken over. */
+  if (!start_servers (daemon, error))
+    {
+      daemon_free (daemon);
+      return NULL;
+    }
+  daemon->vmlist
+      = vmlist_new (options->platform_list, (guint)options->list_interval_ms, list_changed, daemon);
+  daemon->term_source = g_unix_signal_add (SIGTERM, stop_asked, daemon);
+  daemon->int_source = g_unix_signal_add (SIGINT, stop_asked, daemon);
+  LOG_INFO ("started", "vm=%s zone=%s listen=%s operator_listen=%s", daemon->self.vm, options->zone,
+            options->listen, options->operator_listen);
+  return daemon;
+}
+
+void
+daemon_run (daemon_t *daemon)
+{
+  g_main_loop_run (daemon->loop);
+}
+
+void
+daemon_free (daemon_t *daemon)
+{
+  if (daemon->term_source != 0)
+    g_source_remove (daemon->term_source);
+  if (daemon->int_source != 0)
+    g_source_remove (daemon->int_source);
+  if (daemon->drain_timer != 0)
+    g_source_remove (daemon->drain_timer);
+  vmlist_free (daemon->vmlist);
+  operators_free (daemon->operators);
+  callers_free (daemon->callers);
+  /* Ends every call, so that no reply comes to what is freed below. */
+  kv_free (daemon->kv);
+  executors_free (daemon->executors);
+  workers_free (daemon->workers);
+  environments_free (daemon->environments);
+  requests_free (daemon->requests);
+  jobs_free (daemon->jobs);
+  idem_free (daemon->idem);
+  claims_free (daemon->seats);
+  claims_free (daemon->racks);
+  batch_free (daemon->batch);
+  if (daemon->seat_names != NULL)
+    g_ptr_array_unref (daemon->seat_names);
+  metrics_free (daemon->metrics);
+  g_main_loop_unref (daemon->loop);
+  g_free (daemon);
+}
--- /dev/null
+++ b/src/daemon/options.c
@@ -0,0 +1,169 @@
+#include "daemon/options.h"
+
+static options_t loaded;
+
+static const setting_t settings[] = {
+  { .flag = "vm",
+    .kind = SETTING_TEXT,
+    .value = &loaded.vm,
+    .min = 1,
+    .max = 63,
+    .placeholder = "ID",
+    .help = "id of this VM in the platform's list" },
+  { .flag = "zone",
+    .kind = SETTING_TEXT,
+    .value = &loaded.zone,
+    .min = 1,
+    .max = 63,
+    .placeholder = "ZONE",
+    .help = "availability zone of this VM" },
+  { .flag = "listen",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.listen,
+    .fallback = "127.0.0.1:8080",
+    .placeholder = "IP:PORT",
+    .help = "address for callers" },
+  { .flag = "operator-listen",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.operator_listen,
+    .fallback = "127.0.0.1:8081",
+    .placeholder = "IP:PORT",
+    .help = "address for operators" },
+  { .flag = "platform-kv",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.platform_kv,
+    .placeholder = "IP:PORT",
+    .help = "the platform's key-value service" },
+  { .flag = "platform-list",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.platform_list,
+    .placeholder = "IP:PORT",
+    .help = "the platform's list of VMs" },
+  { .flag = "log-level",
+    .kind = SETTING_TEXT,
+    .value = &loaded.log_level,
+    .fallback = "info",
+    .min = 4,
+    .max = 7,
+    .placeholder = "LEVEL",
+    .help = "error, warning, info or debug" },
+  { .flag = "seats",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.seats,
+    .fallback = "8",
+    .min = 1,
+    .max = 64,
+    .placeholder = "COUNT",
+    .help = "entry VMs that may serve at once, the same on all; divides executors' connections" },
+  { .flag = "list-interval-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.list_interval_ms,
+    .fallback = "1000",
+    .min = 50,
+    .max = 60000,
+    .placeholder = "MS",
+    .help = "time between reads of the platform's list" },
+  { .flag = "kv-timeout-s",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.kv_timeout_s,
+    .fallback = "2",
+    .min = 1,
+    .max = 60,
+    .placeholder = "S",
+    .help = "longest wait for an answer of the key-value service" },
+  { .flag = "kv-batch-interval-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.kv_batch_interval_ms,
+    .fallback = "40",
+    .min = 1,
+    .max = 1000,
+    .placeholder = "MS",
+    .help = "shortest time between two write transactions of this VM" },
+  { .flag = "idempotency-retention-s",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.idempotency_retention_s,
+    .fallback = "3600",
+    .min = 60,
+    .max = 604800,
+    .placeholder = "S",
+    .help = "time for which answers to idempotency keys are kept" },
+  { .flag = "max-connections",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.max_connections,
+    .fallback = "4096",
+    .min = 1,
+    .max = 100000,
+    .placeholder = "COUNT",
+    .help = "connections of callers" },
+  { .flag = "max-header-bytes",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.max_header_bytes,
+    .fallback = "8192",
+    .min = 256,
+    .max = 65536,
+    .placeholder = "BYTES",
+    .help = "headers of a request" },
+  { .flag = "max-body-bytes",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.max_body_bytes,
+    .fallback = "1048576",
+    .min = 0,
+    .max = 67108864,
+    .placeholder = "BYTES",
+    .help = "body of a request" },
+  { .flag = "read-timeout-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.read_timeout_ms,
+    .fallback = "30000",
+    .min = 100,
+    .max = 600000,
+    .placeholder = "MS",
+    .help = "longest time until a connection has sent a whole request" },
+  { .flag = "drain-delay-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.drain_delay_ms,
+    .fallback = "3000",
+    .min = 0,
+    .max = 60000,
+    .placeholder = "MS",
+    .help = "time after SIGTERM in which the balancer learns of it and requests are still taken" },
+  { .flag = "drain-timeout-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.drain_timeout_ms,
+    .fallback = "30000",
+    .min = 100,
+    .max = 600000,
+    .placeholder = "MS",
+    .help = "longest time after that in which requests in progress may end" },
+};
+
+bool
+options_load (
+    options_t *options, int argc, char **argv, settings_result_t *result, error_info_t *error)
+{
+  bool ok = settings_load (settings, G_N_ELEMENTS (settings), argc, argv, result, error);
+
+  *options = loaded;
+  return ok;
+}
+
+void
+options_clear (options_t *options)
+{
+  g_free (options->vm);
+  g_free (options->zone);
+  g_free (options->listen);
+  g_free (options->operator_listen);
+  g_free (options->platform_kv);
+  g_free (options->platform_list);
+  g_free (options->log_level);
+}
+
+void
+options_print_help (FILE *out)
+{
+  (void)fprintf (out, "usage: mimosastaird --vm=ID --zone=ZONE --platform-kv=IP:PORT "
+                      "--platform-list=IP:PORT [FLAG...]\n\n"
+                      "Entry daemon of the mimosastair cluster scheduler.\n\n");
+  settings_print_help (settings, G_N_ELEMENTS (settings), out);
+}
--- /dev/null
+++ b/src/daemon/options.h
@@ -0,0 +1,33 @@
+/* Settings of mimosastaird. */
+#pragma once
+
+#include "base/settings.h"
+
+typedef struct
+{
+  char *vm;
+  char *zone;
+  char *listen;
+  char *operator_listen;
+  char *platform_kv;
+  char *platform_list;
+  char *log_level;
+  gint64 seats;
+  gint64 list_interval_ms;
+  gint64 kv_timeout_s;
+  gint64 kv_batch_interval_ms;
+  gint64 idempotency_retention_s;
+  gint64 max_connections;
+  gint64 max_header_bytes;
+  gint64 max_body_bytes;
+  gint64 read_timeout_ms;
+  gint64 drain_delay_ms;
+  gint64 drain_timeout_ms;
+} options_t;
+
+/* Fills `options`; see settings_load(). */
+bool options_load (
+    options_t *options, int argc, char **argv, settings_result_t *result, error_info_t *error);
+void options_clear (options_t *options);
+
+void options_print_help (FILE *out);
--- /dev/null
+++ b/src/decide/job.c
@@ -0,0 +1,66 @@
+#include "decide/job.h"
+
+static const gint64 drift_part = 20;                  /* clocks drift by at most 1/20 */
+static const gint64 delivery_us = 4 * G_USEC_PER_SEC; /* latest arrival of a message */
+static const guint failures_max = 5;
+
+gint64
+task_lease_end_us (gint64 sent_us, gint64 lease_us)
+{
+  return sent_us + lease_us + lease_us / drift_part + delivery_us;
+}
+
+bool
+task_is_surely_lapsed (const task_t *task, gint64 now_us)
+{
+  return task->lease_until_us <= now_us;
+}
+
+void
+task_place (task_t *task, int worker)
+{
+  task->worker = worker;
+  task->attempt++;
+  task->state = TASK_STARTING;
+}
+
+void
+task_free (task_t *task, placer_t *placer)
+{
+  if (task->worker != PLACE_NONE)
+    placer_release (placer, task->worker, &task->need);
+  task->worker = PLACE_NONE;
+  task->state = TASK_PENDING;
+}
+
+void
+task_fail (task_t *task, placer_t *placer)
+{
+  task_free (task, placer);
+  task->failures++;
+  if (task->failures >= failures_max)
+    task->state = TASK_FAILED;
+}
+
+const char *
+task_state_name (task_state_t state)
+{
+  switch (state)
+    {
+    case TASK_PENDING:
+      return "pending";
+    case TASK_STARTING:
+      return "starting";
+    case TASK_RUNNING:
+      return "running";
+    case TASK_STOPPING:
+      return "stopping";
+    case TASK_RECOVERING:
+      return "recovering";
+    case TASK_FINISHED:
+      return "finished";
+    case TASK_FAILED:
+      return "failed";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/src/decide/place.c
@@ -0,0 +1,166 @@
+#include "decide/place.h"
+
+#include <math.h>
+#include <string.h>
+
+static const guint failures_until_aside = 3;
+static const gint64 aside_us = 10 * G_USEC_PER_SEC;
+
+placer_t *
+placer_new (void)
+{
+  placer_t *placer = g_new0 (placer_t, 1);
+
+  placer->workers = g_array_new (FALSE, TRUE, sizeof (worker_t));
+  return placer;
+}
+
+void
+placer_free (placer_t *placer)
+{
+  if (placer == NULL)
+    return;
+  g_array_unref (placer->workers);
+  g_free (placer);
+}
+
+int
+placer_find (const placer_t *placer, const char *id)
+{
+  for (guint i = 0; i < placer->workers->len; i++)
+    {
+      if (strcmp (g_array_index (placer->workers, worker_t, i).id, id) == 0)
+        return (int)i;
+    }
+  return PLACE_NONE;
+}
+
+worker_t *
+placer_worker (const placer_t *placer, int index)
+{
+  g_assert (index >= 0 && (guint)index < placer->workers->len);
+  return &g_array_index (placer->workers, worker_t, index);
+}
+
+int
+placer_update (placer_t *placer, const char *id, const char *rack, const resources_t *total)
+{
+  int index = placer_find (placer, id);
+  worker_t *worker;
+
+  if (index == PLACE_NONE)
+    {
+      worker_t fresh = { .usable = false };
+
+      g_strlcpy (fresh.id, id, sizeof fresh.id);
+      g_array_append_val (placer->workers, fresh);
+      index = (int)placer->workers->len - 1;
+    }
+  worker = placer_worker (placer, index);
+  g_strlcpy (worker->rack, rack, sizeof worker->rack);
+  worker->total = *total;
+  return index;
+}
+
+static bool
+fits (const resources_t *need, const resources_t *total, const resources_t *used)
+{
+  return need->cpu_milli <= total->cpu_milli - used->cpu_milli
+         && need->memory_mb <= total->memory_mb - used->memory_mb
+         && need->accelerators <= total->accelerators - used->accelerators;
+}
+
+bool
+placer_could_ever_fit (const placer_t *placer, const resources_t *need)
+{
+  const resources_t nothing = { 0 };
+
+  for (guint i = 0; i < placer->workers->len; i++)
+    {
+      if (fits (need, &placer_worker (placer, (int)i)->total, &nothing))
+        return true;
+    }
+  return false;
+}
+
+static double
+fraction (gint64 part, gint64 whole)
+{
+  return whole > 0 ? (double)part / (double)whole : 0.0;
+}
+
+/* Free part left after the task, in the fullest resource: the least is the best
+ * fit.  Accelerators left idle beside a task without need of them cost extra. */
+static double
+waste (const worker_t *worker, const resources_t *need)
+{
+  gint64 cpu = worker->total.cpu_milli - worker->used.cpu_milli - need->cpu_milli;
+  gint64 memory = worker->total.memory_mb - worker->used.memory_mb - need->memory_mb;
+  gint64 accelerators = worker->total.accelerators - worker->used.accelerators - need->accelerators;
+  double left
+      = fraction (cpu, worker->total.cpu_milli) + fraction (memory, worker->total.memory_mb);
+
+  if (need->accelerators == 0 && accelerators > 0)
+    left += 2.0;
+  return left;
+}
+
+int
+placer_place (placer_t *placer, const resources_t *need, gint64 now_us)
+{
+  int best = PLACE_NONE;
+  double best_waste = 0;
+
+  for (guint i = 0; i < placer->workers->len; i++)
+    {
+      const worker_t *worker = placer_worker (placer, (int)i);
+      double left;
+
+      if (!worker->usable || worker->aside_until_us > now_us
+          || !fits (need, &worker->total, &worker->used))
+        continue;
+      left = waste (worker, need);
+      if (best != PLACE_NONE && left >= best_waste)
+        continue;
+      best = (int)i;
+      best_waste = left;
+    }
+  if (best != PLACE_NONE)
+    placer_take (placer, best, need);
+  return best;
+}
+
+void
+placer_take (placer_t *placer, int index, const resources_t *need)
+{
+  worker_t *worker = placer_worker (placer, index);
+
+  worker->used.cpu_milli += need->cpu_milli;
+  worker->used.memory_mb += need->memory_mb;
+  worker->used.accelerators += need->accelerators;
+}
+
+void
+placer_release (placer_t *placer, int index, const resources_t *need)
+{
+  worker_t *worker = placer_worker (placer, index);
+
+  worker->used.cpu_milli -= need->cpu_milli;
+  worker->used.memory_mb -= need->memory_mb;
+  worker->used.accelerators -= need->accelerators;
+}
+
+void
+placer_note_start (placer_t *placer, int index, bool started, gint64 now_us)
+{
+  worker_t *worker = placer_worker (placer, index);
+
+  if (started)
+    {
+      worker->failures = 0;
+      return;
+    }
+  worker->failures++;
+  if (worker->failures >= failures_until_aside)
+    worker->aside_until_us = now_us + aside_us;
+}
--- /dev/null
+++ b/src/decide/request.c
@@ -0,0 +1,543 @@
+#include "decide/request.h"
+
+#include "decide/retry_budget.h"
+
+#include <math.h>
+#include <string.h>
+
+typedef enum
+{
+  STATE_CLAIMING,
+  STATE_QUEUED,
+  STATE_SENT
+} request_state_t;
+
+typedef struct
+{
+  fairqueue_item_t item;
+  wheel_timer_t timer;
+  guint64 id;
+  request_state_t state;
+  bool keyed;
+  bool claimed;
+  bool maybe_ran; /* an earlier attempt was sent and its fate is not known */
+  gint64 arrived_us;
+  gint64 deadline_us;
+  gint64 sent_us;
+  gint64 waited_us;
+  guint attempts;
+  int executor;
+  int avoid;
+} request_t;
+
+struct request_core
+{
+  environment_t *environment;
+  router_t *router;
+  fairqueue_t *queue;
+  GHashTable *requests; /* id -> request_t */
+  timerwheel_t wheel;
+  guint running[DOCUMENT_CLASSES_MAX];
+  guint claiming[DOCUMENT_CLASSES_MAX];
+  double service_us[DOCUMENT_CLASSES_MAX];
+  retry_budget_t budgets[DOCUMENT_CLASSES_MAX];
+  request_counters_t counters;
+  guint32 random;
+};
+
+/* What the wheel's callback needs. */
+typedef struct
+{
+  request_core_t *core;
+  gint64 now_us;
+  GArray *actions;
+} tick_context_t;
+
+static const double initial_service_us = 2000;
+static const double service_weight = 0.1; /* of the newest sample */
+static const double retry_ratio = 0.1;    /* retries per first attempt */
+static const double retry_burst = 10;     /* retries saved up */
+
+static guint32
+next_random (request_core_t *core)
+{
+  /* xorshift32: any non-zero state runs through all others. */
+  core->random ^= core->random << 13;
+  core->random ^= core->random >> 17;
+  core->random ^= core->random << 5;
+  return core->random;
+}
+
+static void
+free_request (gpointer data)
+{
+  g_free (data);
+}
+
+request_core_t *
+request_core_new (environment_t *environment, router_t *router, guint32 seed, gint64 now_us)
+{
+  request_core_t *core = g_new0 (request_core_t, 1);
+
+  core->environment = environment_ref (environment);
+  core->router = router;
+  core->queue = fairqueue_new (environment);
+  core->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_request);
+  core->random = seed | 1U;
+  timerwheel_init (&core->wheel, now_us);
+  for (guint i = 0; i < DOCUMENT_CLASSES_MAX; i++)
+    {
+      core->service_us[i] = initial_service_us;
+      core->budgets[i]
+          = (retry_budget_t){ .tokens = retry_burst, .ratio = retry_ratio, .burst = retry_burst };
+    }
+  return core;
+}
+
+void
+request_core_free (request_core_t *core)
+{
+  if (core == NULL)
+    return;
+  g_hash_table_unref (core->requests);
+  fairqueue_free (core->queue);
+  environment_unref (core->environment);
+  g_free (core);
+}
+
+static const work_class_t *
+class_of (const request_core_t *core, const request_t *request)
+{
+  return &core->environment->classes[request->item.class_index];
+}
+
+static request_action_t
+action_for (const request_t *request, request_action_kind_t kind)
+{
+  return (request_action_t){ .kind = kind,
+                             .id = request->id,
+                             .attempt = request->attempts,
+                             .executor = request->executor,
+                             .deadline_us = request->deadline_us,
+                             .class_index = request->item.class_index,
+                             .customer_index = request->item.customer_index };
+}
+
+static void
+emit (const request_t *request, request_action_kind_t kind, GArray *actions)
+{
+  request_action_t action = action_for (request, kind);
+
+  g_array_append_val (actions, action);
+}
+
+/* Answers the caller and forgets the request. */
+static void
+reply (request_core_t *core, request_t *request, error_kind_t error, gint64 now_us, GArray *actions)
+{
+  request_action_t action = action_for (request, REQUEST_ACTION_REPLY);
+  bool not_run;
+
+  if (request->maybe_ran && error_answer (error)->outcome == OUTCOME_NOT_RUN)
+    error = ERROR_ANSWER_LOST;
+  not_run = error_answer (error)->outcome == OUTCOME_NOT_RUN;
+  if (request->claimed && not_run)
+    emit (request, REQUEST_ACTION_RELEASE, actions);
+  action.error = error;
+  action.keyed = request->claimed && !not_run;
+  action.waited_us = request->attempts > 0 ? request->waited_us : now_us - request->arrived_us;
+  action.service_us = request->attempts > 0 ? now_us - request->sent_us : 0;
+  g_array_append_val (actions, action);
+  timerwheel_stop (&core->wheel, &request->timer);
+  fairqueue_remove (core->queue, &request->item);
+  g_hash_table_remove (core->requests, &request->id);
+}
+
+/* Expected wait of one more request of the class behind those queued: the class
+ * drains through its guaranteed part of the slots at least. */
+static double
+expected_wait_us (const request_core_t *core, guint class_index, guint capacity)
+{
+  const work_class_t *class = &core->environment->classes[class_index];
+  guint queued = fairqueue_class_length (core->queue, class_index) + core->claiming[class_index];
+  double slots = fmax (1.0, class->share * capacity);
+
+  if (queued == 0)
+    return 0;
+  slots = fmax (slots, core->running[class_index]);
+  return queued * core->service_us[class_index] / slots;
+}
+
+static error_kind_t
+admission_error (const request_core_t *core, const request_t *request, gint64 now_us)
+{
+  guint class_index = request->item.class_index;
+  guint customer_index = request->item.customer_index;
+  guint usable = 0;
+  guint capacity = router_capacity (core->router, now_us, &usable);
+  gint64 left_us = request->deadline_us - now_us;
+
+  if (usable == 0 || capacity == 0)
+    return ERROR_NO_BACKEND;
+  if (left_us <= 0)
+    return ERROR_DEADLINE_PASSED;
+  if (fairqueue_customer_length (core->queue, class_index, customer_index)
+      >= MAX (1U, fairqueue_customer_limit (core->queue, class_index, customer_index)))
+    return ERROR_QUEUE_FULL;
+  if (expected_wait_us (core, class_index, capacity)
+          > (double)left_us - core->service_us[class_index]
+      && fairqueue_class_length (core->queue, class_index) > 0)
+    return ERROR_OVERLOADED;
+  return ERROR_NONE;
+}
+
+static void
+send_request (
+    request_core_t *core, request_t *request, int executor, gint64 now_us, GArray *actions)
+{
+  if (request->attempts == 0)
+    {
+      request->waited_us = now_us - request->arrived_us;
+      retry_budget_earn (&core->budgets[request->item.class_index]);
+    }
+  request->attempts++;
+  request->state = STATE_SENT;
+  request->sent_us = now_us;
+  request->executor = executor;
+  core->running[request->item.class_index]++;
+  core->counters.sent++;
+  emit (request, REQUEST_ACTION_SEND, actions);
+}
+
+/* Starts queued requests while there are slots for them. */
+static void
+dispatch (request_core_t *core, gint64 now_us, GArray *actions)
+{
+  guint capacity;
+
+  if (fairqueue_length (core->queue) == 0)
+    return;
+  capacity = router_capacity (core->router, now_us, NULL);
+  while (fairqueue_length (core->queue) > 0)
+    {
+      fairqueue_item_t *item;
+      request_t *request;
+      int executor = router_pick (core->router, ROUTER_NONE, now_us, next_random (core));
+
+      if (executor == ROUTER_NONE)
+        return;
+      item = fairqueue_pop (core->queue, core->running, capacity, core->service_us);
+      if (item == NULL)
+        {
+          router_executor (core->router, executor)->in_flight--;
+          return;
+        }
+      request = LIST_ENTRY (item, request_t, item);
+      if (now_us >= request->deadline_us)
+        {
+          router_executor (core->router, executor)->in_flight--;
+          core->counters.expired++;
+          reply (core, request, ERROR_DEADLINE_PASSED, now_us, actions);
+          continue;
+        }
+      if (request->avoid == executor)
+        {
+          router_executor (core->router, executor)->in_flight--;
+          executor = router_pick (core->router, request->avoid, now_us, next_random (core));
+        }
+      send_request (core, request, executor, now_us, actions);
+    }
+}
+
+static void
+enqueue (request_core_t *core, request_t *request)
+{
+  request->state = STATE_QUEUED;
+  fairqueue_push (core->queue, &request->item);
+}
+
+void
+request_arrive (
+    request_core_t *core, guint64 id, const request_spec_t *spec, gint64 now_us, GArray *actions)
+{
+  request_t *request = g_new0 (request_t, 1);
+  const work_class_t *class = &core->environment->classes[spec->class_index];
+  gint64 longest = now_us + class->deadline_us;
+  error_kind_t error;
+
+  request->id = id;
+  request->item.class_index = spec->class_index;
+  request->item.customer_index = spec->customer_index;
+  request->keyed = spec->keyed;
+  request->arrived_us = now_us;
+  request->deadline_us = spec->deadline_us > 0 ? MIN (spec->deadline_us, longest) : longest;
+  request->executor = ROUTER_NONE;
+  request->avoid = ROUTER_NONE;
+  g_hash_table_insert (core->requests, &request->id, request);
+
+  error = admission_error (core, request, now_us);
+  if (error != ERROR_NONE)
+    {
+      core->counters.shed++;
+      reply (core, request, error, now_us, actions);
+      return;
+    }
+  core->counters.admitted++;
+  timerwheel_start (&core->wheel, &request->timer, request->deadline_us);
+  if (request->keyed)
+    {
+      request->state = STATE_CLAIMING;
+      core->claiming[spec->class_index]++;
+      emit (request, REQUEST_ACTION_CLAIM, actions);
+      return;
+    }
+  enqueue (core, request);
+  dispatch (core, now_us, actions);
+}
+
+void
+request_claimed (
+    request_core_t *core, guint64 id, claim_result_t result, gint64 now_us, GArray *actions)
+{
+  request_t *request = g_hash_table_lookup (core->requests, &id);
+
+  if (request == NULL)
+    {
+      /* Answered "not run" while the claim was on its way. */
+      request_t late = { .id = id, .executor = ROUTER_NONE };
+
+      if (result == CLAIM_HELD)
+        emit (&late, REQUEST_ACTION_RELEASE, actions);
+      return;
+    }
+  g_assert (request->state == STATE_CLAIMING);
+  core->claiming[request->item.class_index]--;
+  switch (result)
+    {
+    case CLAIM_HELD:
+      request->claimed = true;
+      enqueue (core, request);
+      dispatch (core, now_us, actions);
+      return;
+    case CLAIM_UNAVAILABLE:
+      reply (core, request, ERROR_PLATFORM_UNAVAILABLE, now_us, actions);
+      return;
+    case CLAIM_TAKEN:
+      reply (core, request, ERROR_IN_PROGRESS, now_us, actions);
+      return;
+    }
+}
+
+static void
+note_service (request_core_t *core, const request_t *request, gint64 now_us)
+{
+  double *average = &core->service_us[request->item.class_index];
+
+  *average += service_weight * ((double)(now_us - request->sent_us) - *average);
+}
+
+static router_result_t
+router_result (answer_kind_t answer)
+{
+  switch (answer)
+    {
+    case ANSWER_WHOLE:
+      return ROUTER_ANSWERED;
+    case ANSWER_REFUSED:
+      return ROUTER_REFUSED;
+    case ANSWER_UNSENT:
+    case ANSWER_LOST:
+    case ANSWER_INVALID:
+      return ROUTER_FAILED;
+    }
+  return ROUTER_FAILED;
+}
+
+static error_kind_t
+answer_error (answer_kind_t answer)
+{
+  switch (answer)
+    {
+    case ANSWER_WHOLE:
+      return ERROR_NONE;
+    case ANSWER_REFUSED:
+      return ERROR_REFUSED;
+    case ANSWER_UNSENT:
+      return ERROR_NO_BACKEND;
+    case ANSWER_LOST:
+      return ERROR_ANSWER_LOST;
+    case ANSWER_INVALID:
+      return ERROR_ANSWER_INVALID;
+    }
+  return ERROR_INTERNAL;
+}
+
+/* True when the attempt may be followed by another: it certainly did not run, or
+ * running it again is harmless; and the class, the deadline and the budget allow. */
+static bool
+may_retry (request_core_t *core, const request_t *request, error_kind_t error, gint64 now_us)
+{
+  const work_class_t *class = class_of (core, request);
+  bool safe = class->idempotent || error_answer (error)->outcome == OUTCOME_NOT_RUN;
+
+  if (!safe || request->attempts > class->retry_attempts || now_us >= request->deadline_us)
+    return false;
+  if (retry_budget_spend (&core->budgets[request->item.class_index]))
+    return true;
+  core->counters.retry_denied++;
+  return false;
+}
+
+void
+request_answered (request_core_t *core,
+                  guint64 id,
+                  guint attempt,
+                  answer_kind_t answer,
+                  gint64 now_us,
+                  GArray *actions)
+{
+  request_t *request = g_hash_table_lookup (core->requests, &id);
+  error_kind_t error = answer_error (answer);
+
+  if (request == NULL || request->state != STATE_SENT || request->attempts != attempt)
+    return;
+  core->running[request->item.class_index]--;
+  router_done (core->router, request->executor, router_result (answer), now_us - request->sent_us,
+               now_us);
+  if (answer == ANSWER_WHOLE)
+    note_service (core, request, now_us);
+  if (error_answer (error)->outcome == OUTCOME_UNKNOWN)
+    request->maybe_ran = true;
+  if (error != ERROR_NONE && may_retry (core, request, error, now_us))
+    {
+      core->counters.retried++;
+      request->avoid = request->executor;
+      enqueue (core, request);
+    }
+  else
+    {
+      reply (core, request, error, now_us, actions);
+    }
+  dispatch (core, now_us, actions);
+}
+
+void
+request_abandon (request_core_t *core, guint64 id, gint64 now_us, GArray *actions)
+{
+  request_t *request = g_hash_table_lookup (core->requests, &id);
+
+  if (request == NULL || request->state != STATE_QUEUED)
+    return;
+  reply (core, request, ERROR_DEADLINE_PASSED, now_us, actions);
+}
+
+static void
+deadline_passed (wheel_timer_t *timer, void *data)
+{
+  tick_context_t *context = data;
+  request_core_t *core = context->core;
+  request_t *request = LIST_ENTRY (timer, request_t, timer);
+
+  core->counters.expired++;
+  switch (request->state)
+    {
+    case STATE_CLAIMING:
+      core->claiming[request->item.class_index]--;
+      reply (core, request, ERROR_DEADLINE_PASSED, context->now_us, context->actions);
+      return;
+    case STATE_QUEUED:
+      reply (core, request, ERROR_DEADLINE_PASSED, context->now_us, context->actions);
+      return;
+    case STATE_SENT:
+      core->running[request->item.class_index]--;
+      router_done (core->router, request->executor, ROUTER_GIVEN_UP,
+                   context->now_us - request->sent_us, context->now_us);
+      emit (request, REQUEST_ACTION_ABORT, context->actions);
+      reply (core, request, ERROR_ANSWER_TIMEOUT, context->now_us, context->actions);
+      return;
+    }
+}
+
+void
+request_tick (request_core_t *core, gint64 now_us, GArray *actions)
+{
+  tick_context_t context = { .core = core, .now_us = now_us, .actions = actions };
+
+  timerwheel_advance (&core->wheel, now_us, deadline_passed, &context);
+  dispatch (core, now_us, actions);
+}
+
+static bool
+same_shape (const environment_t *a, const environment_t *b)
+{
+  if (a->class_count != b->class_count || a->customer_count != b->customer_count)
+    return false;
+  for (guint i = 0; i < a->class_count; i++)
+    {
+      if (strcmp (a->classes[i].name, b->classes[i].name) != 0
+          || a->classes[i].idempotent != b->classes[i].idempotent)
+        return false;
+    }
+  for (guint i = 0; i < a->customer_count; i++)
+    {
+      if (strcmp (a->customers[i].name, b->customers[i].name) != 0)
+        return false;
+    }
+  return true;
+}
+
+typedef struct
+{
+  fairqueue_t *queue;
+  fairqueue_t *old;
+} requeue_context_t;
+
+static bool
+requeue (fairqueue_item_t *item, void *data)
+{
+  requeue_context_t *context = data;
+
+  fairqueue_remove (context->old, item);
+  fairqueue_push (context->queue, item);
+  return true;
+}
+
+bool
+request_core_adopt (request_core_t *core, environment_t *environment)
+{
+  requeue_context_t context = { .old = core->queue };
+
+  if (!same_shape (core->environment, environment))
+    return false;
+  context.queue = fairqueue_new (environment);
+  fairqueue_foreach (core->queue, requeue, &context);
+  fairqueue_free (core->queue);
+  core->queue = context.queue;
+  environment_unref (core->environment);
+  core->environment = environment_ref (environment);
+  return true;
+}
+
+guint
+request_core_busy (const request_core_t *core)
+{
+  return g_hash_table_size (core->requests);
+}
+
+const request_counters_t *
+request_core_counters (const request_core_t *core)
+{
+  return &core->counters;
+}
+
+guint
+request_core_queued (const request_core_t *core, guint class_index)
+{
+  return fairqueue_class_length (core->queue, class_index) + core->claiming[class_index];
+}
+
+guint
+request_core_running (const request_core_t *core, guint class_index)
+{
+  return core->running[class_index];
+}
--- /dev/null
+++ b/src/decide/retry_budget.h
@@ -0,0 +1,31 @@
+/* Retry budget: caps retries at a part of the first attempts.
+ *
+ * Each first attempt adds `ratio` tokens up to `burst`; each retry takes one.
+ */
+#pragma once
+
+#include <stdbool.h>
+
+typedef struct
+{
+  double tokens;
+  double ratio; /* retries per first attempt, 0 to 1 */
+  double burst; /* most tokens saved up */
+} retry_budget_t;
+
+static inline void
+retry_budget_earn (retry_budget_t *budget)
+{
+  budget->tokens += budget->ratio;
+  if (budget->tokens > budget->burst)
+    budget->tokens = budget->burst;
+}
+
+static inline bool
+retry_budget_spend (retry_budget_t *budget)
+{
+  if (budget->tokens < 1.0)
+    return false;
+  budget->tokens -= 1.0;
+  return true;
+}
--- /dev/null
+++ b/src/decide/router.c
@@ -0,0 +1,320 @@
+#include "decide/router.h"
+
+#include <math.h>
+#include <string.h>
+
+static const double latency_weight = 0.2;         /* of the newest sample */
+static const double overall_weight = 0.02;        /* of the newest sample */
+static const double failure_latency_factor = 4.0; /* a failure counts as so slow */
+static const double initial_latency_us = 1000;
+static const guint failures_until_aside = 3;
+static const gint64 first_aside_us = G_USEC_PER_SEC;
+static const gint64 longest_aside_us = 30 * G_USEC_PER_SEC;
+static const double other_zone_us = 3000; /* round trip between zones */
+static const gint64 latency_stale_us = 5 * G_USEC_PER_SEC;
+
+router_t *
+router_new (const char *zone, router_rule_t rule, void *rule_data)
+{
+  router_t *router = g_new0 (router_t, 1);
+
+  router->executors = g_array_new (FALSE, TRUE, sizeof (executor_t));
+  g_strlcpy (router->zone, zone, sizeof router->zone);
+  router->latency_us = initial_latency_us;
+  router->rule = rule;
+  router->rule_data = rule_data;
+  return router;
+}
+
+void
+router_free (router_t *router)
+{
+  if (router == NULL)
+    return;
+  g_array_unref (router->executors);
+  g_free (router);
+}
+
+int
+router_find (const router_t *router, const char *id)
+{
+  for (guint i = 0; i < router->executors->len; i++)
+    {
+      if (strcmp (g_array_index (router->executors, executor_t, i).id, id) == 0)
+        return (int)i;
+    }
+  return ROUTER_NONE;
+}
+
+executor_t *
+router_executor (const router_t *router, int index)
+{
+  g_assert (index >= 0 && (guint)index < router->executors->len);
+  return &g_array_index (router->executors, executor_t, index);
+}
+
+static void
+set_shares (const router_t *router, executor_t *executor)
+{
+  guint used = MAX (1U, router->seats_used);
+
+  if (router->seats == 0)
+    {
+      executor->connection_share = 0;
+      executor->slot_share = 0;
+      return;
+    }
+  executor->connection_share = executor->connections / router->seats;
+  /* One connection of the share is kept for probes where there are several. */
+  executor->may_probe = executor->connection_share > 1;
+  if (executor->may_probe)
+    executor->connection_share--;
+  executor->slot_share = MAX (1U, executor->slots / used);
+}
+
+void
+router_set_seats (router_t *router, guint seats, guint seats_used)
+{
+  router->seats = seats;
+  router->seats_used = seats_used;
+  for (guint i = 0; i < router->executors->len; i++)
+    set_shares (router, router_executor (router, (int)i));
+}
+
+/* An index is reused only when nothing refers to it any more. */
+static int
+index_for (router_t *router, const char *id)
+{
+  executor_t fresh = { .state = EXECUTOR_LIVE };
+  int index = router_find (router, id);
+
+  if (index != ROUTER_NONE)
+    return index;
+  fresh.latency_us = router->latency_us;
+  g_strlcpy (fresh.id, id, sizeof fresh.id);
+  for (guint i = 0; i < router->executors->len; i++)
+    {
+      executor_t *old = router_executor (router, (int)i);
+
+      if (old->state != EXECUTOR_GONE || old->in_flight > 0)
+        continue;
+      *old = fresh;
+      return (int)i;
+    }
+  g_array_append_val (router->executors, fresh);
+  return (int)router->executors->len - 1;
+}
+
+void
+router_update (router_t *router,
+               const char *id,
+               const char *zone,
+               executor_state_t state,
+               guint slots,
+               guint connections)
+{
+  executor_t *executor = router_executor (router, index_for (router, id));
+
+  g_strlcpy (executor->zone, zone, sizeof executor->zone);
+  executor->own_zone = strcmp (zone, router->zone) == 0;
+  /* A late list must not bring back an executor that itself said it leaves. */
+  if (!(executor->state == EXECUTOR_LEAVING && state == EXECUTOR_LIVE))
+    executor->state = state;
+  executor->slots = slots;
+  executor->connections = connections;
+  set_shares (router, executor);
+}
+
+void
+router_set_state (router_t *router, const char *id, executor_state_t state)
+{
+  int index = router_find (router, id);
+
+  if (index != ROUTER_NONE)
+    router_executor (router, index)->state = state;
+}
+
+bool
+router_is_allowed (const executor_t *executor, gint64 now_us)
+{
+  if (executor->state != EXECUTOR_LIVE)
+    return false;
+  if (executor->in_flight >= MIN (executor->slot_share, executor->connection_share))
+    return false;
+  if (executor->aside_until_us > now_us)
+    return false;
+  return !(executor->trial && executor->in_flight > 0);
+}
+
+guint
+router_capacity (const router_t *router, gint64 now_us, guint *usable)
+{
+  guint capacity = 0;
+  guint count = 0;
+
+  for (guint i = 0; i < router->executors->len; i++)
+    {
+      const executor_t *executor = router_executor (router, (int)i);
+
+      if (executor->state != EXECUTOR_LIVE || executor->aside_until_us > now_us)
+        continue;
+      capacity += MIN (executor->slot_share, executor->connection_share);
+      count++;
+    }
+  if (usable != NULL)
+    *usable = count;
+  return capacity;
+}
+
+/* Expected time of one more request: slower, fuller and more distant executors
+ * cost more.  An old latency counts as the average, so that an executor that was
+ * slow is tried again. */
+static double
+expected_us (const router_t *router, const executor_t *executor, gint64 now_us)
+{
+  double latency = executor->latency_us;
+
+  if (now_us - executor->heard_us > latency_stale_us)
+    latency = fmin (latency, router->latency_us);
+  latency *= 1.0 + (double)executor->in_flight / MAX (1U, executor->slots);
+  return executor->own_zone ? latency : latency + other_zone_us;
+}
+
+int
+router_rule_own (const router_t *router, gint64 now_us, guint32 random, void *data G_GNUC_UNUSED)
+{
+  guint count = router->executors->len;
+  guint start = count > 0 ? random % count : 0;
+  int best = ROUTER_NONE;
+  double best_us = 0;
+
+  /* The random start spreads equal executors over the VMs. */
+  for (guint step = 0; step < count; step++)
+    {
+      guint i = start + step < count ? start + step : start + step - count;
+      const executor_t *executor = &g_array_index (router->executors, executor_t, i);
+      double us;
+
+      if (!router_is_allowed (executor, now_us))
+        continue;
+      us = expected_us (router, executor, now_us);
+      if (best != ROUTER_NONE && us >= best_us)
+        continue;
+      best = (int)i;
+      best_us = us;
+    }
+  return best;
+}
+
+/* Returns the first allowed executor at or after a random place. */
+static int
+random_allowed (const router_t *router, gint64 now_us, guint32 random)
+{
+  guint count = router->executors->len;
+
+  for (guint step = 0; step < count; step++)
+    {
+      guint i = (random % count + step) % count;
+
+      if (router_is_allowed (router_executor (router, (int)i), now_us))
+        return (int)i;
+    }
+  return ROUTER_NONE;
+}
+
+int
+router_rule_random (const router_t *router, gint64 now_us, guint32 random, void *data G_GNUC_UNUSED)
+{
+  return random_allowed (router, now_us, random);
+}
+
+int
+router_rule_two_choices (const router_t *router,
+                         gint64 now_us,
+                         guint32 random,
+                         void *data G_GNUC_UNUSED)
+{
+  int a = random_allowed (router, now_us, random & 0xffffU);
+  int b = random_allowed (router, now_us, random >> 16U);
+
+  if (a == ROUTER_NONE)
+    return b;
+  return router_executor (router, b)->in_flight < router_executor (router, a)->in_flight ? b : a;
+}
+
+int
+router_pick (router_t *router, int avoid, gint64 now_us, guint32 random)
+{
+  executor_state_t kept = EXECUTOR_LIVE;
+  int index;
+
+  if (avoid != ROUTER_NONE)
+    {
+      kept = router_executor (router, avoid)->state;
+      router_executor (router, avoid)->state = EXECUTOR_LEAVING;
+    }
+  index = router->rule (router, now_us, random, router->rule_data);
+  if (avoid != ROUTER_NONE)
+    router_executor (router, avoid)->state = kept;
+  if (index == ROUTER_NONE && avoid != ROUTER_NONE)
+    index = router->rule (router, now_us, random, router->rule_data);
+  if (index != ROUTER_NONE)
+    router_executor (router, index)->in_flight++;
+  return index;
+}
+
+static void
+set_aside (executor_t *executor, gint64 now_us)
+{
+  executor->aside_us = executor->aside_us == 0 ? first_aside_us : executor->aside_us * 2;
+  executor->aside_us = MIN (executor->aside_us, longest_aside_us);
+  executor->aside_until_us = now_us + executor->aside_us;
+  executor->trial = true;
+}
+
+static void
+note_answer (router_t *router, executor_t *executor, gint64 service_us, gint64 now_us)
+{
+  double sample = (double)service_us;
+
+  executor->heard_us = now_us;
+  executor->failures = 0;
+  executor->latency_us += latency_weight * (sample - executor->latency_us);
+  router->latency_us += overall_weight * (sample - router->latency_us);
+  executor->trial = false;
+  executor->aside_until_us = 0;
+  executor->aside_us = 0;
+}
+
+static void
+note_failure (router_t *router, executor_t *executor, gint64 now_us)
+{
+  executor->failures++;
+  executor->latency_us = fmax (executor->latency_us, router->latency_us * failure_latency_factor);
+  if (executor->trial || executor->failures >= failures_until_aside)
+    set_aside (executor, now_us);
+}
+
+void
+router_done (router_t *router, int index, router_result_t result, gint64 service_us, gint64 now_us)
+{
+  executor_t *executor = router_executor (router, index);
+
+  g_assert (executor->in_flight > 0);
+  executor->in_flight--;
+  switch (result)
+    {
+    case ROUTER_ANSWERED:
+      note_answer (router, executor, service_us, now_us);
+      break;
+    case ROUTER_REFUSED:
+    case ROUTER_FAILED:
+      note_failure (router, executor, now_us);
+      break;
+    case ROUTER_GIVEN_UP:
+      /* A short deadline says little; a black hole is silent for much longer. */
+      if ((double)service_us >= failure_latency_factor * executor->latency_us)
+        note_failure (router, executor, now_us);
+      break;
+    }
+}
--- /dev/null
+++ b/src/operator/operators.c
@@ -0,0 +1,277 @@
+#include "operator/operators.h"
+
+#include "base/json.h"
+#include "operator/document_json.h"
+
+#include <string.h>
+
+struct operators
+{
+  http_server_t *server;
+  environments_t *environments;
+  metrics_t *metrics;
+  operators_status_t status;
+  void *data;
+};
+
+static const char *const json_type = "application/json";
+static const char *const environments_path = "/v1/environments/";
+
+static void
+fail (http_request_t *http, const error_info_t *error)
+{
+  http_respond_error (http, error, error_answer (error->kind)->outcome, 0);
+}
+
+static void
+respond_builder (http_request_t *http, JsonBuilder *builder)
+{
+  http_respond_text (http, 200, json_type, json_builder_text (builder));
+}
+
+static void
+applied (const error_info_t *error, gint64 version, void *data)
+{
+  http_request_t *http = data;
+
+  if (error->kind != ERROR_NONE)
+    fail (http, error);
+  else
+    http_respond_text (http, 200, json_type,
+                       g_strdup_printf ("{\"version\":%" G_GINT64_FORMAT "}", version));
+}
+
+/* Lists every problem of a document in one answer. */
+static void
+fail_document (http_request_t *http, GPtrArray *problems)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "outcome", "not_run");
+  json_put_text (builder, "error", error_answer (ERROR_BAD_DOCUMENT)->name);
+  json_put_text (builder, "reason", g_ptr_array_index (problems, 0));
+  json_builder_set_member_name (builder, "problems");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < problems->len; i++)
+    json_builder_add_string_value (builder, g_ptr_array_index (problems, i));
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  http_respond_text (http, error_answer (ERROR_BAD_DOCUMENT)->http_status, json_type,
+                     json_builder_text (builder));
+}
+
+static void
+apply (operators_t *operators, http_request_t *http, const char *name)
+{
+  const char *expected_text = http_request_query (http, "expected");
+  const char *writer = http_request_query (http, "writer");
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  g_autoptr (GPtrArray) problems = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (environment_t) environment = NULL;
+  gint64 expected = -1;
+  gsize size = 0;
+  const char *text = g_bytes_get_data (http_request_body (http), &size);
+
+  if (expected_text != NULL
+      && !g_ascii_string_to_signed (expected_text, 10, 0, G_MAXINT64, &expected, NULL))
+    g_ptr_array_add (problems, g_strdup ("expected: must be a version"));
+  if (!json_parser_load_from_data (parser, text != NULL ? text : "", (gssize)size, NULL))
+    g_ptr_array_add (problems, g_strdup (": found no JSON; allowed: one object"));
+  else
+    environment = document_parse (json_parser_get_root (parser), 0, problems);
+  if (environment != NULL && g_strcmp0 (environment->name, name) != 0)
+    g_ptr_array_add (problems, g_strdup_printf ("/environment: found \"%s\"; allowed: \"%s\"",
+                                                environment->name, name));
+  if (problems->len > 0)
+    {
+      fail_document (http, problems);
+      return;
+    }
+  environments_apply (operators->environments, name, json_parser_get_root (parser), expected,
+                      writer != NULL ? writer : "unnamed", applied, http);
+}
+
+static void
+show_environment (operators_t *operators, http_request_t *http, const char *name)
+{
+  const char *record = environments_record (operators->environments, name);
+  error_info_t error;
+
+  if (record != NULL)
+    {
+      http_respond_text (http, 200, json_type, g_strdup (record));
+      return;
+    }
+  (void)error_set (&error, ERROR_UNKNOWN_ENVIRONMENT, "no environment \"%s\" is in force", name);
+  fail (http, &error);
+}
+
+static void
+list_environments (operators_t *operators, http_request_t *http)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "environments");
+  environments_describe (operators->environments, builder);
+  json_builder_end_object (builder);
+  respond_builder (http, builder);
+}
+
+static void
+put_histogram (JsonBuilder *builder, const char *name, const histogram_t *histogram)
+{
+  json_builder_set_member_name (builder, name);
+  json_builder_begin_object (builder);
+  json_put_number (builder, "count", (gint64)histogram->count);
+  json_put_number (builder, "p50_us", (gint64)histogram_quantile (histogram, 0.5));
+  json_put_number (builder, "p90_us", (gint64)histogram_quantile (histogram, 0.9));
+  json_put_number (builder, "p99_us", (gint64)histogram_quantile (histogram, 0.99));
+  json_put_number (builder, "max_us", (gint64)histogram->max_us);
+  json_builder_set_member_name (builder, "buckets");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < HISTOGRAM_BUCKETS; i++)
+    {
+      if (histogram->buckets[i] == 0)
+        continue;
+      json_builder_begin_array (builder);
+      json_builder_add_int_value (builder, (gint64)histogram_bucket_upper_us (i));
+      json_builder_add_int_value (builder, (gint64)histogram->buckets[i]);
+      json_builder_end_array (builder);
+    }
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+}
+
+static void
+put_latency (const char *environment,
+             const char *customer,
+             const char *class,
+             const latency_set_t *set,
+             void *data)
+{
+  JsonBuilder *builder = data;
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "environment", environment);
+  json_put_text (builder, "class", class);
+  json_put_text (builder, "customer", customer);
+  put_histogram (builder, "waiting", &set->waiting);
+  put_histogram (builder, "service", &set->service);
+  put_histogram (builder, "total", &set->total);
+  json_builder_end_object (builder);
+}
+
+static void
+show_histograms (operators_t *operators, http_request_t *http)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "latencies");
+  json_builder_begin_array (builder);
+  metrics_foreach_latency (operators->metrics, put_latency, builder);
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  respond_builder (http, builder);
+}
+
+static void
+show_status (operators_t *operators, http_request_t *http)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  operators->status (builder, operators->data);
+  json_builder_end_object (builder);
+  respond_builder (http, builder);
+}
+
+static void
+show_metrics (operators_t *operators, http_request_t *http)
+{
+  GString *out = g_string_new (NULL);
+
+  metrics_print (operators->metrics, out);
+  http_respond_text (http, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
+}
+
+/* The environment's name in "/v1/environments/NAME", or NULL. */
+static const char *
+name_in_path (const char *path)
+{
+  const gsize length = strlen (environments_path);
+
+  return strncmp (path, environments_path, length) == 0 ? path + length : NULL;
+}
+
+static void
+handle (http_request_t *http, void *data)
+{
+  operators_t *operators = data;
+  const char *path = http_request_path (http);
+  const char *method = http_request_method (http);
+  const char *name = name_in_path (path);
+  error_info_t error;
+
+  if (name != NULL && strcmp (method, "PUT") == 0)
+    apply (operators, http, name);
+  else if (strcmp (method, "GET") != 0)
+    {
+      (void)error_set (&error, ERROR_METHOD_NOT_ALLOWED, "this path does not take %s", method);
+      fail (http, &error);
+    }
+  else if (name != NULL)
+    show_environment (operators, http, name);
+  else if (strcmp (path, "/v1/environments") == 0)
+    list_environments (operators, http);
+  else if (strcmp (path, "/v1/status") == 0)
+    show_status (operators, http);
+  else if (strcmp (path, "/v1/histograms") == 0)
+    show_histograms (operators, http);
+  else if (strcmp (path, "/metrics") == 0)
+    show_metrics (operators, http);
+  else
+    {
+      (void)error_set (&error, ERROR_NOT_FOUND, "there is nothing at this path");
+      fail (http, &error);
+    }
+}
+
+operators_t *
+operators_new (const char *address,
+               const http_limits_t *limits,
+               environments_t *environments,
+               metrics_t *metrics,
+               operators_status_t status,
+               void *data,
+               error_info_t *error)
+{
+  operators_t *operators = g_new0 (operators_t, 1);
+
+  operators->environments = environments;
+  operators->metrics = metrics;
+  operators->status = status;
+  operators->data = data;
+  operators->server = http_server_new (address, limits, handle, operators, error);
+  if (operators->server != NULL)
+    return operators;
+  g_free (operators);
+  return NULL;
+}
+
+void
+operators_free (operators_t *operators)
+{
+  if (operators == NULL)
+    return;
+  http_server_free (operators->server);
+  g_free (operators);
+}
+
+http_server_t *
+operators_server (operators_t *operators)
+{
+  return operators->server;
+}
--- /dev/null
+++ b/src/platform/batch.c
@@ -0,0 +1,313 @@
+#include "platform/batch.h"
+
+#include <string.h>
+
+struct batch
+{
+  kv_t *kv;
+  gint64 interval_us;
+  gint64 last_us;
+  gint64 retry_us; /* current wait after a failure, 0 after a success */
+  guint timer;
+  bool in_flight;
+  bool closing;
+  GQueue waiting;  /* batch_op_t, oldest first */
+  GPtrArray *sent; /* batch_op_t of the transaction in flight */
+  guint64 transactions;
+  guint64 ops;
+};
+
+static const gint64 first_retry_us = 20 * 1000;
+static const gint64 longest_retry_us = 1000 * 1000;
+
+static void commit (batch_t *batch);
+
+static void
+op_free (gpointer data)
+{
+  batch_op_t *op = data;
+
+  g_free (op->key);
+  g_free (op->value);
+  g_free (op->expected);
+  g_free (op);
+}
+
+batch_t *
+batch_new (kv_t *kv, gint64 interval_us)
+{
+  batch_t *batch = g_new0 (batch_t, 1);
+
+  batch->kv = kv;
+  batch->interval_us = interval_us;
+  g_queue_init (&batch->waiting);
+  batch->sent = g_ptr_array_new ();
+  return batch;
+}
+
+static void
+destroy (batch_t *batch)
+{
+  for (guint i = 0; i < batch->sent->len; i++)
+    op_free (g_ptr_array_index (batch->sent, i));
+  g_ptr_array_unref (batch->sent);
+  g_queue_clear_full (&batch->waiting, op_free);
+  g_free (batch);
+}
+
+void
+batch_free (batch_t *batch)
+{
+  if (batch == NULL)
+    return;
+  if (batch->timer != 0)
+    g_source_remove (batch->timer);
+  batch->timer = 0;
+  batch->closing = true;
+  /* The reply of a transaction in flight still comes; it frees the rest. */
+  if (!batch->in_flight)
+    destroy (batch);
+}
+
+guint
+batch_length (const batch_t *batch)
+{
+  return batch->waiting.length + batch->sent->len;
+}
+
+guint64
+batch_transactions (const batch_t *batch)
+{
+  return batch->transactions;
+}
+
+guint64
+batch_ops (const batch_t *batch)
+{
+  return batch->ops;
+}
+
+static gboolean
+timer_fired (gpointer data)
+{
+  batch_t *batch = data;
+
+  batch->timer = 0;
+  commit (batch);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule (batch_t *batch)
+{
+  gint64 now_us = g_get_monotonic_time ();
+  gint64 wait_us = batch->last_us + MAX (batch->interval_us, batch->retry_us) - now_us;
+
+  if (batch->timer != 0 || batch->in_flight || batch->waiting.length == 0)
+    return;
+  if (batch->last_us == 0 || wait_us < 0)
+    wait_us = 0;
+  batch->timer = g_timeout_add ((guint)((wait_us + 999) / 1000), timer_fired, batch);
+}
+
+static void
+finish (batch_t *batch, batch_op_t *op, batch_result_t result, const kv_entry_t *current)
+{
+  if (result == BATCH_APPLIED)
+    batch->ops++;
+  op->done (result, current, op->data);
+  op_free (op);
+}
+
+/* Ops whose deadline passed while they waited are given up. */
+static void
+drop_expired (batch_t *batch, gint64 now_us)
+{
+  GList *next;
+
+  for (GList *link = batch->waiting.head; link != NULL; link = next)
+    {
+      batch_op_t *op = link->data;
+
+      next = link->next;
+      if (op->deadline_us > now_us)
+        continue;
+      g_queue_delete_link (&batch->waiting, link);
+      finish (batch, op, BATCH_UNAVAILABLE, NULL);
+    }
+}
+
+static bool
+has_key (const GPtrArray *ops, const char *key)
+{
+  for (guint i = 0; i < ops->len; i++)
+    {
+      if (strcmp (((const batch_op_t *)g_ptr_array_index (ops, i))->key, key) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Moves ops into the transaction, in order.  A key may occur only once in one. */
+static void
+fill (batch_t *batch)
+{
+  gsize bytes = 0;
+
+  while (batch->waiting.length > 0 && batch->sent->len < BATCH_OPS_MAX && bytes < BATCH_BYTES_MAX)
+    {
+      batch_op_t *op = g_queue_peek_head (&batch->waiting);
+
+      if (has_key (batch->sent, op->key))
+        return;
+      bytes += strlen (op->key) + (op->value != NULL ? strlen (op->value) : 0);
+      g_ptr_array_add (batch->sent, g_queue_pop_head (&batch->waiting));
+    }
+}
+
+/* Puts ops back at the head, in their order, to be sent again. */
+static void
+put_back (batch_t *batch)
+{
+  for (guint i = batch->sent->len; i > 0; i--)
+    g_queue_push_head (&batch->waiting, g_ptr_array_index (batch->sent, i - 1));
+  g_ptr_array_set_size (batch->sent, 0);
+}
+
+static bool
+holds (const kv_entry_t *entry, const char *value)
+{
+  if (value == NULL)
+    return entry->mod_revision == 0;
+  return entry->mod_revision != 0 && entry->value != NULL && strcmp (entry->value, value) == 0;
+}
+
+static bool
+compare_holds (const batch_op_t *op, const kv_entry_t *entry)
+{
+  switch (op->expect)
+    {
+    case KV_EXPECT_ANY:
+      return true;
+    case KV_EXPECT_REVISION:
+      return entry->mod_revision == op->revision;
+    case KV_EXPECT_VALUE:
+      return holds (entry, op->expected);
+    }
+  return false;
+}
+
+/* Sorts out a rejected transaction: our own earlier write, a conflict, or an
+ * innocent neighbour that goes into the next one. */
+static void
+settle_rejected (batch_t *batch, const kv_reply_t *reply)
+{
+  g_autoptr (GPtrArray) ops = batch->sent;
+
+  batch->sent = g_ptr_array_new ();
+  for (guint i = ops->len; i > 0; i--)
+    {
+      batch_op_t *op = g_ptr_array_index (ops, i - 1);
+      const kv_entry_t *entry
+          = i <= reply->entries->len ? g_ptr_array_index (reply->entries, i - 1) : NULL;
+
+      if (entry == NULL || compare_holds (op, entry))
+        g_queue_push_head (&batch->waiting, op);
+      else if (holds (entry, op->value))
+        finish (batch, op, BATCH_APPLIED, entry);
+      else
+        finish (batch, op, BATCH_CONFLICT, entry);
+    }
+}
+
+static void
+settle_applied (batch_t *batch, gint64 revision)
+{
+  g_autoptr (GPtrArray) ops = batch->sent;
+
+  batch->sent = g_ptr_array_new ();
+  for (guint i = 0; i < ops->len; i++)
+    {
+      batch_op_t *op = g_ptr_array_index (ops, i);
+      kv_entry_t entry = { .key = op->key, .value = op->value, .mod_revision = revision };
+
+      finish (batch, op, BATCH_APPLIED, &entry);
+    }
+}
+
+static void
+back_off (batch_t *batch)
+{
+  gint64 next = batch->retry_us == 0 ? first_retry_us : batch->retry_us * 2;
+
+  /* Jitter keeps the VMs from coming back all at once. */
+  batch->retry_us = MIN (next, longest_retry_us);
+  batch->retry_us -= g_random_int_range (0, (gint32)batch->retry_us / 2);
+  put_back (batch);
+}
+
+static void
+committed (const kv_reply_t *reply, void *data)
+{
+  batch_t *batch = data;
+
+  batch->in_flight = false;
+  if (batch->closing)
+    {
+      destroy (batch);
+      return;
+    }
+  switch (reply->status)
+    {
+    case KV_APPLIED:
+      batch->retry_us = 0;
+      settle_applied (batch, reply->revision);
+      break;
+    case KV_REJECTED:
+      batch->retry_us = 0;
+      settle_rejected (batch, reply);
+      break;
+    case KV_UNAVAILABLE:
+    case KV_LOST:
+      back_off (batch);
+      break;
+    }
+  drop_expired (batch, g_get_monotonic_time ());
+  schedule (batch);
+}
+
+static void
+commit (batch_t *batch)
+{
+  g_autofree kv_op_t *ops = NULL;
+
+  if (batch->in_flight)
+    return;
+  drop_expired (batch, g_get_monotonic_time ());
+  fill (batch);
+  if (batch->sent->len == 0)
+    return;
+  ops = g_new0 (kv_op_t, batch->sent->len);
+  for (guint i = 0; i < batch->sent->len; i++)
+    {
+      const batch_op_t *op = g_ptr_array_index (batch->sent, i);
+
+      ops[i] = (kv_op_t){ .key = op->key,
+                          .expect = op->expect,
+                          .revision = op->revision,
+                          .expected = op->expected,
+                          .value = op->value,
+                          .lease = op->lease };
+    }
+  batch->in_flight = true;
+  batch->last_us = g_get_monotonic_time ();
+  batch->transactions++;
+  kv_txn (batch->kv, ops, batch->sent->len, committed, batch);
+}
+
+void
+batch_add (batch_t *batch, const batch_op_t *op)
+{
+  g_queue_push_tail (&batch->waiting, g_memdup2 (op, sizeof *op));
+  schedule (batch);
+}
--- /dev/null
+++ b/src/platform/claims.c
@@ -0,0 +1,281 @@
+#define LOG_MODULE "claims"
+
+#include "platform/claims.h"
+
+#include "base/json.h"
+#include "base/log.h"
+
+#include <string.h>
+
+struct claims
+{
+  kv_t *kv;
+  char *key;
+  claimant_t self;
+  claims_changed_t changed;
+  void *data;
+  GArray *table;       /* claim_t, as last read */
+  GArray *proposed;    /* claim_t, as written by the call in flight */
+  gint64 mod_revision; /* of the table; -1: not read yet */
+  GPtrArray *names;
+  guint wanted;
+  member_list_t *list;
+  guint timer;
+  bool in_flight;
+  bool closing;
+};
+
+static const guint idle_ms = 2000;
+static const guint eager_ms = 150;
+
+static void step (claims_t *claims);
+
+static gboolean
+timer_fired (gpointer data)
+{
+  claims_t *claims = data;
+
+  claims->timer = 0;
+  step (claims);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule (claims_t *claims, guint ms)
+{
+  if (claims->timer != 0)
+    g_source_remove (claims->timer);
+  /* Jitter keeps VMs that lost the same race apart. */
+  claims->timer
+      = g_timeout_add ((guint)g_random_int_range ((gint32)ms / 2, (gint32)ms), timer_fired, claims);
+}
+
+static char *
+table_text (const GArray *table)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "claims");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < table->len; i++)
+    {
+      const claim_t *claim = &g_array_index (table, claim_t, i);
+
+      json_builder_begin_object (builder);
+      json_put_text (builder, "name", claim->name);
+      json_put_text (builder, "vm", claim->vm);
+      json_put_text (builder, "incarnation", claim->incarnation);
+      json_put_text (builder, "address", claim->address);
+      json_put_number (builder, "list_revision", claim->list_revision);
+      json_builder_end_object (builder);
+    }
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  return json_builder_text (builder);
+}
+
+static void
+read_claim (JsonObject *object, claim_t *claim)
+{
+  g_strlcpy (claim->name, json_get_text (object, "name", ""), sizeof claim->name);
+  g_strlcpy (claim->vm, json_get_text (object, "vm", ""), sizeof claim->vm);
+  g_strlcpy (claim->incarnation, json_get_text (object, "incarnation", ""),
+             sizeof claim->incarnation);
+  g_strlcpy (claim->address, json_get_text (object, "address", ""), sizeof claim->address);
+  claim->list_revision = json_get_number (object, "list_revision", 0);
+}
+
+/* Reads the table of an entry; an absent key is an empty table. */
+static void
+adopt_entry (claims_t *claims, const kv_entry_t *entry)
+{
+  g_autoptr (JsonNode) root = NULL;
+  JsonArray *array = NULL;
+
+  g_array_set_size (claims->table, 0);
+  claims->mod_revision = entry != NULL ? entry->mod_revision : 0;
+  if (claims->mod_revision == 0)
+    return;
+  root = json_parse_object (entry->value, (gssize)entry->length);
+  if (root != NULL)
+    array = json_get_list (json_node_get_object (root), "claims");
+  for (guint i = 0; array != NULL && i < json_array_get_length (array); i++)
+    {
+      claim_t claim = { .list_revision = 0 };
+
+      read_claim (json_array_get_object_element (array, i), &claim);
+      g_array_append_val (claims->table, claim);
+    }
+}
+
+static void
+copy_table (GArray *to, const GArray *from)
+{
+  g_array_set_size (to, 0);
+  g_array_append_vals (to, from->data, from->len);
+}
+
+static void
+wrote (const kv_reply_t *reply, void *data)
+{
+  claims_t *claims = data;
+
+  claims->in_flight = false;
+  if (claims->closing)
+    {
+      claims_free (claims);
+      return;
+    }
+  switch (reply->status)
+    {
+    case KV_APPLIED:
+      copy_table (claims->table, claims->proposed);
+      claims->mod_revision = reply->revision;
+      LOG_INFO ("claimed", "key=%s held=%u wanted=%u", claims->key, claims_held (claims),
+                claims->wanted);
+      claims->changed (claims->table, claims->data);
+      schedule (claims, idle_ms);
+      break;
+    case KV_REJECTED:
+      adopt_entry (claims, reply->entries->len > 0 ? g_ptr_array_index (reply->entries, 0) : NULL);
+      claims->changed (claims->table, claims->data);
+      schedule (claims, eager_ms);
+      break;
+    case KV_UNAVAILABLE:
+    case KV_LOST:
+      /* Whether it was written shows at the next read. */
+      claims->mod_revision = -1;
+      schedule (claims, idle_ms);
+      break;
+    }
+}
+
+/* Works out the wanted table; true when it differs from the one last read. */
+static bool
+propose (claims_t *claims)
+{
+  guint changes = 0;
+
+  copy_table (claims->proposed, claims->table);
+  for (guint i = 0; i < claims->names->len; i++)
+    changes += claim_add (claims->proposed, g_ptr_array_index (claims->names, i));
+  if (claims->list != NULL)
+    changes += claim_take (claims->proposed, &claims->self, claims->list, claims->wanted);
+  changes += claim_release (claims->proposed, &claims->self, claims->wanted);
+  return changes > 0;
+}
+
+static void
+write_if_changed (claims_t *claims)
+{
+  g_autofree char *text = NULL;
+  kv_op_t op = { .key = claims->key, .expect = KV_EXPECT_REVISION };
+
+  if (!propose (claims))
+    {
+      schedule (claims, claims_held (claims) < claims->wanted ? eager_ms : idle_ms);
+      return;
+    }
+  text = table_text (claims->proposed);
+  op.value = text;
+  op.revision = claims->mod_revision;
+  claims->in_flight = true;
+  kv_txn (claims->kv, &op, 1, wrote, claims);
+}
+
+static void
+table_read (const kv_reply_t *reply, void *data)
+{
+  claims_t *claims = data;
+
+  claims->in_flight = false;
+  if (claims->closing)
+    {
+      claims_free (claims);
+      return;
+    }
+  if (reply->status != KV_APPLIED)
+    {
+      schedule (claims, idle_ms);
+      return;
+    }
+  adopt_entry (claims, reply->entries->len > 0 ? g_ptr_array_index (reply->entries, 0) : NULL);
+  claims->changed (claims->table, claims->data);
+  write_if_changed (claims);
+}
+
+static void
+step (claims_t *claims)
+{
+  if (claims->in_flight)
+    return;
+  claims->in_flight = true;
+  kv_range (claims->kv, claims->key, false, table_read, claims);
+}
+
+claims_t *
+claims_new (kv_t *kv, const char *key, const claimant_t *self, claims_changed_t changed, void *data)
+{
+  claims_t *claims = g_new0 (claims_t, 1);
+
+  claims->kv = kv;
+  claims->key = g_strdup (key);
+  claims->self = *self;
+  claims->changed = changed;
+  claims->data = data;
+  claims->table = g_array_new (FALSE, TRUE, sizeof (claim_t));
+  claims->proposed = g_array_new (FALSE, TRUE, sizeof (claim_t));
+  claims->names = g_ptr_array_new_with_free_func (g_free);
+  claims->mod_revision = -1;
+  return claims;
+}
+
+void
+claims_free (claims_t *claims)
+{
+  if (claims == NULL)
+    return;
+  if (claims->timer != 0)
+    g_source_remove (claims->timer);
+  claims->timer = 0;
+  claims->closing = true;
+  if (claims->in_flight)
+    return;
+  g_array_unref (claims->table);
+  g_array_unref (claims->proposed);
+  g_ptr_array_unref (claims->names);
+  member_list_free (claims->list);
+  g_free (claims->key);
+  g_free (claims);
+}
+
+void
+claims_want (claims_t *claims, const char *const *names, gsize count, guint wanted)
+{
+  g_ptr_array_set_size (claims->names, 0);
+  for (gsize i = 0; i < count; i++)
+    g_ptr_array_add (claims->names, g_strdup (names[i]));
+  claims->wanted = wanted;
+  schedule (claims, 2);
+}
+
+void
+claims_set_list (claims_t *claims, const member_list_t *list)
+{
+  member_list_free (claims->list);
+  claims->list = member_list_new (list->revision);
+  g_array_append_vals (claims->list->members, list->members->data, list->members->len);
+}
+
+guint
+claims_held (const claims_t *claims)
+{
+  return claim_count_held (claims->table, &claims->self);
+}
+
+const GArray *
+claims_table (const claims_t *claims)
+{
+  return claims->table;
+}
--- /dev/null
+++ b/src/platform/idem.c
@@ -0,0 +1,701 @@
+#define LOG_MODULE "idem"
+
+#include "platform/idem.h"
+
+#include "base/json.h"
+#include "base/list.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define IDEM_PREFIX "/mimosastair/idempotency/"
+
+typedef enum
+{
+  ENTRY_CLAIMING,  /* our claim is on its way */
+  ENTRY_CLAIMED,   /* ours; running */
+  ENTRY_ELSEWHERE, /* another VM's; read again until it ends */
+  ENTRY_DONE,
+  ENTRY_UNKNOWN
+} entry_state_t;
+
+/* One try that waits for the entry to move on. */
+typedef struct
+{
+  list_node_t node;
+  char *digest;
+  gint64 deadline_us;
+  idem_done_t done;
+  void *data;
+  bool owner; /* the try that runs it when the claim is ours */
+} waiter_t;
+
+typedef struct
+{
+  idem_t *idem;
+  char *scope;
+  char *key;
+  char *digest;
+  char *claim_text; /* the value of our claim */
+  char *owner;      /* the VM of a claim elsewhere */
+  entry_state_t state;
+  list_node_t waiters;
+  list_node_t active_node; /* linked while there are waiters */
+  GBytes *body;
+  char *content_type;
+  guint http_status;
+  guint poll_timer;
+  guint poll_ms;
+  guint writes; /* writes or reads on their way; the entry may not be freed */
+  gint64 expires_us;
+} entry_t;
+
+struct idem
+{
+  kv_t *kv;
+  batch_t *batch;
+  char *vm;
+  char *incarnation;
+  gint64 retention_s;
+  GHashTable *entries; /* scope -> entry_t */
+  GQueue finished;     /* entry_t by expiry, for the sweep */
+  list_node_t active;  /* entry_t with waiters */
+  const member_list_t *list;
+  gint64 lease;
+  gint64 lease_until_us;
+  bool lease_asked;
+  guint timer;
+  guint pending;
+  guint64 sequence;
+  idem_counters_t counters;
+};
+
+static const guint sweep_ms = 20;
+static const guint first_poll_ms = 20;
+static const guint longest_poll_ms = 500;
+static const gint64 record_timeout_us = 600 * G_USEC_PER_SEC;
+static const gint64 claim_grace_us = 30 * G_USEC_PER_SEC;
+static const guint finished_max = 20000;
+static const guint backlog_max = 2000; /* writes; beyond it a claim is refused at once */
+
+static void claim (entry_t *entry, gint64 revision);
+
+static void
+waiter_free (waiter_t *waiter)
+{
+  list_remove (&waiter->node);
+  g_free (waiter->digest);
+  g_free (waiter);
+}
+
+static void
+entry_free (gpointer data)
+{
+  entry_t *entry = data;
+
+  while (!list_is_empty (&entry->waiters))
+    waiter_free (LIST_ENTRY (entry->waiters.next, waiter_t, node));
+  if (entry->poll_timer != 0)
+    g_source_remove (entry->poll_timer);
+  list_remove (&entry->active_node);
+  g_clear_pointer (&entry->body, g_bytes_unref);
+  g_free (entry->scope);
+  g_free (entry->key);
+  g_free (entry->digest);
+  g_free (entry->claim_text);
+  g_free (entry->owner);
+  g_free (entry->content_type);
+  g_free (entry);
+}
+
+/* Forgets an entry that is of no more use, unless a call still refers to it. */
+static void
+forget (entry_t *entry)
+{
+  if (entry->writes > 0 || !list_is_empty (&entry->waiters))
+    return;
+  g_queue_remove (&entry->idem->finished, entry);
+  g_hash_table_remove (entry->idem->entries, entry->scope);
+}
+
+static void
+answer_waiter (waiter_t *waiter, idem_result_t result, const idem_answer_t *answer)
+{
+  idem_done_t done = waiter->done;
+  void *data = waiter->data;
+
+  waiter_free (waiter);
+  done (result, answer, data);
+}
+
+static void
+answer_all (entry_t *entry, idem_result_t result, const idem_answer_t *answer)
+{
+  list_node_t waiting;
+
+  /* Moved aside first: an answered try may start another on the same entry. */
+  list_init (&waiting);
+  while (!list_is_empty (&entry->waiters))
+    {
+      list_node_t *node = entry->waiters.next;
+
+      list_remove (node);
+      list_push_back (&waiting, node);
+    }
+  while (!list_is_empty (&waiting))
+    answer_waiter (LIST_ENTRY (waiting.next, waiter_t, node), result, answer);
+}
+
+static void
+answer_ended (entry_t *entry)
+{
+  idem_answer_t answer = { .http_status = entry->http_status,
+                           .content_type = entry->content_type,
+                           .body = entry->body };
+
+  entry->writes++;
+  if (entry->state == ENTRY_DONE)
+    {
+      entry->idem->counters.replayed += !list_is_empty (&entry->waiters);
+      answer_all (entry, IDEM_ANSWER, &answer);
+    }
+  else
+    {
+      answer_all (entry, IDEM_UNKNOWN, NULL);
+    }
+  entry->writes--;
+}
+
+/* Keeps an ended entry for a while, so that later tries need no read. */
+static void
+keep (entry_t *entry)
+{
+  idem_t *idem = entry->idem;
+
+  entry->expires_us = g_get_monotonic_time () + idem->retention_s * G_USEC_PER_SEC;
+  g_queue_push_tail (&idem->finished, entry);
+  if (idem->finished.length > finished_max)
+    forget (g_queue_peek_head (&idem->finished));
+}
+
+static char *
+record_text (entry_t *entry, const char *state)
+{
+  idem_t *idem = entry->idem;
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "state", state);
+  json_put_text (builder, "vm", idem->vm);
+  json_put_text (builder, "incarnation", idem->incarnation);
+  json_put_text (builder, "digest", entry->digest);
+  json_put_number (builder, "sequence", (gint64)++idem->sequence);
+  if (entry->body != NULL)
+    {
+      gsize size = 0;
+      const guchar *bytes = g_bytes_get_data (entry->body, &size);
+      g_autofree char *encoded = g_base64_encode (bytes, size);
+
+      json_put_number (builder, "status", entry->http_status);
+      json_put_text (builder, "type", entry->content_type);
+      json_put_text (builder, "body", encoded);
+    }
+  json_builder_end_object (builder);
+  return json_builder_text (builder);
+}
+
+static void
+take_answer (entry_t *entry, JsonObject *record)
+{
+  const char *encoded = json_get_text (record, "body", NULL);
+  gsize size = 0;
+  guchar *bytes;
+
+  entry->state = ENTRY_UNKNOWN;
+  if (encoded == NULL)
+    return;
+  bytes = g_base64_decode (encoded, &size);
+  entry->body = g_bytes_new_take (bytes, size);
+  entry->http_status = (guint)json_get_number (record, "status", 200);
+  entry->content_type = g_strdup (json_get_text (record, "type", "application/json"));
+  entry->state = ENTRY_DONE;
+}
+
+static void poll_read (const kv_reply_t *reply, void *data);
+
+static gboolean
+poll_fired (gpointer data)
+{
+  entry_t *entry = data;
+
+  entry->poll_timer = 0;
+  entry->writes++;
+  kv_range (entry->idem->kv, entry->key, false, poll_read, entry);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+poll_later (entry_t *entry)
+{
+  entry->poll_ms = entry->poll_ms == 0 ? first_poll_ms : MIN (entry->poll_ms * 2, longest_poll_ms);
+  entry->poll_timer = g_timeout_add (entry->poll_ms, poll_fired, entry);
+}
+
+static void
+end_elsewhere (entry_t *entry, entry_state_t state)
+{
+  entry->state = state;
+  answer_ended (entry);
+  keep (entry);
+}
+
+/* Acts on a record that another try wrote. */
+static void
+see_record (entry_t *entry, const kv_entry_t *current)
+{
+  const member_list_t *list = entry->idem->list;
+  g_autoptr (JsonNode) root = NULL;
+  JsonObject *record;
+  const char *state;
+
+  if (current->mod_revision == 0)
+    {
+      claim (entry, 0);
+      return;
+    }
+  root = json_parse_object (current->value, (gssize)current->length);
+  record = root != NULL ? json_node_get_object (root) : NULL;
+  state = json_get_text (record, "state", "unknown");
+  if (strcmp (state, "released") == 0)
+    {
+      claim (entry, current->mod_revision);
+      return;
+    }
+  g_free (entry->digest);
+  entry->digest = g_strdup (json_get_text (record, "digest", ""));
+  if (strcmp (state, "done") == 0)
+    {
+      take_answer (entry, record);
+      end_elsewhere (entry, entry->state);
+      return;
+    }
+  g_free (entry->owner);
+  entry->owner = g_strdup (json_get_text (record, "vm", ""));
+  if (strcmp (state, "claimed") != 0
+      || (list != NULL && list->revision > 0 && member_list_find (list, entry->owner) == NULL))
+    {
+      end_elsewhere (entry, ENTRY_UNKNOWN);
+      return;
+    }
+  entry->state = ENTRY_ELSEWHERE;
+  poll_later (entry);
+}
+
+/* Answers tries whose body differs from that of the record. */
+static void
+refuse_reused (entry_t *entry)
+{
+  list_node_t *next;
+
+  for (list_node_t *node = entry->waiters.next; node != &entry->waiters; node = next)
+    {
+      waiter_t *waiter = LIST_ENTRY (node, waiter_t, node);
+
+      next = node->next;
+      if (strcmp (waiter->digest, entry->digest) != 0)
+        answer_waiter (waiter, IDEM_KEY_REUSED, NULL);
+    }
+}
+
+static void
+poll_read (const kv_reply_t *reply, void *data)
+{
+  entry_t *entry = data;
+  kv_entry_t absent = { .mod_revision = 0 };
+
+  entry->writes--;
+  if (list_is_empty (&entry->waiters))
+    {
+      forget (entry);
+      return;
+    }
+  if (reply->status != KV_APPLIED)
+    {
+      poll_later (entry);
+      return;
+    }
+  see_record (entry, reply->entries->len > 0 ? g_ptr_array_index (reply->entries, 0) : &absent);
+}
+
+static void
+give_back_written (batch_result_t result, const kv_entry_t *current G_GNUC_UNUSED, void *data)
+{
+  entry_t *entry = data;
+  waiter_t *waiter;
+
+  entry->idem->pending--;
+  entry->writes--;
+  if (result == BATCH_UNAVAILABLE)
+    LOG_WARN ("release_lost", "key=%s", entry->key);
+  if (list_is_empty (&entry->waiters))
+    {
+      forget (entry);
+      return;
+    }
+  /* A try that came while the claim was given back takes its place. */
+  waiter = LIST_ENTRY (entry->waiters.next, waiter_t, node);
+  waiter->owner = true;
+  g_free (entry->digest);
+  entry->digest = g_strdup (waiter->digest);
+  refuse_reused (entry);
+  entry->writes++;
+  entry->state = ENTRY_CLAIMING;
+  kv_range (entry->idem->kv, entry->key, false, poll_read, entry);
+}
+
+static void
+give_back (entry_t *entry)
+{
+  idem_t *idem = entry->idem;
+  batch_op_t op = { .key = g_strdup (entry->key),
+                    .value = record_text (entry, "released"),
+                    .expect = KV_EXPECT_VALUE,
+                    .expected = g_strdup (entry->claim_text),
+                    .lease = idem->lease,
+                    .deadline_us = g_get_monotonic_time () + record_timeout_us,
+                    .done = give_back_written,
+                    .data = entry };
+
+  entry->state = ENTRY_CLAIMING;
+  entry->writes++;
+  idem->pending++;
+  idem->counters.released++;
+  batch_add (idem->batch, &op);
+}
+
+static waiter_t *
+owner_of (entry_t *entry)
+{
+  for (list_node_t *node = entry->waiters.next; node != &entry->waiters; node = node->next)
+    {
+      waiter_t *waiter = LIST_ENTRY (node, waiter_t, node);
+
+      if (waiter->owner)
+        return waiter;
+    }
+  return NULL;
+}
+
+static void
+claim_written (batch_result_t result, const kv_entry_t *current, void *data)
+{
+  entry_t *entry = data;
+  waiter_t *owner = owner_of (entry);
+
+  entry->writes--;
+  switch (result)
+    {
+    case BATCH_APPLIED:
+      if (owner == NULL)
+        {
+          /* Its deadline passed and it was answered; nothing was sent. */
+          give_back (entry);
+          return;
+        }
+      entry->idem->counters.claimed++;
+      entry->state = ENTRY_CLAIMED;
+      answer_waiter (owner, IDEM_OURS, NULL);
+      return;
+    case BATCH_CONFLICT:
+      entry->writes++;
+      if (current != NULL)
+        see_record (entry, current);
+      refuse_reused (entry);
+      entry->writes--;
+      return;
+    case BATCH_UNAVAILABLE:
+      entry->idem->counters.unavailable++;
+      entry->writes++;
+      answer_all (entry, IDEM_UNAVAILABLE, NULL);
+      entry->writes--;
+      /* The claim may have been written all the same. */
+      give_back (entry);
+      return;
+    }
+}
+
+static void
+claim (entry_t *entry, gint64 revision)
+{
+  idem_t *idem = entry->idem;
+  waiter_t *owner = owner_of (entry);
+  gint64 deadline_us;
+  batch_op_t op = { .key = g_strdup (entry->key),
+                    .expect = KV_EXPECT_REVISION,
+                    .revision = revision,
+                    .lease = idem->lease,
+                    .done = claim_written,
+                    .data = entry };
+
+  if (owner == NULL && !list_is_empty (&entry->waiters))
+    {
+      owner = LIST_ENTRY (entry->waiters.next, waiter_t, node);
+      owner->owner = true;
+    }
+  deadline_us = owner != NULL ? owner->deadline_us : g_get_monotonic_time ();
+  g_free (entry->claim_text);
+  entry->claim_text = record_text (entry, "claimed");
+  op.value = g_strdup (entry->claim_text);
+  op.deadline_us = deadline_us;
+  entry->state = ENTRY_CLAIMING;
+  entry->writes++;
+  batch_add (idem->batch, &op);
+}
+
+static entry_t *
+entry_new (idem_t *idem, const char *scope, const char *digest)
+{
+  entry_t *entry = g_new0 (entry_t, 1);
+
+  entry->idem = idem;
+  entry->scope = g_strdup (scope);
+  entry->key = g_strconcat (IDEM_PREFIX, scope, NULL);
+  entry->digest = g_strdup (digest);
+  list_init (&entry->waiters);
+  g_hash_table_insert (idem->entries, entry->scope, entry);
+  return entry;
+}
+
+static void
+add_waiter (entry_t *entry,
+            const char *digest,
+            gint64 deadline_us,
+            idem_done_t done,
+            void *data,
+            bool owner)
+{
+  waiter_t *waiter = g_new0 (waiter_t, 1);
+
+  waiter->digest = g_strdup (digest);
+  waiter->deadline_us = deadline_us;
+  waiter->done = done;
+  waiter->data = data;
+  waiter->owner = owner;
+  list_push_back (&entry->waiters, &waiter->node);
+  if (!list_is_linked (&entry->active_node))
+    list_push_back (&entry->idem->active, &entry->active_node);
+}
+
+void
+idem_begin (idem_t *idem,
+            const char *scope,
+            const char *digest,
+            gint64 deadline_us,
+            idem_done_t done,
+            void *data)
+{
+  entry_t *entry = g_hash_table_lookup (idem->entries, scope);
+
+  if (entry == NULL)
+    {
+      if (idem->lease == 0 || idem->lease_until_us < g_get_monotonic_time ()
+          || batch_length (idem->batch) >= backlog_max)
+        {
+          idem->counters.unavailable++;
+          done (IDEM_UNAVAILABLE, NULL, data);
+          return;
+        }
+      entry = entry_new (idem, scope, digest);
+      add_waiter (entry, digest, deadline_us, done, data, true);
+      claim (entry, 0);
+      return;
+    }
+  if (strcmp (entry->digest, digest) != 0)
+    {
+      done (IDEM_KEY_REUSED, NULL, data);
+      return;
+    }
+  idem->counters.joined++;
+  add_waiter (entry, digest, deadline_us, done, data, false);
+  if (entry->state == ENTRY_DONE || entry->state == ENTRY_UNKNOWN)
+    answer_ended (entry);
+}
+
+bool
+idem_is_known (const idem_t *idem, const char *scope)
+{
+  return g_hash_table_contains (idem->entries, scope);
+}
+
+static void
+end_written (batch_result_t result, const kv_entry_t *current G_GNUC_UNUSED, void *data)
+{
+  entry_t *entry = data;
+
+  entry->idem->pending--;
+  entry->writes--;
+  if (result != BATCH_APPLIED)
+    LOG_WARN ("answer_not_recorded", "key=%s result=%d", entry->key, result);
+}
+
+void
+idem_finish (idem_t *idem, const char *scope, const idem_answer_t *answer)
+{
+  entry_t *entry = g_hash_table_lookup (idem->entries, scope);
+  batch_op_t op = { .expect = KV_EXPECT_VALUE,
+                    .lease = idem->lease,
+                    .deadline_us = g_get_monotonic_time () + record_timeout_us,
+                    .done = end_written };
+
+  if (entry == NULL || entry->state != ENTRY_CLAIMED)
+    return;
+  if (answer != NULL && g_bytes_get_size (answer->body) <= IDEM_ANSWER_MAX_BYTES)
+    {
+      entry->body = g_bytes_ref (answer->body);
+      entry->content_type = g_strdup (answer->content_type);
+      entry->http_status = answer->http_status;
+    }
+  entry->state = entry->body != NULL ? ENTRY_DONE : ENTRY_UNKNOWN;
+  op.key = g_strdup (entry->key);
+  op.value = record_text (entry, entry->state == ENTRY_DONE ? "done" : "unknown");
+  op.expected = g_strdup (entry->claim_text);
+  op.data = entry;
+  entry->writes++;
+  idem->pending++;
+  batch_add (idem->batch, &op);
+  answer_ended (entry);
+  keep (entry);
+}
+
+void
+idem_release (idem_t *idem, const char *scope)
+{
+  entry_t *entry = g_hash_table_lookup (idem->entries, scope);
+
+  if (entry != NULL && entry->state == ENTRY_CLAIMED)
+    give_back (entry);
+}
+
+static void
+lease_granted (const kv_reply_t *reply, void *data)
+{
+  idem_t *idem = data;
+
+  idem->lease_asked = false;
+  if (reply->status != KV_APPLIED || reply->lease == 0)
+    return;
+  /* A lease outlives by the retention the last record that is put under it. */
+  idem->lease = reply->lease;
+  idem->lease_until_us = g_get_monotonic_time () + idem->retention_s * G_USEC_PER_SEC;
+}
+
+static void
+renew_lease (idem_t *idem, gint64 now_us)
+{
+  gint64 early_us = idem->retention_s * G_USEC_PER_SEC / 2;
+
+  if (idem->lease_asked || idem->lease_until_us - now_us > early_us)
+    return;
+  idem->lease_asked = true;
+  kv_lease_grant (idem->kv, 2 * idem->retention_s + claim_grace_us / G_USEC_PER_SEC, lease_granted,
+                  idem);
+}
+
+static idem_result_t
+result_at_deadline (const entry_t *entry)
+{
+  return entry->state == ENTRY_CLAIMING ? IDEM_UNAVAILABLE : IDEM_RUNNING;
+}
+
+/* Answers tries whose deadline passed while they waited for another's run. */
+static void
+expire_waiters (entry_t *entry, gint64 now_us)
+{
+  list_node_t *next;
+
+  for (list_node_t *node = entry->waiters.next; node != &entry->waiters; node = next)
+    {
+      waiter_t *waiter = LIST_ENTRY (node, waiter_t, node);
+
+      next = node->next;
+      if (waiter->deadline_us <= now_us)
+        answer_waiter (waiter, result_at_deadline (entry), NULL);
+    }
+}
+
+static gboolean
+sweep (gpointer data)
+{
+  idem_t *idem = data;
+  gint64 now_us = g_get_monotonic_time ();
+  list_node_t *next;
+
+  renew_lease (idem, now_us);
+  while (idem->finished.length > 0)
+    {
+      entry_t *entry = g_queue_peek_head (&idem->finished);
+
+      if (entry->expires_us > now_us || entry->writes > 0)
+        break;
+      forget (entry);
+    }
+  for (list_node_t *node = idem->active.next; node != &idem->active; node = next)
+    {
+      entry_t *entry = LIST_ENTRY (node, entry_t, active_node);
+
+      next = node->next;
+      expire_waiters (entry, now_us);
+      if (list_is_empty (&entry->waiters))
+        list_remove (&entry->active_node);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+idem_t *
+idem_new (kv_t *kv, batch_t *batch, const char *vm, const char *incarnation, gint64 retention_s)
+{
+  idem_t *idem = g_new0 (idem_t, 1);
+
+  idem->kv = kv;
+  idem->batch = batch;
+  idem->vm = g_strdup (vm);
+  idem->incarnation = g_strdup (incarnation);
+  idem->retention_s = retention_s;
+  idem->entries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  g_queue_init (&idem->finished);
+  list_init (&idem->active);
+  idem->timer = g_timeout_add (sweep_ms, sweep, idem);
+  sweep (idem);
+  return idem;
+}
+
+void
+idem_free (idem_t *idem)
+{
+  if (idem == NULL)
+    return;
+  g_source_remove (idem->timer);
+  g_queue_clear (&idem->finished);
+  g_hash_table_unref (idem->entries);
+  g_free (idem->vm);
+  g_free (idem->incarnation);
+  g_free (idem);
+}
+
+void
+idem_set_list (idem_t *idem, const member_list_t *list)
+{
+  idem->list = list;
+}
+
+guint
+idem_pending (const idem_t *idem)
+{
+  return idem->pending;
+}
+
+const idem_counters_t *
+idem_counters (const idem_t *idem)
+{
+  return &idem->counters;
+}
--- /dev/null
+++ b/src/platform/kv.c
@@ -0,0 +1,470 @@
+#include "platform/kv.h"
+
+#include "base/json.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+struct kv
+{
+  SoupSession *session;
+  SoupSession *watch_session; /* a waiting watch must not time out or hold up calls */
+  GCancellable *closing;
+  char *base;
+  guint64 calls;
+  guint64 failures;
+  guint outstanding;
+};
+
+typedef struct
+{
+  kv_t *kv;
+  SoupMessage *message;
+  kv_done_t done;
+  void *data;
+  bool started; /* a byte may have left */
+} call_t;
+
+struct kv_watch
+{
+  kv_t *kv;
+  GCancellable *cancel;
+  kv_event_t event;
+  kv_closed_t closed;
+  void *data;
+};
+
+/* One per outstanding operation of a watch, which may be freed meanwhile. */
+typedef struct
+{
+  kv_watch_t *watch;
+  GCancellable *cancel;
+  GDataInputStream *stream;
+  SoupMessage *message;
+} watch_read_t;
+
+static const guint max_connections = 16;
+static const guint too_many_requests = 429;
+
+static SoupSession *
+session_new (guint timeout_s)
+{
+  return soup_session_new_with_options ("max-conns", max_connections, "max-conns-per-host",
+                                        max_connections, "timeout", timeout_s, "idle-timeout", 60U,
+                                        NULL);
+}
+
+kv_t *
+kv_new (const char *address, guint timeout_s)
+{
+  kv_t *kv = g_new0 (kv_t, 1);
+
+  kv->session = session_new (timeout_s);
+  kv->watch_session = session_new (0);
+  kv->closing = g_cancellable_new ();
+  kv->base = g_strdup_printf ("http://%s", address);
+  return kv;
+}
+
+void
+kv_free (kv_t *kv)
+{
+  if (kv == NULL)
+    return;
+  g_cancellable_cancel (kv->closing);
+  soup_session_abort (kv->session);
+  soup_session_abort (kv->watch_session);
+  while (kv->outstanding > 0)
+    g_main_context_iteration (NULL, TRUE);
+  g_object_unref (kv->session);
+  g_object_unref (kv->watch_session);
+  g_object_unref (kv->closing);
+  g_free (kv->base);
+  g_free (kv);
+}
+
+guint64
+kv_calls (const kv_t *kv)
+{
+  return kv->calls;
+}
+
+guint64
+kv_failures (const kv_t *kv)
+{
+  return kv->failures;
+}
+
+static void
+entry_free (gpointer data)
+{
+  kv_entry_t *entry = data;
+
+  g_free (entry->key);
+  g_free (entry->value);
+  g_free (entry);
+}
+
+static char *
+decode (const char *encoded, gsize *length)
+{
+  gsize size = 0;
+  g_autofree guchar *bytes = g_base64_decode (encoded, &size);
+  char *text = g_malloc (size + 1);
+
+  if (size > 0)
+    memcpy (text, bytes, size);
+  text[size] = '\0';
+  if (length != NULL)
+    *length = size;
+  return text;
+}
+
+static kv_entry_t *
+entry_from_json (JsonObject *object)
+{
+  kv_entry_t *entry = g_new0 (kv_entry_t, 1);
+
+  entry->key = decode (json_get_text (object, "key", ""), NULL);
+  entry->value = decode (json_get_text (object, "value", ""), &entry->length);
+  entry->mod_revision = json_get_number_or_text (object, "mod_revision", 0);
+  return entry;
+}
+
+/* Appends the entries of a range, or an absent entry when it has none. */
+static void
+add_range (GPtrArray *entries, JsonObject *range, bool keep_absent)
+{
+  JsonArray *found = json_get_list (range, "kvs");
+  guint count = found != NULL ? json_array_get_length (found) : 0;
+
+  for (guint i = 0; i < count; i++)
+    g_ptr_array_add (entries, entry_from_json (json_array_get_object_element (found, i)));
+  if (count == 0 && keep_absent)
+    g_ptr_array_add (entries, g_new0 (kv_entry_t, 1));
+}
+
+static void
+read_reply (JsonObject *object, kv_reply_t *reply)
+{
+  JsonArray *responses = json_get_list (object, "responses");
+
+  reply->revision = json_get_number_or_text (json_get_object (object, "header"), "revision", 0);
+  reply->lease = json_get_number_or_text (object, "ID", 0);
+  reply->status = KV_APPLIED;
+  add_range (reply->entries, object, false);
+  if (responses == NULL || json_get_flag (object, "succeeded", false))
+    return;
+  reply->status = KV_REJECTED;
+  for (guint i = 0; i < json_array_get_length (responses); i++)
+    {
+      JsonObject *element = json_array_get_object_element (responses, i);
+
+      add_range (reply->entries, json_get_object (element, "response_range"), true);
+    }
+}
+
+/* Works out what a finished call means; see kv_status_t. */
+static void
+classify (const call_t *call, GBytes *body, kv_reply_t *reply)
+{
+  guint status = soup_message_get_status (call->message);
+  g_autoptr (JsonNode) root = NULL;
+  gsize size = 0;
+  const char *text;
+
+  reply->status = call->started ? KV_LOST : KV_UNAVAILABLE;
+  if (body == NULL)
+    return;
+  if (status == too_many_requests)
+    reply->status = KV_UNAVAILABLE;
+  if (status != SOUP_STATUS_OK)
+    return;
+  text = g_bytes_get_data (body, &size);
+  root = json_parse_object (text, (gssize)size);
+  if (root != NULL)
+    read_reply (json_node_get_object (root), reply);
+}
+
+static void
+call_finished (GObject *source, GAsyncResult *result, gpointer data)
+{
+  call_t *call = data;
+  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (entry_free);
+  kv_reply_t reply = { .entries = entries };
+
+  classify (call, body, &reply);
+  if (!g_cancellable_is_cancelled (call->kv->closing)
+      && (reply.status == KV_LOST || reply.status == KV_UNAVAILABLE))
+    call->kv->failures++;
+  call->done (&reply, call->data);
+  call->kv->outstanding--;
+  g_object_unref (call->message);
+  g_free (call);
+}
+
+static void
+call_starting (SoupMessage *message G_GNUC_UNUSED, gpointer data)
+{
+  ((call_t *)data)->started = true;
+}
+
+static SoupMessage *
+message_new (const kv_t *kv, const char *path, JsonBuilder *builder)
+{
+  g_autofree char *url = g_strconcat (kv->base, path, NULL);
+  SoupMessage *message = soup_message_new ("POST", url);
+  char *text = json_builder_text (builder);
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+
+  soup_message_set_request_body_from_bytes (message, "application/json", body);
+  /* Lets the library reuse the connection; it does not resend a POST. */
+  soup_message_add_flags (message, SOUP_MESSAGE_IDEMPOTENT);
+  return message;
+}
+
+static void
+call_start (kv_t *kv, const char *path, JsonBuilder *builder, kv_done_t done, void *data)
+{
+  call_t *call = g_new0 (call_t, 1);
+
+  call->kv = kv;
+  call->done = done;
+  call->data = data;
+  call->message = message_new (kv, path, builder);
+  kv->calls++;
+  kv->outstanding++;
+  g_signal_connect (call->message, "starting", G_CALLBACK (call_starting), call);
+  soup_session_send_and_read_async (kv->session, call->message, G_PRIORITY_DEFAULT, kv->closing,
+                                    call_finished, call);
+}
+
+static void
+put_encoded (JsonBuilder *builder, const char *member, const char *text)
+{
+  g_autofree char *encoded = g_base64_encode ((const guchar *)text, strlen (text));
+
+  json_put_text (builder, member, encoded);
+}
+
+/* The end of a prefix's range is the prefix with its last byte one higher. */
+static void
+put_range (JsonBuilder *builder, const char *key, bool prefix)
+{
+  g_autofree char *end = g_strdup (key);
+
+  put_encoded (builder, "key", key);
+  if (!prefix)
+    return;
+  end[strlen (end) - 1]++;
+  put_encoded (builder, "range_end", end);
+}
+
+void
+kv_range (kv_t *kv, const char *key, bool prefix, kv_done_t done, void *data)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  put_range (builder, key, prefix);
+  json_builder_end_object (builder);
+  call_start (kv, "/v3/kv/range", builder, done, data);
+}
+
+static void
+put_number_text (JsonBuilder *builder, const char *member, gint64 number)
+{
+  g_autofree char *text = g_strdup_printf ("%" G_GINT64_FORMAT, number);
+
+  json_put_text (builder, member, text);
+}
+
+static void
+add_compare (JsonBuilder *builder, const kv_op_t *op)
+{
+  if (op->expect == KV_EXPECT_ANY)
+    return;
+  json_builder_begin_object (builder);
+  put_encoded (builder, "key", op->key);
+  json_put_text (builder, "result", "EQUAL");
+  json_put_text (builder, "target", op->expect == KV_EXPECT_VALUE ? "VALUE" : "MOD");
+  if (op->expect == KV_EXPECT_VALUE)
+    put_encoded (builder, "value", op->expected);
+  else
+    put_number_text (builder, "mod_revision", op->revision);
+  json_builder_end_object (builder);
+}
+
+static void
+add_write (JsonBuilder *builder, const kv_op_t *op)
+{
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder,
+                                op->value != NULL ? "request_put" : "request_delete_range");
+  json_builder_begin_object (builder);
+  put_encoded (builder, "key", op->key);
+  if (op->value != NULL)
+    put_encoded (builder, "value", op->value);
+  if (op->value != NULL && op->lease != 0)
+    put_number_text (builder, "lease", op->lease);
+  json_builder_end_object (builder);
+  json_builder_end_object (builder);
+}
+
+static void
+add_read (JsonBuilder *builder, const kv_op_t *op)
+{
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "request_range");
+  json_builder_begin_object (builder);
+  put_encoded (builder, "key", op->key);
+  json_builder_end_object (builder);
+  json_builder_end_object (builder);
+}
+
+typedef void (*add_op_t) (JsonBuilder *builder, const kv_op_t *op);
+
+static void
+add_list (JsonBuilder *builder, const char *member, const kv_op_t *ops, gsize count, add_op_t add)
+{
+  json_builder_set_member_name (builder, member);
+  json_builder_begin_array (builder);
+  for (gsize i = 0; i < count; i++)
+    add (builder, &ops[i]);
+  json_builder_end_array (builder);
+}
+
+void
+kv_txn (kv_t *kv, const kv_op_t *ops, gsize count, kv_done_t done, void *data)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  add_list (builder, "compare", ops, count, add_compare);
+  add_list (builder, "success", ops, count, add_write);
+  add_list (builder, "failure", ops, count, add_read);
+  json_builder_end_object (builder);
+  call_start (kv, "/v3/kv/txn", builder, done, data);
+}
+
+void
+kv_lease_grant (kv_t *kv, gint64 ttl_s, kv_done_t done, void *data)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  put_number_text (builder, "TTL", ttl_s);
+  json_builder_end_object (builder);
+  call_start (kv, "/v3/lease/grant", builder, done, data);
+}
+
+static void
+watch_read_free (watch_read_t *read)
+{
+  g_clear_object (&read->cancel);
+  g_clear_object (&read->stream);
+  g_clear_object (&read->message);
+  g_free (read);
+}
+
+static void
+watch_broken (watch_read_t *read)
+{
+  if (!g_cancellable_is_cancelled (read->cancel))
+    read->watch->closed (read->watch->data);
+  watch_read_free (read);
+}
+
+static void
+deliver_events (const watch_read_t *read, const char *line)
+{
+  g_autoptr (JsonNode) root = json_parse_object (line, -1);
+  JsonObject *result;
+  JsonArray *events;
+
+  if (root == NULL)
+    return;
+  result = json_get_object (json_node_get_object (root), "result");
+  events = json_get_list (result, "events");
+  for (guint i = 0; events != NULL && i < json_array_get_length (events); i++)
+    {
+      JsonObject *event = json_array_get_object_element (events, i);
+      kv_entry_t *entry = entry_from_json (json_get_object (event, "kv"));
+
+      if (strcmp (json_get_text (event, "type", "PUT"), "DELETE") == 0)
+        g_clear_pointer (&entry->value, g_free);
+      if (!g_cancellable_is_cancelled (read->cancel))
+        read->watch->event (entry, read->watch->data);
+      entry_free (entry);
+    }
+}
+
+static void
+line_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  watch_read_t *read = data;
+  g_autofree char *line
+      = g_data_input_stream_read_line_finish (G_DATA_INPUT_STREAM (source), result, NULL, NULL);
+
+  if (line == NULL || g_cancellable_is_cancelled (read->cancel))
+    {
+      watch_broken (read);
+      return;
+    }
+  deliver_events (read, line);
+  g_data_input_stream_read_line_async (read->stream, G_PRIORITY_DEFAULT, read->cancel, line_read,
+                                       read);
+}
+
+static void
+watch_opened (GObject *source, GAsyncResult *result, gpointer data)
+{
+  watch_read_t *read = data;
+  g_autoptr (GInputStream) input = soup_session_send_finish (SOUP_SESSION (source), result, NULL);
+
+  if (input == NULL || soup_message_get_status (read->message) != SOUP_STATUS_OK)
+    {
+      watch_broken (read);
+      return;
+    }
+  read->stream = g_data_input_stream_new (input);
+  g_data_input_stream_read_line_async (read->stream, G_PRIORITY_DEFAULT, read->cancel, line_read,
+                                       read);
+}
+
+kv_watch_t *
+kv_watch (
+    kv_t *kv, const char *prefix, gint64 revision, kv_event_t event, kv_closed_t closed, void *data)
+{
+  kv_watch_t *watch = g_new0 (kv_watch_t, 1);
+  watch_read_t *read = g_new0 (watch_read_t, 1);
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  *watch = (kv_watch_t){ .kv = kv, .event = event, .closed = closed, .data = data };
+  watch->cancel = g_cancellable_new ();
+  read->watch = watch;
+  read->cancel = g_object_ref (watch->cancel);
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "create_request");
+  json_builder_begin_object (builder);
+  put_range (builder, prefix, true);
+  put_number_text (builder, "start_revision", revision);
+  json_builder_end_object (builder);
+  json_builder_end_object (builder);
+  read->message = message_new (kv, "/v3/watch", builder);
+  kv->calls++;
+  soup_session_send_async (kv->watch_session, read->message, G_PRIORITY_DEFAULT, read->cancel,
+                           watch_opened, read);
+  return watch;
+}
+
+void
+kv_watch_free (kv_watch_t *watch)
+{
+  if (watch == NULL)
+    return;
+  g_cancellable_cancel (watch->cancel);
+  g_object_unref (watch->cancel);
+  g_free (watch);
+}
--- /dev/null
+++ b/src/platform/kv.h
@@ -0,0 +1,94 @@
+/* Client of the platform's key-value service.
+ *
+ * This header is all that the rest of the daemon knows of the service; kv.c speaks
+ * the etcd v3 JSON form over HTTP.  Every call is asynchronous and calls `done`
+ * exactly once on the main context, also when the service is down.
+ */
+#pragma once
+
+#include "base/error.h"
+
+#include <glib.h>
+
+typedef struct kv kv_t;
+typedef struct kv_watch kv_watch_t;
+
+enum
+{
+  KV_VALUE_MAX_BYTES = 1024 * 1024
+};
+
+typedef struct
+{
+  char *key;
+  char *value; /* text, NUL terminated */
+  gsize length;
+  gint64 mod_revision; /* 0: the key does not exist */
+} kv_entry_t;
+
+typedef enum
+{
+  KV_APPLIED,     /* the call was carried out */
+  KV_REJECTED,    /* a compare did not hold; nothing was written */
+  KV_UNAVAILABLE, /* certainly not written: refused or never sent */
+  KV_LOST         /* no reply: may or may not have been written */
+} kv_status_t;
+
+typedef struct
+{
+  kv_status_t status;
+  gint64 revision;    /* of the store, after the call */
+  gint64 lease;       /* kv_lease_grant() */
+  GPtrArray *entries; /* kv_entry_t: of a range; of each op's key when KV_REJECTED */
+} kv_reply_t;
+
+typedef void (*kv_done_t) (const kv_reply_t *reply, void *data);
+
+typedef enum
+{
+  KV_EXPECT_ANY,
+  KV_EXPECT_REVISION, /* mod_revision equals `revision`; 0: the key is absent */
+  KV_EXPECT_VALUE     /* the value equals `expected` */
+} kv_expect_t;
+
+/* One compare with the write that depends on it. */
+typedef struct
+{
+  const char *key;
+  kv_expect_t expect;
+  gint64 revision;
+  const char *expected;
+  const char *value; /* NULL: delete */
+  gint64 lease;      /* 0: none */
+} kv_op_t;
+
+/* `address` is "IP:PORT"; `timeout_s` bounds each call. */
+kv_t *kv_new (const char *address, guint timeout_s);
+void kv_free (kv_t *kv);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (kv_t, kv_free)
+
+/* Reads one key, or all with the prefix. */
+void kv_range (kv_t *kv, const char *key, bool prefix, kv_done_t done, void *data);
+
+/* Writes all ops or none. */
+void kv_txn (kv_t *kv, const kv_op_t *ops, gsize count, kv_done_t done, void *data);
+
+void kv_lease_grant (kv_t *kv, gint64 ttl_s, kv_done_t done, void *data);
+
+typedef void (*kv_event_t) (const kv_entry_t *entry, void *data);
+typedef void (*kv_closed_t) (void *data);
+
+/* Watches a prefix from `revision` on.  `closed` is called once when the watch
+ * breaks; the watch is then dead and must still be freed. */
+kv_watch_t *kv_watch (kv_t *kv,
+                      const char *prefix,
+                      gint64 revision,
+                      kv_event_t event,
+                      kv_closed_t closed,
+                      void *data);
+void kv_watch_free (kv_watch_t *watch);
+
+/* Calls made since kv_new(), and those that failed. */
+guint64 kv_calls (const kv_t *kv);
+guint64 kv_failures (const kv_t *kv);
--- /dev/null
+++ b/src/work/probes.h
@@ -0,0 +1,16 @@
+/* Asks executors for their state, so that one that leaves is known within seconds
+ * although the platform's list is late.  Probes are spread evenly over the round. */
+#pragma once
+
+#include "backend/executors.h"
+
+typedef struct probes probes_t;
+
+/* Asks the owner for the targets of the next round, through probes_add(). */
+typedef void (*probes_targets_t) (probes_t *probes, void *data);
+
+probes_t *
+probes_new (executors_t *executors, probes_targets_t targets, executor_health_t done, void *data);
+void probes_free (probes_t *probes);
+
+void probes_add (probes_t *probes, const char *id, const char *address);
--- /dev/null
+++ b/standins/backends.c
@@ -0,0 +1,915 @@
+/* Stand-in for backend servers: executors and workers of one environment, each on a
+ * port of its own on loopback, and one control port.
+ *
+ *   executor   POST /v1/run, GET /v1/health
+ *   worker     POST /v1/tasks/start /v1/tasks/stop /v1/tasks/ack /v1/lease
+ *   control    POST /faults {"id": ID or "*", ...}, GET /counters, GET /arrivals
+ *
+ * Faults of an executor: service_ms, late_ms (added), refuse, truncate, wrong_id,
+ * black_hole, leaving.  Faults of a worker: refuse, lose_replies, black_hole.
+ */
+#include "base/json.h"
+#include "base/settings.h"
+#include "standin.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct
+{
+  gint64 service_us;
+  gint64 late_ms;
+  bool refuse;
+  bool truncate;
+  bool wrong_id;
+  bool black_hole;
+  bool leaving;
+  gint64 lose_replies;
+} faults_t;
+
+typedef struct
+{
+  gint64 runs;
+  gint64 refused;
+  gint64 exceeded;    /* requests that found all slots taken */
+  gint64 exceeded_us; /* their time in the queue */
+  gint64 connections; /* open now */
+  gint64 connections_max;
+  gint64 running_max;
+  gint64 after_leaving; /* requests that came later than the grace after leaving */
+  gint64 starts;
+  gint64 over_capacity;
+  gint64 lapsed;
+} counters_t;
+
+typedef struct backends backends_t;
+
+typedef struct
+{
+  backends_t *backends;
+  char *id;
+  char *zone;
+  char *rack;
+  bool is_worker;
+  SoupServer *server;
+  faults_t faults;
+  counters_t counters;
+  gint64 slots;
+  gint64 running;
+  GQueue waiting; /* run_t */
+  GHashTable *sockets;
+  GHashTable *tasks;   /* id -> standin_task_t, worker */
+  GHashTable *stopped; /* ids that may never start, worker */
+  gint64 cpu_milli;
+  gint64 memory_mb;
+  gint64 accelerators;
+  gint64 leaving_since_us;
+} backend_t;
+
+/* One request at an executor. */
+typedef struct
+{
+  backend_t *backend;
+  SoupServerMessage *message;
+  gint64 arrived_us;
+} run_t;
+
+typedef struct
+{
+  backend_t *backend;
+  char *id;
+  char *work; /* the id without its attempt */
+  bool running;
+  bool finished;
+  gint64 lease_until_us;
+  gint64 cpu_milli;
+  gint64 memory_mb;
+  gint64 accelerators;
+  guint timer;
+} standin_task_t;
+
+struct backends
+{
+  GPtrArray *all;
+  GHashTable *bodies;  /* body -> number of runs */
+  GHashTable *running; /* work -> number of places it runs in */
+  gint64 double_runs;
+  GMainLoop *loop;
+  char *environment;
+};
+
+static const gint64 leaving_grace_us = 3 * G_USEC_PER_SEC;
+static const guint lease_sweep_ms = 50;
+
+static void run_start (run_t *run);
+
+static void
+run_free (run_t *run)
+{
+  g_object_unref (run->message);
+  g_free (run);
+}
+
+static void
+count_body (backends_t *backends, SoupServerMessage *message)
+{
+  g_autoptr (GBytes) bytes
+      = soup_message_body_flatten (soup_server_message_get_request_body (message));
+  gsize size = 0;
+  const char *text = g_bytes_get_data (bytes, &size);
+  char *body = g_strndup (text != NULL ? text : "", size);
+  gpointer runs = g_hash_table_lookup (backends->bodies, body);
+
+  g_hash_table_insert (backends->bodies, body, GINT_TO_POINTER (GPOINTER_TO_INT (runs) + 1));
+}
+
+/* Sends less than the stated length and closes. */
+static void
+send_truncated (SoupServerMessage *message, const char *request_id)
+{
+  g_autoptr (GIOStream) stream = soup_server_message_steal_connection (message);
+  g_autofree char *text
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Type: application/json\r\n"
+                         "Content-Length: 500\r\n\r\n{\"part\":",
+                         request_id);
+
+  (void)g_output_stream_write_all (g_io_stream_get_output_stream (stream), text, strlen (text),
+                                   NULL, NULL, NULL);
+  (void)g_io_stream_close (stream, NULL, NULL);
+}
+
+static char *
+answer_text (const backend_t *backend, SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autoptr (JsonNode) body = standin_body (message);
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "executor", backend->id);
+  json_put_text (builder, "class", soup_message_headers_get_one (headers, "Class"));
+  json_put_number (builder, "run", backend->counters.runs);
+  if (body != NULL)
+    {
+      json_builder_set_member_name (builder, "echo");
+      json_builder_add_value (builder, json_node_copy (body));
+    }
+  json_builder_end_object (builder);
+  return json_builder_text (builder);
+}
+
+static void
+run_answer (run_t *run)
+{
+  backend_t *backend = run->backend;
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (run->message);
+  SoupMessageHeaders *out = soup_server_message_get_response_headers (run->message);
+  const char *request_id = soup_message_headers_get_one (headers, "Request-Id");
+
+  if (backend->faults.truncate)
+    {
+      send_truncated (run->message, request_id);
+      return;
+    }
+  if (request_id != NULL)
+    soup_message_headers_append (out, "Request-Id",
+                                 backend->faults.wrong_id ? "another-request" : request_id);
+  if (backend->faults.leaving)
+    soup_message_headers_append (out, "Backend-State", "leaving");
+  standin_respond (run->message, 200, answer_text (backend, run->message));
+  soup_server_message_unpause (run->message);
+}
+
+static gboolean
+run_over (gpointer data)
+{
+  run_t *run = data;
+  backend_t *backend = run->backend;
+  run_t *next;
+
+  backend->running--;
+  run_answer (run);
+  run_free (run);
+  next = g_queue_pop_head (&backend->waiting);
+  if (next != NULL)
+    {
+      backend->counters.exceeded_us += g_get_monotonic_time () - next->arrived_us;
+      run_start (next);
+    }
+  return G_SOURCE_REMOVE;
+}
+
+static void
+run_start (run_t *run)
+{
+  backend_t *backend = run->backend;
+  gint64 ms = (backend->faults.service_us + 500) / 1000 + backend->faults.late_ms;
+
+  backend->running++;
+  backend->counters.runs++;
+  backend->counters.running_max = MAX (backend->counters.running_max, backend->running);
+  count_body (backend->backends, run->message);
+  /* A black hole takes the slot for good. */
+  if (backend->faults.black_hole)
+    return;
+  if (ms == 0)
+    run_over (run);
+  else
+    g_timeout_add ((guint)ms, run_over, run);
+}
+
+static void
+refuse_run (backend_t *backend, SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  SoupMessageHeaders *out = soup_server_message_get_response_headers (message);
+  const char *request_id = soup_message_headers_get_one (headers, "Request-Id");
+
+  backend->counters.refused++;
+  if (request_id != NULL)
+    soup_message_headers_append (out, "Request-Id", request_id);
+  soup_message_headers_append (out, "Not-Run", "1");
+  if (backend->faults.leaving)
+    soup_message_headers_append (out, "Backend-State", "leaving");
+  standin_respond (message, 503, g_strdup ("{}"));
+}
+
+static void
+handle_run (backend_t *backend, SoupServerMessage *message)
+{
+  run_t *run;
+
+  if (backend->faults.leaving
+      && g_get_monotonic_time () - backend->leaving_since_us > leaving_grace_us)
+    backend->counters.after_leaving++;
+  if (backend->faults.refuse)
+    {
+      refuse_run (backend, message);
+      return;
+    }
+  run = g_new0 (run_t, 1);
+  run->backend = backend;
+  run->message = g_object_ref (message);
+  run->arrived_us = g_get_monotonic_time ();
+  soup_server_message_pause (message);
+  if (backend->running >= backend->slots)
+    {
+      backend->counters.exceeded++;
+      g_queue_push_tail (&backend->waiting, run);
+      return;
+    }
+  run_start (run);
+}
+
+static void
+task_free (gpointer data)
+{
+  standin_task_t *task = data;
+
+  if (task->timer != 0)
+    g_source_remove (task->timer);
+  g_free (task->id);
+  g_free (task->work);
+  g_free (task);
+}
+
+static void
+change_running (backends_t *backends, const char *work, int by)
+{
+  int places = GPOINTER_TO_INT (g_hash_table_lookup (backends->running, work)) + by;
+
+  if (by > 0 && places > 1)
+    backends->double_runs++;
+  g_hash_table_insert (backends->running, g_strdup (work), GINT_TO_POINTER (places));
+}
+
+static void
+task_end (standin_task_t *task, bool finished)
+{
+  if (!task->running)
+    return;
+  task->running = false;
+  task->finished = finished;
+  change_running (task->backend->backends, task->work, -1);
+  if (task->timer != 0)
+    g_source_remove (task->timer);
+  task->timer = 0;
+}
+
+static gboolean
+task_over (gpointer data)
+{
+  standin_task_t *task = data;
+
+  task->timer = 0;
+  task_end (task, true);
+  return G_SOURCE_REMOVE;
+}
+
+static bool
+has_room (const backend_t *worker, const standin_task_t *more)
+{
+  gint64 cpu = more->cpu_milli;
+  gint64 memory = more->memory_mb;
+  gint64 accelerators = more->accelerators;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, worker->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const standin_task_t *task = value;
+
+      if (!task->running)
+        continue;
+      cpu += task->cpu_milli;
+      memory += task->memory_mb;
+      accelerators += task->accelerators;
+    }
+  return cpu <= worker->cpu_milli && memory <= worker->memory_mb
+         && accelerators <= worker->accelerators;
+}
+
+static void
+start_task (backend_t *worker, JsonObject *request)
+{
+  standin_task_t *task = g_new0 (standin_task_t, 1);
+  gint64 run_ms = json_get_number (request, "run_ms", 0);
+
+  task->backend = worker;
+  task->id = g_strdup (json_get_text (request, "id", ""));
+  task->work = g_strndup (task->id, (gsize)(strrchr (task->id, '/') - task->id));
+  task->cpu_milli = json_get_number (request, "cpu_milli", 0);
+  task->memory_mb = json_get_number (request, "memory_mb", 0);
+  task->accelerators = json_get_number (request, "accelerators", 0);
+  task->lease_until_us = g_get_monotonic_time () + json_get_number (request, "lease_ms", 0) * 1000;
+  /* The stand-in takes what it is given, and counts what should not have been. */
+  worker->counters.over_capacity += !has_room (worker, task);
+  worker->counters.starts++;
+  task->running = true;
+  g_hash_table_insert (worker->tasks, task->id, task);
+  change_running (worker->backends, task->work, 1);
+  task->timer = g_timeout_add ((guint)MAX (1, run_ms), task_over, task);
+}
+
+static void
+put_task (JsonBuilder *builder, const standin_task_t *task)
+{
+  json_builder_begin_object (builder);
+  json_put_text (builder, "id", task->id);
+  json_put_text (builder, "state",
+                 task->running ? "running" : (task->finished ? "finished" : "stopped"));
+  json_put_number (builder, "cpu_milli", task->cpu_milli);
+  json_put_number (builder, "memory_mb", task->memory_mb);
+  json_put_number (builder, "accelerators", task->accelerators);
+  json_builder_end_object (builder);
+}
+
+/* Renews the leases of the named tasks and reports every task. */
+static char *
+renew (backend_t *worker, JsonObject *request)
+{
+  JsonArray *ids = json_get_list (request, "ids");
+  gint64 until_us = g_get_monotonic_time () + json_get_number (request, "lease_ms", 0) * 1000;
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; ids != NULL && i < json_array_get_length (ids); i++)
+    {
+      standin_task_t *task
+          = g_hash_table_lookup (worker->tasks, json_array_get_string_element (ids, i));
+
+      if (task != NULL && task->lease_until_us > g_get_monotonic_time ())
+        task->lease_until_us = until_us;
+    }
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "tasks");
+  json_builder_begin_array (builder);
+  g_hash_table_iter_init (&iter, worker->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    put_task (builder, value);
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  return json_builder_text (builder);
+}
+
+static void
+stop_task (backend_t *worker, const char *id)
+{
+  standin_task_t *task = g_hash_table_lookup (worker->tasks, id);
+
+  if (task != NULL)
+    {
+      task_end (task, false);
+      g_hash_table_remove (worker->tasks, id);
+    }
+  g_hash_table_add (worker->stopped, g_strdup (id));
+}
+
+static void
+acknowledge (backend_t *worker, JsonObject *request)
+{
+  JsonArray *ids = json_get_list (request, "ids");
+
+  for (guint i = 0; ids != NULL && i < json_array_get_length (ids); i++)
+    {
+      const char *id = json_array_get_string_element (ids, i);
+      const standin_task_t *task = g_hash_table_lookup (worker->tasks, id);
+
+      if (task != NULL && !task->running)
+        g_hash_table_remove (worker->tasks, id);
+    }
+}
+
+static void
+handle_start (backend_t *worker, SoupServerMessage *message, JsonObject *request)
+{
+  const char *id = json_get_text (request, "id", "");
+
+  if (worker->faults.refuse || g_hash_table_contains (worker->stopped, id)
+      || strrchr (id, '/') == NULL)
+    {
+      worker->counters.refused++;
+      standin_respond (message, 409, g_strdup ("{\"error\":\"refused\"}"));
+      return;
+    }
+  if (!g_hash_table_contains (worker->tasks, id))
+    start_task (worker, request);
+  standin_respond (message, 200, g_strdup ("{\"state\":\"running\"}"));
+}
+
+static void
+handle_worker (backend_t *worker, SoupServerMessage *message, const char *path)
+{
+  g_autoptr (JsonNode) root = standin_body (message);
+  JsonObject *request = root != NULL ? json_node_get_object (root) : NULL;
+
+  if (worker->faults.black_hole)
+    {
+      soup_server_message_pause (message);
+      return;
+    }
+  if (strcmp (path, "/v1/tasks/start") == 0)
+    handle_start (worker, message, request);
+  else if (strcmp (path, "/v1/lease") == 0)
+    standin_respond (message, 200, renew (worker, request));
+  else if (strcmp (path, "/v1/tasks/stop") == 0)
+    {
+      stop_task (worker, json_get_text (request, "id", ""));
+      standin_respond (message, 200, g_strdup ("{\"state\":\"stopped\"}"));
+    }
+  else if (strcmp (path, "/v1/tasks/ack") == 0)
+    {
+      acknowledge (worker, request);
+      standin_respond (message, 200, g_strdup ("{}"));
+    }
+  else
+    standin_respond (message, 404, g_strdup ("{}"));
+  if (worker->faults.lose_replies > 0)
+    {
+      worker->faults.lose_replies--;
+      standin_hang_up (message);
+    }
+}
+
+static void
+handle (SoupServer *server G_GNUC_UNUSED,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query G_GNUC_UNUSED,
+        gpointer data)
+{
+  backend_t *backend = data;
+
+  if (strcmp (path, "/v1/health") == 0)
+    standin_respond (
+        message, 200,
+        g_strdup (backend->faults.leaving ? "{\"state\":\"leaving\"}" : "{\"state\":\"live\"}"));
+  else if (backend->is_worker)
+    handle_worker (backend, message, path);
+  else if (strcmp (path, "/v1/run") == 0)
+    handle_run (backend, message);
+  else
+    standin_respond (message, 404, g_strdup ("{}"));
+}
+
+static void
+socket_closed (gpointer data, GObject *socket)
+{
+  backend_t *backend = data;
+
+  g_hash_table_remove (backend->sockets, socket);
+}
+
+/* Counts the connections that are open. */
+static void
+request_started (SoupServer *server G_GNUC_UNUSED, SoupServerMessage *message, gpointer data)
+{
+  backend_t *backend = data;
+  GSocket *socket = soup_server_message_get_socket (message);
+  gint64 open;
+
+  if (!g_hash_table_contains (backend->sockets, socket))
+    {
+      g_hash_table_add (backend->sockets, socket);
+      g_object_weak_ref (G_OBJECT (socket), socket_closed, backend);
+    }
+  open = g_hash_table_size (backend->sockets);
+  backend->counters.connections_max = MAX (backend->counters.connections_max, open);
+}
+
+static void
+set_faults (backend_t *backend, JsonObject *object)
+{
+  faults_t *faults = &backend->faults;
+  bool leaving = json_get_flag (object, "leaving", faults->leaving);
+
+  if (leaving && !faults->leaving)
+    backend->leaving_since_us = g_get_monotonic_time ();
+  faults->service_us = json_get_number (object, "service_ms", faults->service_us / 1000) * 1000;
+  faults->late_ms = json_get_number (object, "late_ms", faults->late_ms);
+  faults->refuse = json_get_flag (object, "refuse", faults->refuse);
+  faults->truncate = json_get_flag (object, "truncate", faults->truncate);
+  faults->wrong_id = json_get_flag (object, "wrong_id", faults->wrong_id);
+  faults->black_hole = json_get_flag (object, "black_hole", faults->black_hole);
+  faults->lose_replies = json_get_number (object, "lose_replies", faults->lose_replies);
+  faults->leaving = leaving;
+}
+
+static void
+change_faults (const backends_t *backends, SoupServerMessage *message)
+{
+  g_autoptr (JsonNode) root = standin_body (message);
+  JsonObject *object = root != NULL ? json_node_get_object (root) : NULL;
+  const char *id = json_get_text (object, "id", "*");
+
+  for (guint i = 0; object != NULL && i < backends->all->len; i++)
+    {
+      backend_t *backend = g_ptr_array_index (backends->all, i);
+
+      if (strcmp (id, "*") == 0 || strcmp (id, backend->id) == 0)
+        set_faults (backend, object);
+    }
+  standin_respond (message, object != NULL ? 200 : 400, g_strdup ("{}"));
+}
+
+static void
+put_counters (JsonBuilder *builder, const backend_t *backend)
+{
+  const counters_t *counters = &backend->counters;
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "id", backend->id);
+  json_put_number (builder, "runs", counters->runs);
+  json_put_number (builder, "refused", counters->refused);
+  json_put_number (builder, "exceeded", counters->exceeded);
+  json_put_number (builder, "exceeded_us", counters->exceeded_us);
+  json_put_number (builder, "running_max", counters->running_max);
+  json_put_number (builder, "connections", g_hash_table_size (backend->sockets));
+  json_put_number (builder, "connections_max", counters->connections_max);
+  json_put_number (builder, "after_leaving", counters->after_leaving);
+  json_put_number (builder, "starts", counters->starts);
+  json_put_number (builder, "over_capacity", counters->over_capacity);
+  json_put_number (builder, "lapsed", counters->lapsed);
+  json_builder_end_object (builder);
+}
+
+static void
+show_counters (const backends_t *backends, SoupServerMessage *message)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_put_number (builder, "double_runs", backends->double_runs);
+  json_builder_set_member_name (builder, "backends");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < backends->all->len; i++)
+    put_counters (builder, g_ptr_array_index (backends->all, i));
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  standin_respond (message, 200, json_builder_text (builder));
+}
+
+/* How often each distinct body was run. */
+static void
+show_arrivals (const backends_t *backends, SoupServerMessage *message)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  json_builder_begin_object (builder);
+  g_hash_table_iter_init (&iter, backends->bodies);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_put_number (builder, key, GPOINTER_TO_INT (value));
+  json_builder_end_object (builder);
+  standin_respond (message, 200, json_builder_text (builder));
+}
+
+static void
+handle_control (SoupServer *server G_GNUC_UNUSED,
+                SoupServerMessage *message,
+                const char *path,
+                GHashTable *query G_GNUC_UNUSED,
+                gpointer data)
+{
+  if (strcmp (path, "/faults") == 0)
+    change_faults (data, message);
+  else if (strcmp (path, "/counters") == 0)
+    show_counters (data, message);
+  else if (strcmp (path, "/arrivals") == 0)
+    show_arrivals (data, message);
+  else
+    standin_respond (message, 404, g_strdup ("{}"));
+}
+
+static gboolean
+sweep_leases (gpointer data)
+{
+  const backends_t *backends = data;
+  gint64 now_us = g_get_monotonic_time ();
+
+  for (guint i = 0; i < backends->all->len; i++)
+    {
+      backend_t *worker = g_ptr_array_index (backends->all, i);
+      GHashTableIter iter;
+      gpointer value;
+
+      if (!worker->is_worker)
+        continue;
+      g_hash_table_iter_init (&iter, worker->tasks);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          standin_task_t *task = value;
+
+          if (!task->running || task->lease_until_us > now_us)
+            continue;
+          worker->counters.lapsed++;
+          task_end (task, false);
+          g_hash_table_iter_remove (&iter);
+        }
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static backend_t *
+backend_new (backends_t *backends, const char *kind, guint index, const char *zone)
+{
+  backend_t *backend = g_new0 (backend_t, 1);
+
+  backend->backends = backends;
+  backend->id = g_strdup_printf ("%s-%s-%u", backends->environment, kind, index);
+  backend->zone = g_strdup (zone);
+  backend->sockets = g_hash_table_new (NULL, NULL);
+  backend->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, task_free);
+  backend->stopped = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_queue_init (&backend->waiting);
+  backend->server = standin_listen (0, handle, backend);
+  g_signal_connect (backend->server, "request-started", G_CALLBACK (request_started), backend);
+  g_ptr_array_add (backends->all, backend);
+  return backend;
+}
+
+static void
+put_vm (JsonBuilder *builder, const backend_t *backend, gint64 connections)
+{
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", standin_port (backend->server));
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "id", backend->id);
+  json_put_text (builder, "role", backend->is_worker ? "worker" : "executor");
+  json_put_text (builder, "zone", backend->zone);
+  json_put_text (builder, "address", address);
+  json_put_text (builder, "state", "live");
+  if (backend->is_worker)
+    {
+      json_put_text (builder, "rack", backend->rack);
+      json_put_number (builder, "cpu_milli", backend->cpu_milli);
+      json_put_number (builder, "memory_mb", backend->memory_mb);
+      json_put_number (builder, "accelerators", backend->accelerators);
+    }
+  else
+    {
+      json_put_text (builder, "environment", backend->backends->environment);
+      json_put_number (builder, "slots", backend->slots);
+      json_put_number (builder, "connections", connections);
+    }
+  json_builder_end_object (builder);
+}
+
+/* Tells the platform's list of every backend server. */
+static void
+register_all (const backends_t *backends, const char *platform, gint64 connections)
+{
+  g_autoptr (SoupSession) session = soup_session_new ();
+  g_autofree char *url = g_strdup_printf ("http://%s/v1/vms", platform);
+  g_autoptr (SoupMessage) message = soup_message_new ("POST", url);
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autoptr (GBytes) reply = NULL;
+  g_autoptr (GBytes) body = NULL;
+  char *text;
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "vms");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < backends->all->len; i++)
+    put_vm (builder, g_ptr_array_index (backends->all, i), connections);
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  text = json_builder_text (builder);
+  body = g_bytes_new_take (text, strlen (text));
+  soup_message_set_request_body_from_bytes (message, "application/json", body);
+  reply = soup_session_send_and_read (session, message, NULL, NULL);
+  if (reply == NULL)
+    (void)fprintf (stderr, "standin-backends: the platform at %s does not answer\n", platform);
+}
+
+static gboolean
+stop (gpointer data)
+{
+  g_main_loop_quit (((backends_t *)data)->loop);
+  return G_SOURCE_REMOVE;
+}
+
+/* Settings of the program. */
+typedef struct
+{
+  char *platform;
+  char *environment;
+  char *zones;
+  gint64 executors;
+  gint64 workers;
+  gint64 service_ms;
+  gint64 slots;
+  gint64 connections;
+  gint64 per_rack;
+  gint64 cpu_milli;
+  gint64 memory_mb;
+  gint64 accelerators;
+} backends_options_t;
+
+static bool
+load_options (backends_options_t *options, int argc, char **argv, error_info_t *error)
+{
+  const setting_t settings[] = {
+    { .flag = "platform",
+      .kind = SETTING_ADDRESS,
+      .value = &options->platform,
+      .placeholder = "IP:PORT",
+      .help = "the stand-in platform, to register at" },
+    { .flag = "environment",
+      .kind = SETTING_TEXT,
+      .value = &options->environment,
+      .min = 1,
+      .max = 63,
+      .placeholder = "NAME",
+      .help = "environment of the executors" },
+    { .flag = "zones",
+      .kind = SETTING_TEXT,
+      .value = &options->zones,
+      .min = 1,
+      .max = 1000,
+      .placeholder = "A,B",
+      .help = "zones, in turn" },
+    { .flag = "executors",
+      .kind = SETTING_NUMBER,
+      .value = &options->executors,
+      .fallback = "4",
+      .max = 2000,
+      .placeholder = "COUNT",
+      .help = "executors" },
+    { .flag = "workers",
+      .kind = SETTING_NUMBER,
+      .value = &options->workers,
+      .fallback = "4",
+      .max = 2000,
+      .placeholder = "COUNT",
+      .help = "workers" },
+    { .flag = "service-ms",
+      .kind = SETTING_NUMBER,
+      .value = &options->service_ms,
+      .fallback = "5",
+      .max = 60000,
+      .placeholder = "MS",
+      .help = "service time of a request" },
+    { .flag = "slots",
+      .kind = SETTING_NUMBER,
+      .value = &options->slots,
+      .fallback = "8",
+      .min = 1,
+      .max = 4096,
+      .placeholder = "COUNT",
+      .help = "slots of an executor" },
+    { .flag = "connections",
+      .kind = SETTING_NUMBER,
+      .value = &options->connections,
+      .fallback = "64",
+      .min = 1,
+      .max = 4096,
+      .placeholder = "COUNT",
+      .help = "connections an executor takes" },
+    { .flag = "per-rack",
+      .kind = SETTING_NUMBER,
+      .value = &options->per_rack,
+      .fallback = "6",
+      .min = 1,
+      .max = 100,
+      .placeholder = "COUNT",
+      .help = "workers in a rack" },
+    { .flag = "cpu-milli",
+      .kind = SETTING_NUMBER,
+      .value = &options->cpu_milli,
+      .fallback = "32000",
+      .min = 1,
+      .max = 1000000,
+      .placeholder = "MILLI",
+      .help = "processors of a worker, in thousandths" },
+    { .flag = "memory-mb",
+      .kind = SETTING_NUMBER,
+      .value = &options->memory_mb,
+      .fallback = "131072",
+      .min = 1,
+      .max = 100000000,
+      .placeholder = "MB",
+      .help = "memory of a worker" },
+    { .flag = "accelerators",
+      .kind = SETTING_NUMBER,
+      .value = &options->accelerators,
+      .fallback = "0",
+      .max = 64,
+      .placeholder = "COUNT",
+      .help = "accelerators of a worker" },
+  };
+  settings_result_t result;
+
+  return settings_load (settings, G_N_ELEMENTS (settings), argc, argv, &result, error);
+}
+
+static void
+make_executors (backends_t *backends, const backends_options_t *options, char **zones)
+{
+  guint zone_count = g_strv_length (zones);
+
+  for (guint i = 0; i < options->executors; i++)
+    {
+      backend_t *executor = backend_new (backends, "executor", i, zones[i % zone_count]);
+
+      executor->slots = options->slots;
+      executor->faults.service_us = options->service_ms * 1000;
+    }
+}
+
+static void
+make_workers (backends_t *backends, const backends_options_t *options, char **zones)
+{
+  guint zone_count = g_strv_length (zones);
+
+  for (guint i = 0; i < options->workers; i++)
+    {
+      const char *zone = zones[i % zone_count];
+      backend_t *worker = backend_new (backends, "worker", i, zone);
+
+      worker->is_worker = true;
+      worker->rack = g_strdup_printf ("%s-%s-rack-%u", backends->environment, zone,
+                                      (guint)(i / zone_count / options->per_rack));
+      worker->cpu_milli = options->cpu_milli;
+      worker->memory_mb = options->memory_mb;
+      worker->accelerators = options->accelerators;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  backends_options_t options = { 0 };
+  backends_t backends = { 0 };
+  error_info_t error;
+  SoupServer *control;
+  g_auto (GStrv) zones = NULL;
+
+  if (!load_options (&options, argc, argv, &error))
+    {
+      (void)fprintf (stderr, "standin-backends: %s\n", error.detail);
+      return 2;
+    }
+  zones = g_strsplit (options.zones, ",", -1);
+  backends.environment = options.environment;
+  backends.all = g_ptr_array_new ();
+  backends.bodies = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  backends.running = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  backends.loop = g_main_loop_new (NULL, FALSE);
+  make_executors (&backends, &options, zones);
+  make_workers (&backends, &options, zones);
+  control = standin_listen (0, handle_control, &backends);
+  register_all (&backends, options.platform, options.connections);
+  g_timeout_add (lease_sweep_ms, sweep_leases, &backends);
+  g_unix_signal_add (SIGTERM, stop, &backends);
+  g_unix_signal_add (SIGINT, stop, &backends);
+  standin_say ("control=127.0.0.1:%u", standin_port (control));
+  g_main_loop_run (backends.loop);
+  return 0;
+}
--- /dev/null
+++ b/standins/platform.c
@@ -0,0 +1,802 @@
+/* Stand-in for the platform: a key-value service that speaks a part of the etcd v3
+ * JSON form, and the delayed list of VMs.  Everything is in memory.
+ *
+ *   POST /v3/kv/range /v3/kv/put /v3/kv/txn /v3/lease/grant /v3/lease/keepalive
+ *        /v3/lease/revoke /v3/watch
+ *   GET  /v1/vms              the list as it was `list_delay_ms` ago
+ *   POST /v1/vms              add or change VMs: {"vms": [...]}
+ *   POST /v1/vms/remove       {"ids": [...]}
+ *   POST /faults              {"latency_ms","down","lose_replies","writes_per_s",
+ *                              "reads_per_s","list_delay_ms","lapse_leases"}
+ *   GET  /counters
+ */
+#include "base/json.h"
+#include "base/settings.h"
+#include "standin.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct
+{
+  char *value;
+  gsize length;
+  gint64 mod_revision;
+  gint64 create_revision;
+  gint64 lease;
+} record_t;
+
+typedef struct
+{
+  gint64 ttl_s;
+  gint64 until_us;
+} lease_t;
+
+typedef struct
+{
+  SoupServerMessage *message;
+  char *key;
+  char *end;
+} watch_t;
+
+/* One version of the list of VMs. */
+typedef struct
+{
+  gint64 at_us;
+  char *text;
+} list_version_t;
+
+typedef struct
+{
+  gint64 latency_ms;
+  bool down;
+  gint64 lose_replies; /* of the next writes */
+  gint64 writes_per_s; /* 0: no bound */
+  gint64 reads_per_s;
+  gint64 list_delay_ms;
+} faults_t;
+
+typedef struct
+{
+  GTree *records;
+  GHashTable *leases;
+  GPtrArray *watches;
+  gint64 revision;
+  gint64 last_lease;
+  GHashTable *vms; /* id -> JsonNode */
+  GPtrArray *versions;
+  gint64 list_revision;
+  faults_t faults;
+  gint64 writes;
+  gint64 reads;
+  gint64 others;
+  gint64 lists;
+  gint64 refused;
+  gint64 window_s;
+  gint64 window_writes;
+  gint64 window_reads;
+  gint64 peak_calls; /* most in one second */
+  gint64 window_calls;
+  GMainLoop *loop;
+} platform_t;
+
+/* A call that waits for the settable latency. */
+typedef struct
+{
+  platform_t *platform;
+  SoupServerMessage *message;
+  char *path;
+} delayed_t;
+
+static const gsize value_max_bytes = 1024 * 1024;
+static const guint lease_sweep_ms = 100;
+
+static void
+record_free (gpointer data)
+{
+  record_t *record = data;
+
+  g_free (record->value);
+  g_free (record);
+}
+
+static int
+compare_keys (gconstpointer a, gconstpointer b, gpointer data G_GNUC_UNUSED)
+{
+  return strcmp (a, b);
+}
+
+static char *
+decoded (JsonObject *object, const char *member)
+{
+  gsize size = 0;
+  g_autofree guchar *bytes = g_base64_decode (json_get_text (object, member, ""), &size);
+
+  return g_strndup ((const char *)bytes, size);
+}
+
+static void
+put_encoded (JsonBuilder *builder, const char *member, const char *text)
+{
+  g_autofree char *encoded = g_base64_encode ((const guchar *)text, strlen (text));
+
+  json_put_text (builder, member, encoded);
+}
+
+static void
+put_int_text (JsonBuilder *builder, const char *member, gint64 number)
+{
+  g_autofree char *text = g_strdup_printf ("%" G_GINT64_FORMAT, number);
+
+  json_put_text (builder, member, text);
+}
+
+static void
+put_header (const platform_t *platform, JsonBuilder *builder)
+{
+  json_builder_set_member_name (builder, "header");
+  json_builder_begin_object (builder);
+  put_int_text (builder, "revision", platform->revision);
+  json_builder_end_object (builder);
+}
+
+static void
+put_record (JsonBuilder *builder, const char *key, const record_t *record)
+{
+  json_builder_begin_object (builder);
+  put_encoded (builder, "key", key);
+  if (record != NULL)
+    put_encoded (builder, "value", record->value);
+  if (record != NULL)
+    put_int_text (builder, "mod_revision", record->mod_revision);
+  json_builder_end_object (builder);
+}
+
+static bool
+in_range (const char *key, const char *from, const char *end)
+{
+  if (end[0] == '\0')
+    return strcmp (key, from) == 0;
+  return strcmp (key, from) >= 0 && strcmp (key, end) < 0;
+}
+
+typedef struct
+{
+  JsonBuilder *builder;
+  const char *from;
+  const char *end;
+} range_t;
+
+static gboolean
+add_in_range (gpointer key, gpointer value, gpointer data)
+{
+  const range_t *range = data;
+
+  if (in_range (key, range->from, range->end))
+    put_record (range->builder, key, value);
+  return range->end[0] != '\0' && strcmp (key, range->end) >= 0;
+}
+
+static void
+put_range (const platform_t *platform, JsonBuilder *builder, JsonObject *request)
+{
+  g_autofree char *from = decoded (request, "key");
+  g_autofree char *end = decoded (request, "range_end");
+  range_t range = { .builder = builder, .from = from, .end = end };
+
+  json_builder_set_member_name (builder, "kvs");
+  json_builder_begin_array (builder);
+  g_tree_foreach (platform->records, add_in_range, &range);
+  json_builder_end_array (builder);
+}
+
+static void
+notify (platform_t *platform, const char *key, const record_t *record)
+{
+  for (guint i = 0; i < platform->watches->len; i++)
+    {
+      watch_t *watch = g_ptr_array_index (platform->watches, i);
+      g_autoptr (JsonBuilder) builder = NULL;
+      g_autofree char *text = NULL;
+      g_autofree char *line = NULL;
+
+      if (!in_range (key, watch->key, watch->end))
+        continue;
+      builder = json_builder_new ();
+      json_builder_begin_object (builder);
+      json_builder_set_member_name (builder, "result");
+      json_builder_begin_object (builder);
+      put_header (platform, builder);
+      json_builder_set_member_name (builder, "events");
+      json_builder_begin_array (builder);
+      json_builder_begin_object (builder);
+      json_put_text (builder, "type", record != NULL ? "PUT" : "DELETE");
+      json_builder_set_member_name (builder, "kv");
+      put_record (builder, key, record);
+      json_builder_end_object (builder);
+      json_builder_end_array (builder);
+      json_builder_end_object (builder);
+      json_builder_end_object (builder);
+      text = json_builder_text (builder);
+      line = g_strconcat (text, "\n", NULL);
+      soup_message_body_append (soup_server_message_get_response_body (watch->message),
+                                SOUP_MEMORY_COPY, line, strlen (line));
+      soup_server_message_unpause (watch->message);
+    }
+}
+
+static void
+store (platform_t *platform, const char *key, char *value, gint64 lease)
+{
+  record_t *record = g_new0 (record_t, 1);
+  const record_t *old = g_tree_lookup (platform->records, key);
+
+  record->value = value;
+  record->length = strlen (value);
+  record->mod_revision = platform->revision;
+  record->create_revision = old != NULL ? old->create_revision : platform->revision;
+  record->lease = lease;
+  g_tree_replace (platform->records, g_strdup (key), record);
+  notify (platform, key, record);
+}
+
+static void
+erase (platform_t *platform, const char *key)
+{
+  if (g_tree_remove (platform->records, key))
+    notify (platform, key, NULL);
+}
+
+static bool
+compare_holds (const platform_t *platform, JsonObject *compare)
+{
+  g_autofree char *key = decoded (compare, "key");
+  const record_t *record = g_tree_lookup (platform->records, key);
+  const char *target = json_get_text (compare, "target", "");
+
+  if (strcmp (target, "VALUE") == 0)
+    {
+      g_autofree char *value = decoded (compare, "value");
+
+      return record != NULL && strcmp (record->value, value) == 0;
+    }
+  if (strcmp (target, "CREATE") == 0)
+    return (record != NULL ? record->create_revision : 0)
+           == json_get_number_or_text (compare, "create_revision", 0);
+  return (record != NULL ? record->mod_revision : 0)
+         == json_get_number_or_text (compare, "mod_revision", 0);
+}
+
+static bool
+is_too_large (JsonArray *ops)
+{
+  for (guint i = 0; ops != NULL && i < json_array_get_length (ops); i++)
+    {
+      JsonObject *put = json_get_object (json_array_get_object_element (ops, i), "request_put");
+      g_autofree char *value = put != NULL ? decoded (put, "value") : NULL;
+
+      if (value != NULL && strlen (value) > value_max_bytes)
+        return true;
+    }
+  return false;
+}
+
+static void
+run_op (platform_t *platform, JsonBuilder *builder, JsonObject *op)
+{
+  JsonObject *put = json_get_object (op, "request_put");
+  JsonObject *erase_range = json_get_object (op, "request_delete_range");
+  JsonObject *range = json_get_object (op, "request_range");
+
+  json_builder_begin_object (builder);
+  if (put != NULL)
+    {
+      g_autofree char *key = decoded (put, "key");
+
+      store (platform, key, decoded (put, "value"), json_get_number_or_text (put, "lease", 0));
+    }
+  if (erase_range != NULL)
+    {
+      g_autofree char *key = decoded (erase_range, "key");
+
+      erase (platform, key);
+    }
+  if (range != NULL)
+    {
+      json_builder_set_member_name (builder, "response_range");
+      json_builder_begin_object (builder);
+      put_range (platform, builder, range);
+      json_builder_end_object (builder);
+    }
+  json_builder_end_object (builder);
+}
+
+static bool
+run_txn (platform_t *platform, JsonBuilder *builder, JsonObject *request)
+{
+  JsonArray *compares = json_get_list (request, "compare");
+  JsonArray *ops;
+  bool holds = true;
+
+  for (guint i = 0; compares != NULL && i < json_array_get_length (compares); i++)
+    holds = holds && compare_holds (platform, json_array_get_object_element (compares, i));
+  ops = json_get_list (request, holds ? "success" : "failure");
+  if (holds && is_too_large (ops))
+    return false;
+  if (holds)
+    platform->revision++;
+  json_put_flag (builder, "succeeded", holds);
+  json_builder_set_member_name (builder, "responses");
+  json_builder_begin_array (builder);
+  for (guint i = 0; ops != NULL && i < json_array_get_length (ops); i++)
+    run_op (platform, builder, json_array_get_object_element (ops, i));
+  json_builder_end_array (builder);
+  return true;
+}
+
+static void
+grant (platform_t *platform, JsonBuilder *builder, JsonObject *request)
+{
+  lease_t *lease = g_new0 (lease_t, 1);
+  gint64 id = ++platform->last_lease;
+
+  lease->ttl_s = json_get_number_or_text (request, "TTL", 60);
+  lease->until_us = g_get_monotonic_time () + lease->ttl_s * G_USEC_PER_SEC;
+  g_hash_table_insert (platform->leases, GINT_TO_POINTER ((gint)id), lease);
+  put_int_text (builder, "ID", id);
+  put_int_text (builder, "TTL", lease->ttl_s);
+}
+
+static void
+keep_alive (const platform_t *platform, JsonBuilder *builder, JsonObject *request)
+{
+  gint64 id = json_get_number_or_text (request, "ID", 0);
+  lease_t *lease = g_hash_table_lookup (platform->leases, GINT_TO_POINTER ((gint)id));
+
+  if (lease != NULL)
+    lease->until_us = g_get_monotonic_time () + lease->ttl_s * G_USEC_PER_SEC;
+  put_int_text (builder, "ID", id);
+  put_int_text (builder, "TTL", lease != NULL ? lease->ttl_s : 0);
+}
+
+typedef struct
+{
+  gint64 lease;
+  GPtrArray *keys;
+} leased_t;
+
+static gboolean
+collect_leased (gpointer key, gpointer value, gpointer data)
+{
+  leased_t *leased = data;
+
+  if (((record_t *)value)->lease == leased->lease)
+    g_ptr_array_add (leased->keys, g_strdup (key));
+  return FALSE;
+}
+
+static void
+end_lease (platform_t *platform, gint64 id)
+{
+  g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
+  leased_t leased = { .lease = id, .keys = keys };
+
+  g_hash_table_remove (platform->leases, GINT_TO_POINTER ((gint)id));
+  g_tree_foreach (platform->records, collect_leased, &leased);
+  if (keys->len > 0)
+    platform->revision++;
+  for (guint i = 0; i < keys->len; i++)
+    erase (platform, g_ptr_array_index (keys, i));
+}
+
+static void
+end_leases (platform_t *platform, bool all)
+{
+  g_autoptr (GList) ids = g_hash_table_get_keys (platform->leases);
+  gint64 now_us = g_get_monotonic_time ();
+
+  for (const GList *link = ids; link != NULL; link = link->next)
+    {
+      const lease_t *lease = g_hash_table_lookup (platform->leases, link->data);
+
+      if (all || lease->until_us <= now_us)
+        end_lease (platform, GPOINTER_TO_INT (link->data));
+    }
+}
+
+static gboolean
+sweep_leases (gpointer data)
+{
+  end_leases (data, false);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+watch_finished (SoupServerMessage *message, gpointer data)
+{
+  platform_t *platform = data;
+
+  for (guint i = 0; i < platform->watches->len; i++)
+    {
+      watch_t *watch = g_ptr_array_index (platform->watches, i);
+
+      if (watch->message != message)
+        continue;
+      g_ptr_array_remove_index_fast (platform->watches, i);
+      g_free (watch->key);
+      g_free (watch->end);
+      g_object_unref (watch->message);
+      g_free (watch);
+      return;
+    }
+}
+
+typedef struct
+{
+  GString *out;
+  const watch_t *watch;
+  gint64 since;
+} replay_t;
+
+/* Writes made between the reader's range and its watch are sent first. */
+static gboolean
+replay (gpointer key, gpointer value, gpointer data)
+{
+  const replay_t *context = data;
+  const record_t *record = value;
+  g_autoptr (JsonBuilder) builder = NULL;
+  g_autofree char *text = NULL;
+
+  if (!in_range (key, context->watch->key, context->watch->end)
+      || record->mod_revision < context->since)
+    return FALSE;
+  builder = json_builder_new ();
+  put_record (builder, key, record);
+  text = json_builder_text (builder);
+  g_string_append_printf (context->out,
+                          "{\"result\":{\"events\":[{\"type\":\"PUT\",\"kv\":%s}]}}\n", text);
+  return FALSE;
+}
+
+static void
+start_watch (platform_t *platform, SoupServerMessage *message, JsonObject *request)
+{
+  JsonObject *create = json_get_object (request, "create_request");
+  watch_t *watch = g_new0 (watch_t, 1);
+  g_autoptr (GString) out = g_string_new ("{\"result\":{\"created\":true}}\n");
+  replay_t context = { .out = out,
+                       .watch = watch,
+                       .since = json_get_number_or_text (create, "start_revision", 0) };
+
+  watch->key = decoded (create, "key");
+  watch->end = decoded (create, "range_end");
+  watch->message = g_object_ref (message);
+  g_ptr_array_add (platform->watches, watch);
+  g_signal_connect (message, "finished", G_CALLBACK (watch_finished), platform);
+  soup_message_headers_set_encoding (soup_server_message_get_response_headers (message),
+                                     SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate (soup_server_message_get_response_body (message), FALSE);
+  soup_server_message_set_status (message, 200, NULL);
+  if (context.since > 0)
+    g_tree_foreach (platform->records, replay, &context);
+  soup_message_body_append (soup_server_message_get_response_body (message), SOUP_MEMORY_COPY,
+                            out->str, out->len);
+}
+
+static void
+count_window (platform_t *platform)
+{
+  gint64 second = g_get_monotonic_time () / G_USEC_PER_SEC;
+
+  if (second != platform->window_s)
+    {
+      platform->window_s = second;
+      platform->window_calls = 0;
+      platform->window_writes = 0;
+      platform->window_reads = 0;
+    }
+  platform->window_calls++;
+  platform->peak_calls = MAX (platform->peak_calls, platform->window_calls);
+}
+
+/* Counts the call; false when it exceeds the settable rate. */
+static bool
+count_call (platform_t *platform, bool write, bool read)
+{
+  const faults_t *faults = &platform->faults;
+
+  count_window (platform);
+  platform->writes += write;
+  platform->reads += read;
+  platform->others += !write && !read;
+  platform->window_writes += write;
+  platform->window_reads += read;
+  if ((write && faults->writes_per_s > 0 && platform->window_writes > faults->writes_per_s)
+      || (read && faults->reads_per_s > 0 && platform->window_reads > faults->reads_per_s))
+    {
+      platform->refused++;
+      return false;
+    }
+  return true;
+}
+
+static void
+answer_call (platform_t *platform, SoupServerMessage *message, const char *path)
+{
+  g_autoptr (JsonNode) root = standin_body (message);
+  JsonObject *request = root != NULL ? json_node_get_object (root) : NULL;
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  bool write = strcmp (path, "/v3/kv/txn") == 0 || strcmp (path, "/v3/kv/put") == 0;
+  bool ok = request != NULL;
+
+  if (platform->faults.down)
+    {
+      standin_hang_up (message);
+      return;
+    }
+  if (!count_call (platform, write, strcmp (path, "/v3/kv/range") == 0))
+    {
+      standin_respond (message, 429, g_strdup ("{\"error\":\"rate\"}"));
+      return;
+    }
+  if (ok && strcmp (path, "/v3/watch") == 0)
+    {
+      start_watch (platform, message, request);
+      return;
+    }
+  json_builder_begin_object (builder);
+  if (ok && strcmp (path, "/v3/kv/range") == 0)
+    put_range (platform, builder, request);
+  else if (ok && strcmp (path, "/v3/kv/txn") == 0)
+    ok = run_txn (platform, builder, request);
+  else if (ok && strcmp (path, "/v3/kv/put") == 0)
+    {
+      g_autofree char *key = decoded (request, "key");
+
+      platform->revision++;
+      store (platform, key, decoded (request, "value"),
+             json_get_number_or_text (request, "lease", 0));
+    }
+  else if (ok && strcmp (path, "/v3/lease/grant") == 0)
+    grant (platform, builder, request);
+  else if (ok && strcmp (path, "/v3/lease/keepalive") == 0)
+    keep_alive (platform, builder, request);
+  else if (ok && strcmp (path, "/v3/lease/revoke") == 0)
+    end_lease (platform, json_get_number_or_text (request, "ID", 0));
+  else
+    ok = false;
+  put_header (platform, builder);
+  json_builder_end_object (builder);
+  if (write && platform->faults.lose_replies > 0)
+    {
+      platform->faults.lose_replies--;
+      standin_hang_up (message);
+      return;
+    }
+  if (ok)
+    standin_respond (message, 200, json_builder_text (builder));
+  else
+    standin_respond (message, 400, g_strdup ("{\"error\":\"bad request\"}"));
+}
+
+static gboolean
+delay_over (gpointer data)
+{
+  delayed_t *delayed = data;
+
+  answer_call (delayed->platform, delayed->message, delayed->path);
+  soup_server_message_unpause (delayed->message);
+  g_object_unref (delayed->message);
+  g_free (delayed->path);
+  g_free (delayed);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+handle_kv (platform_t *platform, SoupServerMessage *message, const char *path)
+{
+  delayed_t *delayed;
+
+  if (platform->faults.latency_ms == 0)
+    {
+      answer_call (platform, message, path);
+      return;
+    }
+  delayed = g_new0 (delayed_t, 1);
+  delayed->platform = platform;
+  delayed->message = g_object_ref (message);
+  delayed->path = g_strdup (path);
+  soup_server_message_pause (message);
+  g_timeout_add ((guint)platform->faults.latency_ms, delay_over, delayed);
+}
+
+static void
+add_version (platform_t *platform)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  list_version_t *version = g_new0 (list_version_t, 1);
+  GHashTableIter iter;
+  gpointer value;
+
+  json_builder_begin_object (builder);
+  json_put_number (builder, "revision", ++platform->list_revision);
+  json_builder_set_member_name (builder, "vms");
+  json_builder_begin_array (builder);
+  g_hash_table_iter_init (&iter, platform->vms);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    json_builder_add_value (builder, json_node_copy (value));
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  version->at_us = g_get_monotonic_time ();
+  version->text = json_builder_text (builder);
+  g_ptr_array_add (platform->versions, version);
+}
+
+static void
+change_vms (platform_t *platform, SoupServerMessage *message)
+{
+  g_autoptr (JsonNode) root = standin_body (message);
+  JsonArray *vms = root != NULL ? json_get_list (json_node_get_object (root), "vms") : NULL;
+
+  for (guint i = 0; vms != NULL && i < json_array_get_length (vms); i++)
+    {
+      JsonNode *node = json_array_get_element (vms, i);
+      const char *id = json_get_text (json_node_get_object (node), "id", "");
+
+      g_hash_table_insert (platform->vms, g_strdup (id), json_node_copy (node));
+    }
+  add_version (platform);
+  standin_respond (message, 200, g_strdup ("{}"));
+}
+
+static void
+remove_vms (platform_t *platform, SoupServerMessage *message)
+{
+  g_autoptr (JsonNode) root = standin_body (message);
+  JsonArray *ids = root != NULL ? json_get_list (json_node_get_object (root), "ids") : NULL;
+
+  for (guint i = 0; ids != NULL && i < json_array_get_length (ids); i++)
+    g_hash_table_remove (platform->vms, json_array_get_string_element (ids, i));
+  add_version (platform);
+  standin_respond (message, 200, g_strdup ("{}"));
+}
+
+static void
+show_vms (platform_t *platform, SoupServerMessage *message)
+{
+  gint64 as_of_us = g_get_monotonic_time () - platform->faults.list_delay_ms * 1000;
+  const char *text = "{\"revision\":0,\"vms\":[]}";
+
+  platform->lists++;
+  if (platform->faults.down)
+    {
+      standin_hang_up (message);
+      return;
+    }
+  for (guint i = 0; i < platform->versions->len; i++)
+    {
+      const list_version_t *version = g_ptr_array_index (platform->versions, i);
+
+      if (version->at_us <= as_of_us)
+        text = version->text;
+    }
+  standin_respond (message, 200, g_strdup (text));
+}
+
+static void
+set_faults (platform_t *platform, SoupServerMessage *message)
+{
+  g_autoptr (JsonNode) root = standin_body (message);
+  JsonObject *object = root != NULL ? json_node_get_object (root) : NULL;
+  faults_t *faults = &platform->faults;
+
+  if (object == NULL)
+    {
+      standin_respond (message, 400, g_strdup ("{}"));
+      return;
+    }
+  faults->latency_ms = json_get_number (object, "latency_ms", faults->latency_ms);
+  faults->down = json_get_flag (object, "down", faults->down);
+  faults->lose_replies = json_get_number (object, "lose_replies", faults->lose_replies);
+  faults->writes_per_s = json_get_number (object, "writes_per_s", faults->writes_per_s);
+  faults->reads_per_s = json_get_number (object, "reads_per_s", faults->reads_per_s);
+  faults->list_delay_ms = json_get_number (object, "list_delay_ms", faults->list_delay_ms);
+  if (json_get_flag (object, "lapse_leases", false))
+    end_leases (platform, true);
+  if (faults->down)
+    for (guint i = 0; i < platform->watches->len; i++)
+      standin_hang_up (((watch_t *)g_ptr_array_index (platform->watches, i))->message);
+  platform->peak_calls = 0;
+  standin_respond (message, 200, g_strdup ("{}"));
+}
+
+static void
+show_counters (const platform_t *platform, SoupServerMessage *message)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_put_number (builder, "writes", platform->writes);
+  json_put_number (builder, "reads", platform->reads);
+  json_put_number (builder, "others", platform->others);
+  json_put_number (builder, "lists", platform->lists);
+  json_put_number (builder, "refused", platform->refused);
+  json_put_number (builder, "peak_calls_per_s", platform->peak_calls);
+  json_put_number (builder, "watches", platform->watches->len);
+  json_put_number (builder, "records", g_tree_nnodes (platform->records));
+  json_put_number (builder, "revision", platform->revision);
+  json_builder_end_object (builder);
+  standin_respond (message, 200, json_builder_text (builder));
+}
+
+static void
+handle (SoupServer *server G_GNUC_UNUSED,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query G_GNUC_UNUSED,
+        gpointer data)
+{
+  platform_t *platform = data;
+  bool post = strcmp (soup_server_message_get_method (message), "POST") == 0;
+
+  if (g_str_has_prefix (path, "/v3/"))
+    handle_kv (platform, message, path);
+  else if (strcmp (path, "/v1/vms") == 0 && post)
+    change_vms (platform, message);
+  else if (strcmp (path, "/v1/vms") == 0)
+    show_vms (platform, message);
+  else if (strcmp (path, "/v1/vms/remove") == 0)
+    remove_vms (platform, message);
+  else if (strcmp (path, "/faults") == 0)
+    set_faults (platform, message);
+  else if (strcmp (path, "/counters") == 0)
+    show_counters (platform, message);
+  else
+    standin_respond (message, 404, g_strdup ("{}"));
+}
+
+static gboolean
+stop (gpointer data)
+{
+  g_main_loop_quit (((platform_t *)data)->loop);
+  return G_SOURCE_REMOVE;
+}
+
+int
+main (int argc, char **argv)
+{
+  platform_t platform = { .revision = 1 };
+  gint64 port = 0;
+  const setting_t settings[] = { { .flag = "port",
+                                   .kind = SETTING_NUMBER,
+                                   .value = &port,
+                                   .fallback = "0",
+                                   .max = G_MAXUINT16,
+                                   .placeholder = "PORT",
+                                   .help = "port on 127.0.0.1; 0 takes a free one" } };
+  settings_result_t result;
+  error_info_t error;
+  SoupServer *server;
+
+  if (!settings_load (settings, 1, argc, argv, &result, &error))
+    {
+      (void)fprintf (stderr, "standin-platform: %s\n", error.detail);
+      return 2;
+    }
+  platform.records = g_tree_new_full (compare_keys, NULL, g_free, record_free);
+  platform.leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  platform.watches = g_ptr_array_new ();
+  platform.vms
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_node_unref);
+  platform.versions = g_ptr_array_new ();
+  platform.loop = g_main_loop_new (NULL, FALSE);
+  server = standin_listen ((guint16)port, handle, &platform);
+  g_timeout_add (lease_sweep_ms, sweep_leases, &platform);
+  g_unix_signal_add (SIGTERM, stop, &platform);
+  g_unix_signal_add (SIGINT, stop, &platform);
+  standin_say ("platform=127.0.0.1:%u", standin_port (server));
+  g_main_loop_run (platform.loop);
+  return 0;
+}
