--- a/src/backend/executors.c
+++ b/src/backend/executors.c
@@ -123,7 +123,7 @@
 static void
 call_starting (SoupMessage *message G_GNUC_UNUSED, gpointer data)
 {
-  ((executor_call_t *)data)->started = true;
+  ((executor_call_t *) data)->started = true;
 }
 
 static SoupMessage *
@@ -186,7 +186,7 @@
     {
       const char *text = g_bytes_get_data (body, &size);
 
-      root = json_parse_object (text, (gssize)size);
+      root = json_parse_object (text, (gssize) size);
     }
   if (root != NULL)
     state = json_get_text (json_node_get_object (root), "state", NULL);
--- a/src/backend/workers.c
+++ b/src/backend/workers.c
@@ -65,7 +65,7 @@
     {
       const char *text = g_bytes_get_data (body, &size);
 
-      root = json_parse_object (text, (gssize)size);
+      root = json_parse_object (text, (gssize) size);
     }
   if (root != NULL && status == SOUP_STATUS_OK)
     kind = WORKER_DONE;
@@ -80,7 +80,7 @@
 static void
 starting (SoupMessage *message G_GNUC_UNUSED, gpointer data)
 {
-  ((call_t *)data)->started = true;
+  ((call_t *) data)->started = true;
 }
 
 /* Bounds how late a message can arrive: a connection that the worker's machine does
@@ -93,8 +93,8 @@
                gpointer data G_GNUC_UNUSED)
 {
   if (event == G_SOCKET_CLIENT_CONNECTED && G_IS_SOCKET_CONNECTION (stream))
-    (void)g_socket_set_option (g_socket_connection_get_socket (G_SOCKET_CONNECTION (stream)),
-                               IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms, NULL);
+    (void) g_socket_set_option (g_socket_connection_get_socket (G_SOCKET_CONNECTION (stream)),
+                                IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms, NULL);
 }
 
 void
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -57,7 +57,7 @@
   for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
     {
       if (strcmp (table[kind].name, name) == 0)
-        return (error_kind_t)kind;
+        return (error_kind_t) kind;
     }
   return ERROR_INTERNAL;
 }
@@ -71,7 +71,7 @@
     return false;
   error->kind = kind;
   va_start (args, format);
-  (void)vsnprintf (error->detail, sizeof error->detail, format, args);
+  (void) vsnprintf (error->detail, sizeof error->detail, format, args);
   va_end (args);
   return false;
 }
--- a/src/base/histogram.c
+++ b/src/base/histogram.c
@@ -9,10 +9,10 @@
   unsigned index;
 
   if (value_us < HISTOGRAM_SUB_BUCKETS)
-    return (unsigned)value_us;
-  exponent = 63U - (unsigned)__builtin_clzll (value_us);
+    return (unsigned) value_us;
+  exponent = 63U - (unsigned) __builtin_clzll (value_us);
   index = (exponent - SUB_BITS + 1) * HISTOGRAM_SUB_BUCKETS;
-  index += (unsigned)(value_us >> (exponent - SUB_BITS)) - HISTOGRAM_SUB_BUCKETS;
+  index += (unsigned) (value_us >> (exponent - SUB_BITS)) - HISTOGRAM_SUB_BUCKETS;
   return index < HISTOGRAM_BUCKETS ? index : HISTOGRAM_BUCKETS - 1;
 }
 
@@ -42,7 +42,7 @@
 uint64_t
 histogram_quantile (const histogram_t *histogram, double q)
 {
-  uint64_t rank = (uint64_t)(q * (double)histogram->count);
+  uint64_t rank = (uint64_t) (q * (double) histogram->count);
   uint64_t seen = 0;
 
   if (histogram->count == 0)
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -79,7 +79,7 @@
 static void
 link_shut (const link_t *link)
 {
-  (void)g_socket_shutdown (link->socket, TRUE, TRUE, NULL);
+  (void) g_socket_shutdown (link->socket, TRUE, TRUE, NULL);
 }
 
 static char *
@@ -181,7 +181,7 @@
 
   if (link != NULL)
     link->has_headers = true;
-  (void)check_headers (server, message);
+  (void) check_headers (server, message);
 }
 
 static void
@@ -191,7 +191,7 @@
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   link_t *link;
 
-  if (body->length <= (goffset)server->limits.body_bytes)
+  if (body->length <= (goffset) server->limits.body_bytes)
     return;
   /* A chunked body without a stated length is cut at the bound. */
   link = link_of (server, message);
@@ -294,13 +294,13 @@
   link->server = server;
   link->stream = stream;
   link->socket = g_socket_connection_get_socket (stream);
-  (void)g_socket_set_option (link->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  (void) g_socket_set_option (link->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
   g_hash_table_insert (server->by_socket, link->socket, link);
   link->reading_since_us = g_get_monotonic_time ();
   list_push_back (&server->links, &link->node);
   server->link_count++;
   g_object_weak_ref (G_OBJECT (stream), link_closed, link);
-  (void)soup_server_accept_iostream (server->soup, G_IO_STREAM (stream), local, remote, NULL);
+  (void) soup_server_accept_iostream (server->soup, G_IO_STREAM (stream), local, remote, NULL);
   return TRUE;
 }
 
@@ -308,7 +308,7 @@
 sweep (gpointer data)
 {
   http_server_t *server = data;
-  gint64 oldest_us = g_get_monotonic_time () - (gint64)server->limits.read_timeout_ms * 1000;
+  gint64 oldest_us = g_get_monotonic_time () - (gint64) server->limits.read_timeout_ms * 1000;
 
   for (list_node_t *node = server->links.next; node != &server->links; node = node->next)
     {
--- a/src/base/list.h
+++ b/src/base/list.h
@@ -15,7 +15,8 @@
   struct list_node *next;
 } list_node_t;
 
-#define LIST_ENTRY(node, type, member) ((type *)(void *)((char *)(node)-offsetof (type, member)))
+#define LIST_ENTRY(node, type, member)                                                             \
+  ((type *) (void *) ((char *) (node) -offsetof (type, member)))
 
 static inline void
 list_init (list_node_t *head)
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -46,12 +46,12 @@
     {
       /* Messages of libraries have no pairs of their own. */
       g_autofree char *quoted = g_strescape (message != NULL ? message : "", NULL);
-      (void)fprintf (stderr, "time=%s level=%s module=library event=message text=\"%s\"\n", stamp,
-                     level_name (level), quoted);
+      (void) fprintf (stderr, "time=%s level=%s module=library event=message text=\"%s\"\n", stamp,
+                      level_name (level), quoted);
       return G_LOG_WRITER_HANDLED;
     }
-  (void)fprintf (stderr, "time=%s level=%s module=%s %s\n", stamp, level_name (level), module,
-                 message);
+  (void) fprintf (stderr, "time=%s level=%s module=%s %s\n", stamp, level_name (level), module,
+                  message);
   return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -112,8 +112,8 @@
 static gboolean
 print_counter (gpointer key, gpointer value, gpointer data)
 {
-  g_string_append_printf (data, "%s %" G_GUINT64_FORMAT "\n", (const char *)key,
-                          *(const guint64 *)value);
+  g_string_append_printf (data, "%s %" G_GUINT64_FORMAT "\n", (const char *) key,
+                          *(const guint64 *) value);
   return FALSE;
 }
 
@@ -129,14 +129,14 @@
       seen += histogram->buckets[i];
       g_string_append_printf (
           out, "mimosastair_%s_us_bucket{%s,le=\"%" G_GUINT64_FORMAT "\"} %" G_GUINT64_FORMAT "\n",
-          what, labels, (guint64)histogram_bucket_upper_us (i), seen);
+          what, labels, (guint64) histogram_bucket_upper_us (i), seen);
     }
   g_string_append_printf (out, "mimosastair_%s_us_bucket{%s,le=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
-                          what, labels, (guint64)histogram->count);
+                          what, labels, (guint64) histogram->count);
   g_string_append_printf (out, "mimosastair_%s_us_sum{%s} %" G_GUINT64_FORMAT "\n", what, labels,
-                          (guint64)histogram->sum_us);
+                          (guint64) histogram->sum_us);
   g_string_append_printf (out, "mimosastair_%s_us_count{%s} %" G_GUINT64_FORMAT "\n", what, labels,
-                          (guint64)histogram->count);
+                          (guint64) histogram->count);
 }
 
 static void
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -28,13 +28,13 @@
   if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &number, NULL))
     return false;
   if (text[0] == '[' && colon > text + 1 && colon[-1] == ']')
-    name = g_strndup (text + 1, (gsize)(colon - text - 2));
+    name = g_strndup (text + 1, (gsize) (colon - text - 2));
   else
-    name = g_strndup (text, (gsize)(colon - text));
+    name = g_strndup (text, (gsize) (colon - text));
   if (!g_hostname_is_ip_address (name))
     return false;
   *host = g_steal_pointer (&name);
-  *port = (guint16)number;
+  *port = (guint16) number;
   return true;
 }
 
@@ -48,7 +48,7 @@
                       "--%s: \"%s\" is not a whole number from %" G_GINT64_FORMAT
                       " to %" G_GINT64_FORMAT,
                       setting->flag, text, setting->min, setting->max);
-  *(gint64 *)setting->value = number;
+  *(gint64 *) setting->value = number;
   return true;
 }
 
@@ -63,7 +63,7 @@
     return error_set (error, ERROR_BAD_SETTING,
                       "--%s: \"%s\" is not an address of the form IP:PORT, port 0 to 65535",
                       setting->flag, text);
-  *(char **)setting->value = g_strdup (text);
+  *(char **) setting->value = g_strdup (text);
   return true;
 }
 
@@ -72,12 +72,12 @@
 {
   gsize length = strlen (text);
 
-  if (length < (gsize)setting->min || length > (gsize)setting->max)
+  if (length < (gsize) setting->min || length > (gsize) setting->max)
     return error_set (error, ERROR_BAD_SETTING,
                       "--%s: \"%s\" must have %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
                       " characters",
                       setting->flag, text, setting->min, setting->max);
-  *(char **)setting->value = g_strdup (text);
+  *(char **) setting->value = g_strdup (text);
   return true;
 }
 
@@ -86,7 +86,7 @@
 {
   if (strcmp (text, "1") != 0 && strcmp (text, "0") != 0)
     return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" must be 0 or 1", setting->flag, text);
-  *(gboolean *)setting->value = text[0] == '1';
+  *(gboolean *) setting->value = text[0] == '1';
   return true;
 }
 
@@ -114,8 +114,8 @@
 given_value (const setting_t *setting, void *parsed)
 {
   if (setting->kind == SETTING_SWITCH)
-    return ((struct arg_lit *)parsed)->count > 0 ? "1" : NULL;
-  return ((struct arg_str *)parsed)->count > 0 ? ((struct arg_str *)parsed)->sval[0] : NULL;
+    return ((struct arg_lit *) parsed)->count > 0 ? "1" : NULL;
+  return ((struct arg_str *) parsed)->count > 0 ? ((struct arg_str *) parsed)->sval[0] : NULL;
 }
 
 static bool
@@ -147,7 +147,7 @@
   if (stream == NULL)
     return error_set (error, ERROR_BAD_SETTING, "the arguments could not be read");
   arg_print_errors (stream, end, "arguments");
-  (void)fclose (stream);
+  (void) fclose (stream);
   g_strdelimit (text, "\n", '\0');
   return error_set (error, ERROR_BAD_SETTING, "%s", text);
 }
@@ -197,15 +197,15 @@
   g_autofree char *variable = variable_name (setting->flag);
   const char *placeholder = setting->placeholder != NULL ? setting->placeholder : "";
 
-  (void)fprintf (out, "  --%s%s%s\n        %s", setting->flag, placeholder[0] != '\0' ? "=" : "",
-                 placeholder, setting->help);
+  (void) fprintf (out, "  --%s%s%s\n        %s", setting->flag, placeholder[0] != '\0' ? "=" : "",
+                  placeholder, setting->help);
   if (setting->kind == SETTING_NUMBER)
-    (void)fprintf (out, "; %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, setting->min, setting->max);
+    (void) fprintf (out, "; %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, setting->min, setting->max);
   if (setting->fallback == NULL)
-    (void)fprintf (out, " (required)");
+    (void) fprintf (out, " (required)");
   else if (setting->fallback[0] != '\0' && setting->kind != SETTING_SWITCH)
-    (void)fprintf (out, " (default %s)", setting->fallback);
-  (void)fprintf (out, " [%s]\n", variable);
+    (void) fprintf (out, " (default %s)", setting->fallback);
+  (void) fprintf (out, " [%s]\n", variable);
 }
 
 void
@@ -213,6 +213,6 @@
 {
   for (size_t i = 0; i < count; i++)
     print_setting (&settings[i], out);
-  (void)fprintf (out,
-                 "  --help\n        print this help\n  --version\n        print the version\n");
+  (void) fprintf (out,
+                  "  --help\n        print this help\n  --version\n        print the version\n");
 }
--- a/src/caller/callers.c
+++ b/src/caller/callers.c
@@ -36,7 +36,7 @@
 {
   error_info_t error;
 
-  (void)error_set (&error, kind, "%s", reason);
+  (void) error_set (&error, kind, "%s", reason);
   fail (http, &error);
 }
 
@@ -135,7 +135,7 @@
 
   if (!is_json (http))
     return error_set (error, ERROR_UNSUPPORTED_TYPE, "Content-Type must be %s", json_type);
-  root = json_parse_object (text != NULL ? text : "", (gssize)size);
+  root = json_parse_object (text != NULL ? text : "", (gssize) size);
   if (root == NULL)
     return error_set (error, ERROR_BAD_REQUEST, "the body is not a JSON object");
   return true;
@@ -228,9 +228,9 @@
                             .body = http_request_body (http) };
 
   if (message.customer == NULL)
-    (void)error_set (&error, ERROR_BAD_REQUEST, "the header Customer is needed");
+    (void) error_set (&error, ERROR_BAD_REQUEST, "the header Customer is needed");
   else if (!is_json (http))
-    (void)error_set (&error, ERROR_UNSUPPORTED_TYPE, "Content-Type must be %s", json_type);
+    (void) error_set (&error, ERROR_UNSUPPORTED_TYPE, "Content-Type must be %s", json_type);
   else if (read_key (http, &message.key, &error))
     tasks = job_parse (message.body, &class, &error);
   message.class = class;
@@ -239,7 +239,7 @@
       fail (http, &error);
       return;
     }
-  message.tasks = (const task_t *)(void *)tasks->data;
+  message.tasks = (const task_t *) (void *) tasks->data;
   message.task_count = tasks->len;
   jobs_submit (callers->jobs, &message, job_done, http);
 }
--- a/src/caller/job_json.c
+++ b/src/caller/job_json.c
@@ -41,7 +41,7 @@
     {
       if (!g_strv_contains (known, link->data))
         return error_set (error, ERROR_BAD_REQUEST, "%s/%s: unknown field", where,
-                          (const char *)link->data);
+                          (const char *) link->data);
     }
   return true;
 }
@@ -91,14 +91,14 @@
   static const char *const known[] = { "class", "tasks", NULL };
   gsize size = 0;
   const char *text = g_bytes_get_data (body, &size);
-  g_autoptr (JsonNode) root = json_parse_object (text, (gssize)size);
+  g_autoptr (JsonNode) root = json_parse_object (text, (gssize) size);
   g_autoptr (GArray) tasks = g_array_new (FALSE, TRUE, sizeof (task_t));
   JsonObject *object;
   JsonArray *list;
 
   if (root == NULL)
     {
-      (void)error_set (error, ERROR_BAD_REQUEST, "the body is not a JSON object");
+      (void) error_set (error, ERROR_BAD_REQUEST, "the body is not a JSON object");
       return NULL;
     }
   object = json_node_get_object (root);
@@ -107,8 +107,8 @@
   list = json_get_list (object, "tasks");
   if (list == NULL || json_array_get_length (list) == 0)
     {
-      (void)error_set (error, ERROR_BAD_REQUEST, "/tasks: a list of 1 to %d is needed",
-                       JOB_TASKS_MAX);
+      (void) error_set (error, ERROR_BAD_REQUEST, "/tasks: a list of 1 to %d is needed",
+                        JOB_TASKS_MAX);
       return NULL;
     }
   if (!read_tasks (list, tasks, error))
--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -43,7 +43,7 @@
 
   if (object == NULL)
     {
-      (void)error_set (error, ERROR_INTERNAL, "HTTP status %u", status);
+      (void) error_set (error, ERROR_INTERNAL, "HTTP status %u", status);
       return;
     }
   g_string_append_printf (detail, "%s%s: %s", detail->len > 0 ? ": " : "",
@@ -51,8 +51,8 @@
                           json_get_text (object, "reason", ""));
   for (guint i = 1; problems != NULL && i < json_array_get_length (problems); i++)
     g_string_append_printf (detail, "\n  %s", json_array_get_string_element (problems, i));
-  (void)error_set (error, error_kind_from_name (json_get_text (object, "error", "")), "%s",
-                   detail->str);
+  (void) error_set (error, error_kind_from_name (json_get_text (object, "error", "")), "%s",
+                    detail->str);
 }
 
 static SoupMessage *
@@ -89,14 +89,14 @@
 
   if (message == NULL)
     {
-      (void)error_set (error, ERROR_BAD_SETTING, "\"%s%s\" is not an address", client->base,
-                       request->path);
+      (void) error_set (error, ERROR_BAD_SETTING, "\"%s%s\" is not an address", client->base,
+                        request->path);
       return NULL;
     }
   body = soup_session_send_and_read (client->session, message, NULL, &problem);
   if (body == NULL)
     {
-      (void)error_set (error, ERROR_UNREACHABLE, "%s: %s", client->base, problem->message);
+      (void) error_set (error, ERROR_UNREACHABLE, "%s: %s", client->base, problem->message);
       return NULL;
     }
   status = soup_message_get_status (message);
@@ -122,6 +122,6 @@
     return NULL;
   root = json_parse_object (text, -1);
   if (root == NULL)
-    (void)error_set (error, ERROR_INTERNAL, "the answer is not a JSON object");
+    (void) error_set (error, ERROR_INTERNAL, "the answer is not a JSON object");
   return root;
 }
--- a/src/cli/commands.c
+++ b/src/cli/commands.c
@@ -19,7 +19,7 @@
   char *text = NULL;
 
   if (!g_file_get_contents (path, &text, NULL, &problem))
-    (void)error_set (error, ERROR_BAD_SETTING, "%s", problem->message);
+    (void) error_set (error, ERROR_BAD_SETTING, "%s", problem->message);
   return text;
 }
 
@@ -35,9 +35,9 @@
     return NULL;
   environment = document_parse_text (*text, -1, 0, problems);
   for (guint i = 0; i < problems->len; i++)
-    (void)fprintf (stderr, "%s: %s\n", path, (const char *)g_ptr_array_index (problems, i));
+    (void) fprintf (stderr, "%s: %s\n", path, (const char *) g_ptr_array_index (problems, i));
   if (environment == NULL)
-    (void)error_set (error, ERROR_BAD_DOCUMENT, "%s: %u problems", path, problems->len);
+    (void) error_set (error, ERROR_BAD_DOCUMENT, "%s: %u problems", path, problems->len);
   return environment;
 }
 
@@ -47,11 +47,11 @@
   g_autofree char *text = NULL;
   g_autoptr (environment_t) environment = check_file (arguments[0], &text, error);
 
-  (void)options;
+  (void) options;
   if (environment == NULL)
     return false;
-  (void)printf ("%s: environment %s, %u classes, %u customers: correct\n", arguments[0],
-                environment->name, environment->class_count, environment->customer_count);
+  (void) printf ("%s: environment %s, %u classes, %u customers: correct\n", arguments[0],
+                 environment->name, environment->class_count, environment->customer_count);
   return true;
 }
 
@@ -77,8 +77,8 @@
   root = client_call_json (client, &request, error);
   if (root == NULL)
     return false;
-  (void)printf ("%s: version %" G_GINT64_FORMAT "\n", environment->name,
-                json_get_number (json_node_get_object (root), "version", 0));
+  (void) printf ("%s: version %" G_GINT64_FORMAT "\n", environment->name,
+                 json_get_number (json_node_get_object (root), "version", 0));
   return true;
 }
 
@@ -92,7 +92,7 @@
 
   if (text == NULL)
     return false;
-  (void)printf ("%s\n", text);
+  (void) printf ("%s\n", text);
   return true;
 }
 
@@ -112,14 +112,14 @@
   g_autoptr (JsonNode) root = NULL;
   JsonArray *list;
 
-  (void)arguments;
+  (void) arguments;
   if (options->json)
     return print_get (options->operator_address, request.path, error);
   root = client_call_json (client, &request, error);
   if (root == NULL)
     return false;
   list = json_get_list (json_node_get_object (root), "environments");
-  (void)printf ("%-24s %8s  %s\n", "ENVIRONMENT", "VERSION", "IN FORCE SINCE");
+  (void) printf ("%-24s %8s  %s\n", "ENVIRONMENT", "VERSION", "IN FORCE SINCE");
   for (guint i = 0; list != NULL && i < json_array_get_length (list); i++)
     {
       JsonObject *object = json_array_get_object_element (list, i);
@@ -127,8 +127,8 @@
           = g_date_time_new_from_unix_utc (json_get_number (object, "in_force_since_ms", 0) / 1000);
       g_autofree char *stamp = g_date_time_format_iso8601 (since);
 
-      (void)printf ("%-24s %8" G_GINT64_FORMAT "  %s\n", json_get_text (object, "name", ""),
-                    json_get_number (object, "version", 0), stamp);
+      (void) printf ("%-24s %8" G_GINT64_FORMAT "  %s\n", json_get_text (object, "name", ""),
+                     json_get_number (object, "version", 0), stamp);
     }
   return true;
 }
@@ -138,28 +138,28 @@
 {
   JsonArray *classes = json_get_list (environment, "classes");
 
-  (void)printf (
+  (void) printf (
       "environment %s version %" G_GINT64_FORMAT ": %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
       " executors, %" G_GINT64_FORMAT " slots\n",
       json_get_text (environment, "name", ""), json_get_number (environment, "version", 0),
       json_get_number (environment, "executors_usable", 0),
       json_get_number (environment, "executors", 0), json_get_number (environment, "slots", 0));
-  (void)printf ("  admitted %" G_GINT64_FORMAT "  shed %" G_GINT64_FORMAT "  sent %" G_GINT64_FORMAT
-                "  retried %" G_GINT64_FORMAT "  expired %" G_GINT64_FORMAT "\n",
-                json_get_number (environment, "admitted", 0),
-                json_get_number (environment, "shed", 0), json_get_number (environment, "sent", 0),
-                json_get_number (environment, "retried", 0),
-                json_get_number (environment, "expired", 0));
-  (void)printf ("  %-24s %-8s %7s %7s %7s\n", "CLASS", "KIND", "URGENCY", "QUEUED", "RUNNING");
+  (void) printf (
+      "  admitted %" G_GINT64_FORMAT "  shed %" G_GINT64_FORMAT "  sent %" G_GINT64_FORMAT
+      "  retried %" G_GINT64_FORMAT "  expired %" G_GINT64_FORMAT "\n",
+      json_get_number (environment, "admitted", 0), json_get_number (environment, "shed", 0),
+      json_get_number (environment, "sent", 0), json_get_number (environment, "retried", 0),
+      json_get_number (environment, "expired", 0));
+  (void) printf ("  %-24s %-8s %7s %7s %7s\n", "CLASS", "KIND", "URGENCY", "QUEUED", "RUNNING");
   for (guint i = 0; classes != NULL && i < json_array_get_length (classes); i++)
     {
       JsonObject *class = json_array_get_object_element (classes, i);
 
-      (void)printf ("  %-24s %-8s %7" G_GINT64_FORMAT " %7" G_GINT64_FORMAT " %7" G_GINT64_FORMAT
-                    "\n",
-                    json_get_text (class, "name", ""), json_get_text (class, "kind", ""),
-                    json_get_number (class, "urgency", 0), json_get_number (class, "queued", 0),
-                    json_get_number (class, "running", 0));
+      (void) printf ("  %-24s %-8s %7" G_GINT64_FORMAT " %7" G_GINT64_FORMAT " %7" G_GINT64_FORMAT
+                     "\n",
+                     json_get_text (class, "name", ""), json_get_text (class, "kind", ""),
+                     json_get_number (class, "urgency", 0), json_get_number (class, "queued", 0),
+                     json_get_number (class, "running", 0));
     }
 }
 
@@ -170,21 +170,21 @@
   JsonObject *platform = json_get_object (status, "platform");
   JsonArray *environments = json_get_list (status, "environments");
 
-  (void)printf ("%s in zone %s: %s, seat %s (%" G_GINT64_FORMAT " in use), %" G_GINT64_FORMAT
-                " requests in progress\n",
-                json_get_text (status, "vm", ""), json_get_text (status, "zone", ""),
-                json_get_text (status, "state", ""),
-                json_get_number (status, "seats_held", 0) > 0 ? "held" : "not held",
-                json_get_number (status, "seats_used", 0),
-                json_get_number (status, "in_progress", 0));
-  (void)printf ("jobs: %" G_GINT64_FORMAT " open, %" G_GINT64_FORMAT
-                " tasks running, %" G_GINT64_FORMAT " workers in %" G_GINT64_FORMAT " racks\n",
-                json_get_number (jobs, "open", 0), json_get_number (jobs, "running_tasks", 0),
-                json_get_number (jobs, "workers", 0), json_get_number (jobs, "racks", 0));
-  (void)printf ("key-value service: %" G_GINT64_FORMAT " calls, %" G_GINT64_FORMAT
-                " failed, %" G_GINT64_FORMAT " writes waiting\n",
-                json_get_number (platform, "calls", 0), json_get_number (platform, "failures", 0),
-                json_get_number (platform, "writes_waiting", 0));
+  (void) printf ("%s in zone %s: %s, seat %s (%" G_GINT64_FORMAT " in use), %" G_GINT64_FORMAT
+                 " requests in progress\n",
+                 json_get_text (status, "vm", ""), json_get_text (status, "zone", ""),
+                 json_get_text (status, "state", ""),
+                 json_get_number (status, "seats_held", 0) > 0 ? "held" : "not held",
+                 json_get_number (status, "seats_used", 0),
+                 json_get_number (status, "in_progress", 0));
+  (void) printf ("jobs: %" G_GINT64_FORMAT " open, %" G_GINT64_FORMAT
+                 " tasks running, %" G_GINT64_FORMAT " workers in %" G_GINT64_FORMAT " racks\n",
+                 json_get_number (jobs, "open", 0), json_get_number (jobs, "running_tasks", 0),
+                 json_get_number (jobs, "workers", 0), json_get_number (jobs, "racks", 0));
+  (void) printf ("key-value service: %" G_GINT64_FORMAT " calls, %" G_GINT64_FORMAT
+                 " failed, %" G_GINT64_FORMAT " writes waiting\n",
+                 json_get_number (platform, "calls", 0), json_get_number (platform, "failures", 0),
+                 json_get_number (platform, "writes_waiting", 0));
   for (guint i = 0; environments != NULL && i < json_array_get_length (environments); i++)
     print_environment (json_array_get_object_element (environments, i));
 }
@@ -196,7 +196,7 @@
   const client_request_t request = { .method = "GET", .path = "/v1/status" };
   g_autoptr (JsonNode) root = NULL;
 
-  (void)arguments;
+  (void) arguments;
   if (options->json)
     return print_get (options->operator_address, request.path, error);
   root = client_call_json (client, &request, error);
@@ -214,11 +214,11 @@
   for (gint64 round = 0; options->rounds == 0 || round < options->rounds; round++)
     {
       if (round > 0)
-        g_usleep ((gulong)options->interval_ms * 1000);
-      (void)printf ("%s", clear);
+        g_usleep ((gulong) options->interval_ms * 1000);
+      (void) printf ("%s", clear);
       if (!run_status (arguments, options, error))
         return false;
-      (void)fflush (stdout);
+      (void) fflush (stdout);
     }
   return true;
 }
@@ -233,8 +233,8 @@
   for (guint i = 0; buckets != NULL && i < json_array_get_length (buckets); i++)
     {
       JsonArray *bucket = json_array_get_array_element (buckets, i);
-      guint64 upper = (guint64)json_array_get_int_element (bucket, 0);
-      guint power = upper > 0 ? 64U - (guint)__builtin_clzll (upper) : 0;
+      guint64 upper = (guint64) json_array_get_int_element (bucket, 0);
+      guint power = upper > 0 ? 64U - (guint) __builtin_clzll (upper) : 0;
 
       counts[power] += json_array_get_int_element (bucket, 1);
       most = MAX (most, counts[power]);
@@ -245,9 +245,9 @@
 
       if (counts[power] == 0 || most == 0)
         continue;
-      bar = g_strnfill ((gsize)MAX (1, counts[power] * bar_width / most), '#');
-      (void)printf ("    < %10.3f ms %10" G_GINT64_FORMAT " %s\n",
-                    (double)(G_GUINT64_CONSTANT (1) << power) / 1000.0, counts[power], bar);
+      bar = g_strnfill ((gsize) MAX (1, counts[power] * bar_width / most), '#');
+      (void) printf ("    < %10.3f ms %10" G_GINT64_FORMAT " %s\n",
+                     (double) (G_GUINT64_CONSTANT (1) << power) / 1000.0, counts[power], bar);
     }
 }
 
@@ -256,13 +256,13 @@
 {
   JsonObject *histogram = json_get_object (latency, name);
 
-  (void)printf ("  %s: %" G_GINT64_FORMAT " samples, p50 %.3f ms, p90 %.3f ms, p99 %.3f ms, "
-                "max %.3f ms\n",
-                name, json_get_number (histogram, "count", 0),
-                (double)json_get_number (histogram, "p50_us", 0) / 1000.0,
-                (double)json_get_number (histogram, "p90_us", 0) / 1000.0,
-                (double)json_get_number (histogram, "p99_us", 0) / 1000.0,
-                (double)json_get_number (histogram, "max_us", 0) / 1000.0);
+  (void) printf ("  %s: %" G_GINT64_FORMAT " samples, p50 %.3f ms, p90 %.3f ms, p99 %.3f ms, "
+                 "max %.3f ms\n",
+                 name, json_get_number (histogram, "count", 0),
+                 (double) json_get_number (histogram, "p50_us", 0) / 1000.0,
+                 (double) json_get_number (histogram, "p90_us", 0) / 1000.0,
+                 (double) json_get_number (histogram, "p99_us", 0) / 1000.0,
+                 (double) json_get_number (histogram, "max_us", 0) / 1000.0);
   print_bars (json_get_list (histogram, "buckets"));
 }
 
@@ -274,7 +274,7 @@
   g_autoptr (JsonNode) root = NULL;
   JsonArray *list;
 
-  (void)arguments;
+  (void) arguments;
   if (options->json)
     return print_get (options->operator_address, request.path, error);
   root = client_call_json (client, &request, error);
@@ -285,8 +285,8 @@
     {
       JsonObject *latency = json_array_get_object_element (list, i);
 
-      (void)printf ("%s %s %s\n", json_get_text (latency, "environment", ""),
-                    json_get_text (latency, "class", ""), json_get_text (latency, "customer", ""));
+      (void) printf ("%s %s %s\n", json_get_text (latency, "environment", ""),
+                     json_get_text (latency, "class", ""), json_get_text (latency, "customer", ""));
       print_histogram (latency, "waiting");
       print_histogram (latency, "service");
       print_histogram (latency, "total");
@@ -330,12 +330,12 @@
   text = client_call (client, &request, &answer, error);
   if (text == NULL)
     return false;
-  (void)printf ("%s\n", text);
-  (void)fprintf (stderr, "outcome=%s waited_us=%s service_us=%s replayed=%s\n",
-                 header_or (answer, "Mimosastair-Outcome", "unknown"),
-                 header_or (answer, "Mimosastair-Waited-Us", "0"),
-                 header_or (answer, "Mimosastair-Service-Us", "0"),
-                 header_or (answer, "Mimosastair-Replayed", "0"));
+  (void) printf ("%s\n", text);
+  (void) fprintf (stderr, "outcome=%s waited_us=%s service_us=%s replayed=%s\n",
+                  header_or (answer, "Mimosastair-Outcome", "unknown"),
+                  header_or (answer, "Mimosastair-Waited-Us", "0"),
+                  header_or (answer, "Mimosastair-Service-Us", "0"),
+                  header_or (answer, "Mimosastair-Replayed", "0"));
   soup_message_headers_unref (answer);
   return true;
 }
@@ -345,21 +345,22 @@
 {
   JsonArray *tasks = json_get_list (job, "tasks");
 
-  (void)printf ("%s: %s, environment %s, class %s, customer %s, owner %s\n",
-                json_get_text (job, "id", ""), json_get_text (job, "state", ""),
-                json_get_text (job, "environment", ""), json_get_text (job, "class", ""),
-                json_get_text (job, "customer", ""), json_get_text (job, "owner", ""));
-  (void)printf ("  %-5s %-10s %-7s %9s %9s %6s  %s\n", "TASK", "STATE", "ATTEMPT", "CPU MILLI",
-                "MEMORY MB", "ACCEL", "WORKER");
+  (void) printf ("%s: %s, environment %s, class %s, customer %s, owner %s\n",
+                 json_get_text (job, "id", ""), json_get_text (job, "state", ""),
+                 json_get_text (job, "environment", ""), json_get_text (job, "class", ""),
+                 json_get_text (job, "customer", ""), json_get_text (job, "owner", ""));
+  (void) printf ("  %-5s %-10s %-7s %9s %9s %6s  %s\n", "TASK", "STATE", "ATTEMPT", "CPU MILLI",
+                 "MEMORY MB", "ACCEL", "WORKER");
   for (guint i = 0; tasks != NULL && i < json_array_get_length (tasks); i++)
     {
       JsonObject *task = json_array_get_object_element (tasks, i);
 
-      (void)printf ("  %-5u %-10s %-7" G_GINT64_FORMAT " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT
-                    " %6" G_GINT64_FORMAT "  %s\n",
-                    i, json_get_text (task, "state", ""), json_get_number (task, "attempt", 0),
-                    json_get_number (task, "cpu_milli", 0), json_get_number (task, "memory_mb", 0),
-                    json_get_number (task, "accelerators", 0), json_get_text (task, "worker", "-"));
+      (void) printf ("  %-5u %-10s %-7" G_GINT64_FORMAT " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT
+                     " %6" G_GINT64_FORMAT "  %s\n",
+                     i, json_get_text (task, "state", ""), json_get_number (task, "attempt", 0),
+                     json_get_number (task, "cpu_milli", 0), json_get_number (task, "memory_mb", 0),
+                     json_get_number (task, "accelerators", 0),
+                     json_get_text (task, "worker", "-"));
     }
 }
 
@@ -369,7 +370,7 @@
   g_autofree char *text = json ? json_to_string (root, FALSE) : NULL;
 
   if (json)
-    (void)printf ("%s\n", text);
+    (void) printf ("%s\n", text);
   else
     print_job (json_node_get_object (root));
 }
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -86,17 +86,17 @@
 static void
 print_help (FILE *out)
 {
-  (void)fprintf (out, "usage: mimosastair COMMAND [ARGUMENT...] [FLAG...]\n\n"
-                      "Command-line tool of the mimosastair cluster scheduler.\n\ncommands:\n");
+  (void) fprintf (out, "usage: mimosastair COMMAND [ARGUMENT...] [FLAG...]\n\n"
+                       "Command-line tool of the mimosastair cluster scheduler.\n\ncommands:\n");
   for (const command_t *command = commands; command->group != NULL; command++)
     {
       g_autofree char *words
           = g_strjoin (" ", command->group, command->verb != NULL ? command->verb : command->usage,
                        command->verb != NULL ? command->usage : NULL, NULL);
 
-      (void)fprintf (out, "  %-34s %s\n", words, command->help);
+      (void) fprintf (out, "  %-34s %s\n", words, command->help);
     }
-  (void)fprintf (out, "\nflags:\n");
+  (void) fprintf (out, "\nflags:\n");
   settings_print_help (settings, G_N_ELEMENTS (settings), out);
 }
 
@@ -107,7 +107,7 @@
     {
       int own = command->verb != NULL ? 2 : 1;
 
-      if (count != own + (int)command->arguments || g_strcmp0 (words[0], command->group) != 0)
+      if (count != own + (int) command->arguments || g_strcmp0 (words[0], command->group) != 0)
         continue;
       if (command->verb == NULL || g_strcmp0 (words[1], command->verb) == 0)
         return command;
@@ -118,7 +118,7 @@
 static int
 fail (const error_info_t *error)
 {
-  (void)fprintf (stderr, "mimosastair: %s\n", error->detail);
+  (void) fprintf (stderr, "mimosastair: %s\n", error->detail);
   return error_answer (error->kind)->exit_code;
 }
 
@@ -148,14 +148,14 @@
     }
   if (result == SETTINGS_VERSION)
     {
-      (void)printf ("mimosastair %s\n", MIMOSASTAIR_VERSION);
+      (void) printf ("mimosastair %s\n", MIMOSASTAIR_VERSION);
       return 0;
     }
   command = count > 0 ? find_command (words, count) : NULL;
   if (command == NULL)
     {
-      (void)error_set (&error, ERROR_BAD_SETTING,
-                       "no such command, or a wrong number of arguments; see --help");
+      (void) error_set (&error, ERROR_BAD_SETTING,
+                        "no such command, or a wrong number of arguments; see --help");
       return fail (&error);
     }
   if (command->run (words + (command->verb != NULL ? 2 : 1), &options, &error))
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -57,7 +57,7 @@
 static void
 environment_changed (environment_t *environment, void *data)
 {
-  requests_set_environment (((daemon_t *)data)->requests, environment);
+  requests_set_environment (((daemon_t *) data)->requests, environment);
 }
 
 static void
@@ -72,7 +72,7 @@
 static void
 racks_changed (const GArray *table, void *data)
 {
-  jobs_set_racks (((daemon_t *)data)->jobs, table);
+  jobs_set_racks (((daemon_t *) data)->jobs, table);
 }
 
 /* Racks of this zone that have workers, each once. */
@@ -88,7 +88,7 @@
       if (member->role != MEMBER_WORKER || strcmp (member->zone, daemon->options.zone) != 0)
         continue;
       if (!g_ptr_array_find_with_equal_func (names, member->rack, g_str_equal, NULL))
-        g_ptr_array_add (names, (gpointer)member->rack);
+        g_ptr_array_add (names, (gpointer) member->rack);
     }
   return names;
 }
@@ -101,7 +101,7 @@
   guint wanted = (names->len + vms - 1) / vms;
 
   claims_set_list (daemon->racks, list);
-  claims_want (daemon->racks, (const char *const *)names->pdata, names->len, wanted);
+  claims_want (daemon->racks, (const char *const *) names->pdata, names->len, wanted);
 }
 
 static void
@@ -117,7 +117,7 @@
   if (daemon->phase >= PHASE_RELEASING)
     return;
   claims_set_list (daemon->seats, list);
-  claims_want (daemon->seats, (const char *const *)daemon->seat_names->pdata,
+  claims_want (daemon->seats, (const char *const *) daemon->seat_names->pdata,
                daemon->seat_names->len, 1);
   want_racks (daemon, list);
 }
@@ -141,11 +141,11 @@
 {
   json_builder_set_member_name (builder, "idempotency");
   json_builder_begin_object (builder);
-  json_put_number (builder, "claimed", (gint64)counters->claimed);
-  json_put_number (builder, "joined", (gint64)counters->joined);
-  json_put_number (builder, "replayed", (gint64)counters->replayed);
-  json_put_number (builder, "released", (gint64)counters->released);
-  json_put_number (builder, "unavailable", (gint64)counters->unavailable);
+  json_put_number (builder, "claimed", (gint64) counters->claimed);
+  json_put_number (builder, "joined", (gint64) counters->joined);
+  json_put_number (builder, "replayed", (gint64) counters->replayed);
+  json_put_number (builder, "released", (gint64) counters->released);
+  json_put_number (builder, "unavailable", (gint64) counters->unavailable);
   json_builder_end_object (builder);
 }
 
@@ -154,10 +154,10 @@
 {
   json_builder_set_member_name (builder, "platform");
   json_builder_begin_object (builder);
-  json_put_number (builder, "calls", (gint64)kv_calls (daemon->kv));
-  json_put_number (builder, "failures", (gint64)kv_failures (daemon->kv));
-  json_put_number (builder, "transactions", (gint64)batch_transactions (daemon->batch));
-  json_put_number (builder, "writes", (gint64)batch_ops (daemon->batch));
+  json_put_number (builder, "calls", (gint64) kv_calls (daemon->kv));
+  json_put_number (builder, "failures", (gint64) kv_failures (daemon->kv));
+  json_put_number (builder, "transactions", (gint64) batch_transactions (daemon->batch));
+  json_put_number (builder, "writes", (gint64) batch_ops (daemon->batch));
   json_put_number (builder, "writes_waiting", batch_length (daemon->batch));
   json_put_number (builder, "list_revision", vmlist_current (daemon->vmlist)->revision);
   json_builder_end_object (builder);
@@ -172,10 +172,10 @@
   json_builder_begin_object (builder);
   json_put_number (builder, "connections",
                    http_server_connections (callers_server (daemon->callers)));
-  json_put_number (builder, "requests", (gint64)counters->requests);
-  json_put_number (builder, "refused_connections", (gint64)counters->refused_connections);
-  json_put_number (builder, "refused_requests", (gint64)counters->refused_requests);
-  json_put_number (builder, "timeouts", (gint64)counters->timeouts);
+  json_put_number (builder, "requests", (gint64) counters->requests);
+  json_put_number (builder, "refused_connections", (gint64) counters->refused_connections);
+  json_put_number (builder, "refused_requests", (gint64) counters->refused_requests);
+  json_put_number (builder, "timeouts", (gint64) counters->timeouts);
   json_builder_end_object (builder);
 }
 
@@ -238,9 +238,9 @@
 {
   g_autoptr (GPtrArray) racks = rack_names (daemon, vmlist_current (daemon->vmlist));
 
-  claims_want (daemon->seats, (const char *const *)daemon->seat_names->pdata,
+  claims_want (daemon->seats, (const char *const *) daemon->seat_names->pdata,
                daemon->seat_names->len, 0);
-  claims_want (daemon->racks, (const char *const *)racks->pdata, racks->len, 0);
+  claims_want (daemon->racks, (const char *const *) racks->pdata, racks->len, 0);
 }
 
 static gboolean
@@ -295,8 +295,8 @@
 {
   g_strlcpy (daemon->self.vm, daemon->options.vm, sizeof daemon->self.vm);
   g_strlcpy (daemon->self.address, daemon->options.listen, sizeof daemon->self.address);
-  (void)g_snprintf (daemon->self.incarnation, sizeof daemon->self.incarnation, "%08x%08x",
-                    g_random_int (), g_random_int ());
+  (void) g_snprintf (daemon->self.incarnation, sizeof daemon->self.incarnation, "%08x%08x",
+                     g_random_int (), g_random_int ());
 }
 
 static void
@@ -305,7 +305,7 @@
   const options_t *options = &daemon->options;
   g_autofree char *racks_key = g_strconcat (RACKS_PREFIX, options->zone, NULL);
 
-  daemon->kv = kv_new (options->platform_kv, (guint)options->kv_timeout_s);
+  daemon->kv = kv_new (options->platform_kv, (guint) options->kv_timeout_s);
   daemon->batch = batch_new (daemon->kv, options->kv_batch_interval_ms * 1000);
   daemon->idem = idem_new (daemon->kv, daemon->batch, daemon->self.vm, daemon->self.incarnation,
                            options->idempotency_retention_s);
@@ -332,10 +332,10 @@
 start_servers (daemon_t *daemon, error_info_t *error)
 {
   const options_t *options = &daemon->options;
-  http_limits_t limits = { .connections = (guint)options->max_connections,
-                           .header_bytes = (guint)options->max_header_bytes,
-                           .body_bytes = (guint)options->max_body_bytes,
-                           .read_timeout_ms = (guint)options->read_timeout_ms };
+  http_limits_t limits = { .connections = (guint) options->max_connections,
+                           .header_bytes = (guint) options->max_header_bytes,
+                           .body_bytes = (guint) options->max_body_bytes,
+                           .read_timeout_ms = (guint) options->read_timeout_ms };
 
   daemon->callers = callers_new (options->listen, &limits, daemon->requests, daemon->jobs, is_ready,
                                  daemon, error);
@@ -365,8 +365,8 @@
       daemon_free (daemon);
       return NULL;
     }
-  daemon->vmlist
-      = vmlist_new (options->platform_list, (guint)options->list_interval_ms, list_changed, daemon);
+  daemon->vmlist = vmlist_new (options->platform_list, (guint) options->list_interval_ms,
+                               list_changed, daemon);
   daemon->term_source = g_unix_signal_add (SIGTERM, stop_asked, daemon);
   daemon->int_source = g_unix_signal_add (SIGINT, stop_asked, daemon);
   LOG_INFO ("started", "vm=%s zone=%s listen=%s operator_listen=%s", daemon->self.vm, options->zone,
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -6,7 +6,7 @@
 static int
 usage_error (const error_info_t *error)
 {
-  (void)fprintf (stderr, "mimosastaird: %s\n", error->detail);
+  (void) fprintf (stderr, "mimosastaird: %s\n", error->detail);
   return error_answer (ERROR_BAD_SETTING)->exit_code;
 }
 
@@ -27,14 +27,14 @@
     }
   if (result == SETTINGS_VERSION)
     {
-      (void)printf ("mimosastaird %s\n", MIMOSASTAIR_VERSION);
+      (void) printf ("mimosastaird %s\n", MIMOSASTAIR_VERSION);
       return 0;
     }
   if (!log_init (options.log_level))
     {
-      (void)error_set (&error, ERROR_BAD_SETTING,
-                       "--log-level: \"%s\" is not error, warning, info or debug",
-                       options.log_level);
+      (void) error_set (&error, ERROR_BAD_SETTING,
+                        "--log-level: \"%s\" is not error, warning, info or debug",
+                        options.log_level);
       return usage_error (&error);
     }
   daemon = daemon_new (&options, &error);
--- a/src/daemon/options.c
+++ b/src/daemon/options.c
@@ -162,8 +162,8 @@
 void
 options_print_help (FILE *out)
 {
-  (void)fprintf (out, "usage: mimosastaird --vm=ID --zone=ZONE --platform-kv=IP:PORT "
-                      "--platform-list=IP:PORT [FLAG...]\n\n"
-                      "Entry daemon of the mimosastair cluster scheduler.\n\n");
+  (void) fprintf (out, "usage: mimosastaird --vm=ID --zone=ZONE --platform-kv=IP:PORT "
+                       "--platform-list=IP:PORT [FLAG...]\n\n"
+                       "Entry daemon of the mimosastair cluster scheduler.\n\n");
   settings_print_help (settings, G_N_ELEMENTS (settings), out);
 }
--- a/src/decide/document.c
+++ b/src/decide/document.c
@@ -32,7 +32,7 @@
   for (guint i = 0; i < environment->class_count; i++)
     {
       if (strcmp (environment->classes[i].name, name) == 0)
-        return (int)i;
+        return (int) i;
     }
   return -1;
 }
@@ -43,7 +43,7 @@
   for (guint i = 0; i < environment->customer_count; i++)
     {
       if (strcmp (environment->customers[i].name, name) == 0)
-        return (int)i;
+        return (int) i;
     }
   return -1;
 }
--- a/src/decide/fairqueue.c
+++ b/src/decide/fairqueue.c
@@ -82,7 +82,7 @@
   if (class->queue_limit == 0)
     return 0;
   part = class->queue_limit * class->flows[customer_index].weight / class->weight_sum;
-  return part < 1 ? 1 : (guint)part;
+  return part < 1 ? 1 : (guint) part;
 }
 
 guint
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -30,7 +30,7 @@
   for (guint i = 0; i < placer->workers->len; i++)
     {
       if (strcmp (g_array_index (placer->workers, worker_t, i).id, id) == 0)
-        return (int)i;
+        return (int) i;
     }
   return PLACE_NONE;
 }
@@ -38,7 +38,7 @@
 worker_t *
 placer_worker (const placer_t *placer, int index)
 {
-  g_assert (index >= 0 && (guint)index < placer->workers->len);
+  g_assert (index >= 0 && (guint) index < placer->workers->len);
   return &g_array_index (placer->workers, worker_t, index);
 }
 
@@ -54,7 +54,7 @@
 
       g_strlcpy (fresh.id, id, sizeof fresh.id);
       g_array_append_val (placer->workers, fresh);
-      index = (int)placer->workers->len - 1;
+      index = (int) placer->workers->len - 1;
     }
   worker = placer_worker (placer, index);
   g_strlcpy (worker->rack, rack, sizeof worker->rack);
@@ -77,7 +77,7 @@
 
   for (guint i = 0; i < placer->workers->len; i++)
     {
-      if (fits (need, &placer_worker (placer, (int)i)->total, &nothing))
+      if (fits (need, &placer_worker (placer, (int) i)->total, &nothing))
         return true;
     }
   return false;
@@ -86,7 +86,7 @@
 static double
 fraction (gint64 part, gint64 whole)
 {
-  return whole > 0 ? (double)part / (double)whole : 0.0;
+  return whole > 0 ? (double) part / (double) whole : 0.0;
 }
 
 /* Free part left after the task, in the fullest resource: the least is the best
@@ -113,7 +113,7 @@
 
   for (guint i = 0; i < placer->workers->len; i++)
     {
-      const worker_t *worker = placer_worker (placer, (int)i);
+      const worker_t *worker = placer_worker (placer, (int) i);
       double left;
 
       if (!worker->usable || worker->aside_until_us > now_us
@@ -122,7 +122,7 @@
       left = waste (worker, need);
       if (best != PLACE_NONE && left >= best_waste)
         continue;
-      best = (int)i;
+      best = (int) i;
       best_waste = left;
     }
   if (best != PLACE_NONE)
--- a/src/decide/request.c
+++ b/src/decide/request.c
@@ -185,7 +185,7 @@
       >= MAX (1U, fairqueue_customer_limit (core->queue, class_index, customer_index)))
     return ERROR_QUEUE_FULL;
   if (expected_wait_us (core, class_index, capacity)
-          > (double)left_us - core->service_us[class_index]
+          > (double) left_us - core->service_us[class_index]
       && fairqueue_class_length (core->queue, class_index) > 0)
     return ERROR_OVERLOADED;
   return ERROR_NONE;
@@ -333,7 +333,7 @@
 {
   double *average = &core->service_us[request->item.class_index];
 
-  *average += service_weight * ((double)(now_us - request->sent_us) - *average);
+  *average += service_weight * ((double) (now_us - request->sent_us) - *average);
 }
 
 static router_result_t
--- a/src/decide/router.c
+++ b/src/decide/router.c
@@ -41,7 +41,7 @@
   for (guint i = 0; i < router->executors->len; i++)
     {
       if (strcmp (g_array_index (router->executors, executor_t, i).id, id) == 0)
-        return (int)i;
+        return (int) i;
     }
   return ROUTER_NONE;
 }
@@ -49,7 +49,7 @@
 executor_t *
 router_executor (const router_t *router, int index)
 {
-  g_assert (index >= 0 && (guint)index < router->executors->len);
+  g_assert (index >= 0 && (guint) index < router->executors->len);
   return &g_array_index (router->executors, executor_t, index);
 }
 
@@ -78,7 +78,7 @@
   router->seats = seats;
   router->seats_used = seats_used;
   for (guint i = 0; i < router->executors->len; i++)
-    set_shares (router, router_executor (router, (int)i));
+    set_shares (router, router_executor (router, (int) i));
 }
 
 /* An index is reused only when nothing refers to it any more. */
@@ -94,15 +94,15 @@
   g_strlcpy (fresh.id, id, sizeof fresh.id);
   for (guint i = 0; i < router->executors->len; i++)
     {
-      executor_t *old = router_executor (router, (int)i);
+      executor_t *old = router_executor (router, (int) i);
 
       if (old->state != EXECUTOR_GONE || old->in_flight > 0)
         continue;
       *old = fresh;
-      return (int)i;
+      return (int) i;
     }
   g_array_append_val (router->executors, fresh);
-  return (int)router->executors->len - 1;
+  return (int) router->executors->len - 1;
 }
 
 void
@@ -154,7 +154,7 @@
 
   for (guint i = 0; i < router->executors->len; i++)
     {
-      const executor_t *executor = router_executor (router, (int)i);
+      const executor_t *executor = router_executor (router, (int) i);
 
       if (executor->state != EXECUTOR_LIVE || executor->aside_until_us > now_us)
         continue;
@@ -176,7 +176,7 @@
 
   if (now_us - executor->heard_us > latency_stale_us)
     latency = fmin (latency, router->latency_us);
-  latency *= 1.0 + (double)executor->in_flight / MAX (1U, executor->slots);
+  latency *= 1.0 + (double) executor->in_flight / MAX (1U, executor->slots);
   return executor->own_zone ? latency : latency + other_zone_us;
 }
 
@@ -200,7 +200,7 @@
       us = expected_us (router, executor, now_us);
       if (best != ROUTER_NONE && us >= best_us)
         continue;
-      best = (int)i;
+      best = (int) i;
       best_us = us;
     }
   return best;
@@ -216,8 +216,8 @@
     {
       guint i = (random % count + step) % count;
 
-      if (router_is_allowed (router_executor (router, (int)i), now_us))
-        return (int)i;
+      if (router_is_allowed (router_executor (router, (int) i), now_us))
+        return (int) i;
     }
   return ROUTER_NONE;
 }
@@ -275,7 +275,7 @@
 static void
 note_answer (router_t *router, executor_t *executor, gint64 service_us, gint64 now_us)
 {
-  double sample = (double)service_us;
+  double sample = (double) service_us;
 
   executor->heard_us = now_us;
   executor->failures = 0;
@@ -313,7 +313,7 @@
       break;
     case ROUTER_GIVEN_UP:
       /* A short deadline says little; a black hole is silent for much longer. */
-      if ((double)service_us >= failure_latency_factor * executor->latency_us)
+      if ((double) service_us >= failure_latency_factor * executor->latency_us)
         note_failure (router, executor, now_us);
       break;
     }
--- a/src/decide/timerwheel.c
+++ b/src/decide/timerwheel.c
@@ -77,6 +77,6 @@
   for (gint64 tick = first; tick <= target; tick++)
     {
       wheel->now_tick = tick;
-      fire_slot (wheel, (guint)(tick % TIMERWHEEL_SLOTS), now_us, fire, data);
+      fire_slot (wheel, (guint) (tick % TIMERWHEEL_SLOTS), now_us, fire, data);
     }
 }
--- a/src/operator/document_json.c
+++ b/src/operator/document_json.c
@@ -135,7 +135,7 @@
     {
       if (!g_strv_contains (known, link->data))
         {
-          g_autofree char *list = g_strjoinv (", ", (char **)known);
+          g_autofree char *list = g_strjoinv (", ", (char **) known);
 
           problem (place, link->data, "found an unknown field; allowed: %s", list);
         }
@@ -170,14 +170,14 @@
   read_name (place, "name", class->name);
   read_kind (place, class);
   class->idempotent = read_flag (place, "idempotent", false);
-  class->urgency = (guint)read_whole (place, "urgency", 0, DOCUMENT_URGENCY_MAX, -1);
+  class->urgency = (guint) read_whole (place, "urgency", 0, DOCUMENT_URGENCY_MAX, -1);
   class->deadline_us
       = 1000 * read_whole (place, "deadline_ms", 1, deadline_ms_max, default_deadline_ms);
   class->share = read_real (place, "share", 0, 1, 0);
   class->limit = read_real (place, "limit", 0, 1, 1);
   class->queue_limit
-      = (guint)read_whole (place, "queue_limit", 0, queue_limit_max, default_queue_limit);
-  class->retry_attempts = (guint)read_whole (place, "retry_attempts", 0, retry_attempts_max, 1);
+      = (guint) read_whole (place, "queue_limit", 0, queue_limit_max, default_queue_limit);
+  class->retry_attempts = (guint) read_whole (place, "retry_attempts", 0, retry_attempts_max, 1);
   if (class->limit < class->share)
     problem (place, "limit", "found %g; allowed: at least the share, %g", class->limit,
              class->share);
@@ -219,7 +219,7 @@
   work_class_t *class = &environment->classes[index];
 
   read_class (place, class);
-  if (class->name[0] != '\0' && environment_find_class (environment, class->name) != (int)index)
+  if (class->name[0] != '\0' && environment_find_class (environment, class->name) != (int) index)
     problem (place, "name", "found \"%s\" twice; allowed: once", class->name);
 }
 
@@ -230,7 +230,7 @@
 
   read_customer (place, customer);
   if (customer->name[0] != '\0'
-      && environment_find_customer (environment, customer->name) != (int)index)
+      && environment_find_customer (environment, customer->name) != (int) index)
     problem (place, "name", "found \"%s\" twice; allowed: once", customer->name);
 }
 
--- a/src/operator/environments.c
+++ b/src/operator/environments.c
@@ -164,10 +164,10 @@
 {
   error_info_t error;
 
-  (void)error_set (&error, ERROR_UNREACHABLE,
-                   "the key-value service does not answer; whether version %" G_GINT64_FORMAT
-                   " was written shows when it does",
-                   edit->version);
+  (void) error_set (&error, ERROR_UNREACHABLE,
+                    "the key-value service does not answer; whether version %" G_GINT64_FORMAT
+                    " was written shows when it does",
+                    edit->version);
   edit_finish (edit, &error);
 }
 
@@ -215,10 +215,11 @@
 {
   error_info_t error;
 
-  (void)error_set (&error, ERROR_CONFLICT,
-                   "environment %s is at version %" G_GINT64_FORMAT
-                   ", written by %s, and not at %" G_GINT64_FORMAT,
-                   edit->name, version, json_get_text (record, "writer", "nobody"), edit->expected);
+  (void) error_set (&error, ERROR_CONFLICT,
+                    "environment %s is at version %" G_GINT64_FORMAT
+                    ", written by %s, and not at %" G_GINT64_FORMAT,
+                    edit->name, version, json_get_text (record, "writer", "nobody"),
+                    edit->expected);
   edit_finish (edit, &error);
 }
 
@@ -240,7 +241,7 @@
       return;
     }
   if (entry != NULL)
-    root = json_parse_object (entry->value, (gssize)entry->length);
+    root = json_parse_object (entry->value, (gssize) entry->length);
   record = root != NULL ? json_node_get_object (root) : NULL;
   version = json_get_number (record, "version", 0);
   if (strcmp (json_get_text (record, "nonce", ""), edit->nonce) == 0)
--- a/src/operator/operators.c
+++ b/src/operator/operators.c
@@ -76,7 +76,7 @@
   if (expected_text != NULL
       && !g_ascii_string_to_signed (expected_text, 10, 0, G_MAXINT64, &expected, NULL))
     g_ptr_array_add (problems, g_strdup ("expected: must be a version"));
-  if (!json_parser_load_from_data (parser, text != NULL ? text : "", (gssize)size, NULL))
+  if (!json_parser_load_from_data (parser, text != NULL ? text : "", (gssize) size, NULL))
     g_ptr_array_add (problems, g_strdup (": found no JSON; allowed: one object"));
   else
     environment = document_parse (json_parser_get_root (parser), 0, problems);
@@ -103,7 +103,7 @@
       http_respond_text (http, 200, json_type, g_strdup (record));
       return;
     }
-  (void)error_set (&error, ERROR_UNKNOWN_ENVIRONMENT, "no environment \"%s\" is in force", name);
+  (void) error_set (&error, ERROR_UNKNOWN_ENVIRONMENT, "no environment \"%s\" is in force", name);
   fail (http, &error);
 }
 
@@ -124,11 +124,11 @@
 {
   json_builder_set_member_name (builder, name);
   json_builder_begin_object (builder);
-  json_put_number (builder, "count", (gint64)histogram->count);
-  json_put_number (builder, "p50_us", (gint64)histogram_quantile (histogram, 0.5));
-  json_put_number (builder, "p90_us", (gint64)histogram_quantile (histogram, 0.9));
-  json_put_number (builder, "p99_us", (gint64)histogram_quantile (histogram, 0.99));
-  json_put_number (builder, "max_us", (gint64)histogram->max_us);
+  json_put_number (builder, "count", (gint64) histogram->count);
+  json_put_number (builder, "p50_us", (gint64) histogram_quantile (histogram, 0.5));
+  json_put_number (builder, "p90_us", (gint64) histogram_quantile (histogram, 0.9));
+  json_put_number (builder, "p99_us", (gint64) histogram_quantile (histogram, 0.99));
+  json_put_number (builder, "max_us", (gint64) histogram->max_us);
   json_builder_set_member_name (builder, "buckets");
   json_builder_begin_array (builder);
   for (guint i = 0; i < HISTOGRAM_BUCKETS; i++)
@@ -136,8 +136,8 @@
       if (histogram->buckets[i] == 0)
         continue;
       json_builder_begin_array (builder);
-      json_builder_add_int_value (builder, (gint64)histogram_bucket_upper_us (i));
-      json_builder_add_int_value (builder, (gint64)histogram->buckets[i]);
+      json_builder_add_int_value (builder, (gint64) histogram_bucket_upper_us (i));
+      json_builder_add_int_value (builder, (gint64) histogram->buckets[i]);
       json_builder_end_array (builder);
     }
   json_builder_end_array (builder);
@@ -219,7 +219,7 @@
     apply (operators, http, name);
   else if (strcmp (method, "GET") != 0)
     {
-      (void)error_set (&error, ERROR_METHOD_NOT_ALLOWED, "this path does not take %s", method);
+      (void) error_set (&error, ERROR_METHOD_NOT_ALLOWED, "this path does not take %s", method);
       fail (http, &error);
     }
   else if (name != NULL)
@@ -234,7 +234,7 @@
     show_metrics (operators, http);
   else
     {
-      (void)error_set (&error, ERROR_NOT_FOUND, "there is nothing at this path");
+      (void) error_set (&error, ERROR_NOT_FOUND, "there is nothing at this path");
       fail (http, &error);
     }
 }
--- a/src/platform/batch.c
+++ b/src/platform/batch.c
@@ -107,7 +107,7 @@
     return;
   if (batch->last_us == 0 || wait_us < 0)
     wait_us = 0;
-  batch->timer = g_timeout_add ((guint)((wait_us + 999) / 1000), timer_fired, batch);
+  batch->timer = g_timeout_add ((guint) ((wait_us + 999) / 1000), timer_fired, batch);
 }
 
 static void
@@ -142,7 +142,7 @@
 {
   for (guint i = 0; i < ops->len; i++)
     {
-      if (strcmp (((const batch_op_t *)g_ptr_array_index (ops, i))->key, key) == 0)
+      if (strcmp (((const batch_op_t *) g_ptr_array_index (ops, i))->key, key) == 0)
         return true;
     }
   return false;
@@ -242,7 +242,7 @@
 
   /* Jitter keeps the VMs from coming back all at once. */
   batch->retry_us = MIN (next, longest_retry_us);
-  batch->retry_us -= g_random_int_range (0, (gint32)batch->retry_us / 2);
+  batch->retry_us -= g_random_int_range (0, (gint32) batch->retry_us / 2);
   put_back (batch);
 }
 
--- a/src/platform/claims.c
+++ b/src/platform/claims.c
@@ -46,8 +46,8 @@
   if (claims->timer != 0)
     g_source_remove (claims->timer);
   /* Jitter keeps VMs that lost the same race apart. */
-  claims->timer
-      = g_timeout_add ((guint)g_random_int_range ((gint32)ms / 2, (gint32)ms), timer_fired, claims);
+  claims->timer = g_timeout_add ((guint) g_random_int_range ((gint32) ms / 2, (gint32) ms),
+                                 timer_fired, claims);
 }
 
 static char *
@@ -97,7 +97,7 @@
   claims->mod_revision = entry != NULL ? entry->mod_revision : 0;
   if (claims->mod_revision == 0)
     return;
-  root = json_parse_object (entry->value, (gssize)entry->length);
+  root = json_parse_object (entry->value, (gssize) entry->length);
   if (root != NULL)
     array = json_get_list (json_node_get_object (root), "claims");
   for (guint i = 0; array != NULL && i < json_array_get_length (array); i++)
--- a/src/platform/config.c
+++ b/src/platform/config.c
@@ -41,7 +41,7 @@
   config->wait_ms = MIN (config->wait_ms, longest_wait_ms);
   if (config->timer == 0)
     config->timer = g_timeout_add (
-        (guint)g_random_int_range ((gint32)config->wait_ms / 2, (gint32)config->wait_ms),
+        (guint) g_random_int_range ((gint32) config->wait_ms / 2, (gint32) config->wait_ms),
         timer_fired, config);
 }
 
--- a/src/platform/idem.c
+++ b/src/platform/idem.c
@@ -189,7 +189,7 @@
   json_put_text (builder, "vm", idem->vm);
   json_put_text (builder, "incarnation", idem->incarnation);
   json_put_text (builder, "digest", entry->digest);
-  json_put_number (builder, "sequence", (gint64)++idem->sequence);
+  json_put_number (builder, "sequence", (gint64) ++idem->sequence);
   if (entry->body != NULL)
     {
       gsize size = 0;
@@ -216,7 +216,7 @@
     return;
   bytes = g_base64_decode (encoded, &size);
   entry->body = g_bytes_new_take (bytes, size);
-  entry->http_status = (guint)json_get_number (record, "status", 200);
+  entry->http_status = (guint) json_get_number (record, "status", 200);
   entry->content_type = g_strdup (json_get_text (record, "type", "application/json"));
   entry->state = ENTRY_DONE;
 }
@@ -263,7 +263,7 @@
       claim (entry, 0);
       return;
     }
-  root = json_parse_object (current->value, (gssize)current->length);
+  root = json_parse_object (current->value, (gssize) current->length);
   record = root != NULL ? json_node_get_object (root) : NULL;
   state = json_get_text (record, "state", "unknown");
   if (strcmp (state, "released") == 0)
--- a/src/platform/kv.c
+++ b/src/platform/kv.c
@@ -181,7 +181,7 @@
   if (status != SOUP_STATUS_OK)
     return;
   text = g_bytes_get_data (body, &size);
-  root = json_parse_object (text, (gssize)size);
+  root = json_parse_object (text, (gssize) size);
   if (root != NULL)
     read_reply (json_node_get_object (root), reply);
 }
@@ -207,7 +207,7 @@
 static void
 call_starting (SoupMessage *message G_GNUC_UNUSED, gpointer data)
 {
-  ((call_t *)data)->started = true;
+  ((call_t *) data)->started = true;
 }
 
 static SoupMessage *
@@ -243,7 +243,7 @@
 static void
 put_encoded (JsonBuilder *builder, const char *member, const char *text)
 {
-  g_autofree char *encoded = g_base64_encode ((const guchar *)text, strlen (text));
+  g_autofree char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
 
   json_put_text (builder, member, encoded);
 }
--- a/src/platform/vmlist.c
+++ b/src/platform/vmlist.c
@@ -47,8 +47,8 @@
              sizeof member->environment);
   g_strlcpy (member->address, json_get_text (object, "address", ""), sizeof member->address);
   member->leaving = strcmp (json_get_text (object, "state", "live"), "leaving") == 0;
-  member->slots = (guint)CLAMP (json_get_number (object, "slots", 0), 0, 4096);
-  member->connections = (guint)CLAMP (json_get_number (object, "connections", 0), 0, 4096);
+  member->slots = (guint) CLAMP (json_get_number (object, "slots", 0), 0, 4096);
+  member->connections = (guint) CLAMP (json_get_number (object, "connections", 0), 0, 4096);
   member->cpu_milli = json_get_number (object, "cpu_milli", 0);
   member->memory_mb = json_get_number (object, "memory_mb", 0);
   member->accelerators = json_get_number (object, "accelerators", 0);
@@ -85,7 +85,7 @@
 {
   gsize size = 0;
   const char *text = g_bytes_get_data (body, &size);
-  g_autoptr (JsonNode) root = json_parse_object (text, (gssize)size);
+  g_autoptr (JsonNode) root = json_parse_object (text, (gssize) size);
   g_autoptr (member_list_t) list = NULL;
 
   if (root == NULL)
--- a/src/work/job_record.c
+++ b/src/work/job_record.c
@@ -93,7 +93,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (state_names); i++)
     {
       if (strcmp (state_names[i], text) == 0)
-        return (job_state_t)i;
+        return (job_state_t) i;
     }
   return JOB_FAILED;
 }
@@ -182,7 +182,7 @@
       || !g_ascii_string_to_unsigned (parts[2], 10, 0, G_MAXUINT, &second, NULL))
     return false;
   *job_id = g_strdup (parts[0]);
-  *index = (guint)first;
-  *attempt = (guint)second;
+  *index = (guint) first;
+  *attempt = (guint) second;
   return true;
 }
--- a/src/work/jobs.c
+++ b/src/work/jobs.c
@@ -504,9 +504,9 @@
       JsonObject *object = json_array_get_object_element (tasks, i);
       const char *id = json_get_text (object, "id", "");
 
-      g_hash_table_add (seen, (gpointer)id);
+      g_hash_table_add (seen, (gpointer) id);
       if (see_task (jobs, worker, object, &foreign) && may_acknowledge (jobs, id))
-        g_ptr_array_add (ended, (gpointer)id);
+        g_ptr_array_add (ended, (gpointer) id);
     }
   placer_release (jobs->placer, worker, &link->foreign);
   link->foreign = foreign;
@@ -583,10 +583,10 @@
   /* Spread over the steps, so that no step talks to every worker. */
   for (guint i = jobs->step % renew_steps; i < jobs->placer->workers->len; i += renew_steps)
     {
-      const worker_t *worker = placer_worker (jobs->placer, (int)i);
+      const worker_t *worker = placer_worker (jobs->placer, (int) i);
 
       if (g_hash_table_contains (jobs->held, worker->rack))
-        ask_report (jobs, (int)i, now_us);
+        ask_report (jobs, (int) i, now_us);
     }
 }
 
@@ -664,7 +664,7 @@
 static void
 consider (jobs_t *jobs, const kv_entry_t *entry)
 {
-  g_autoptr (job_t) job = job_from_record (entry->value, (gssize)entry->length);
+  g_autoptr (job_t) job = job_from_record (entry->value, (gssize) entry->length);
   accept_t *accept;
   bool own;
   batch_op_t op = { .expect = KV_EXPECT_REVISION,
@@ -778,7 +778,7 @@
   int index = placer_update (jobs->placer, member->id, member->rack, &total);
   worker_link_t *link;
 
-  while (jobs->links->len <= (guint)index)
+  while (jobs->links->len <= (guint) index)
     {
       link = g_new0 (worker_link_t, 1);
       list_init (&link->tasks);
@@ -807,7 +807,7 @@
     }
   for (guint i = 0; i < jobs->placer->workers->len; i++)
     {
-      worker_t *worker = placer_worker (jobs->placer, (int)i);
+      worker_t *worker = placer_worker (jobs->placer, (int) i);
 
       if (member_list_find (list, worker->id) == NULL)
         worker->usable = false;
@@ -828,14 +828,14 @@
     }
   for (guint i = 0; i < jobs->placer->workers->len; i++)
     {
-      worker_t *worker = placer_worker (jobs->placer, (int)i);
+      worker_t *worker = placer_worker (jobs->placer, (int) i);
 
       /* A rack newly held is used once its workers have said what runs there. */
       if (g_hash_table_contains (held, worker->rack)
           && g_hash_table_contains (jobs->held, worker->rack))
         continue;
       worker->usable = false;
-      link_of (jobs, (int)i)->reported = false;
+      link_of (jobs, (int) i)->reported = false;
     }
   g_hash_table_unref (jobs->held);
   jobs->held = g_steal_pointer (&held);
@@ -864,20 +864,20 @@
     }
   else if (result == BATCH_CONFLICT && current != NULL)
     {
-      g_autoptr (job_t) earlier = job_from_record (current->value, (gssize)current->length);
+      g_autoptr (job_t) earlier = job_from_record (current->value, (gssize) current->length);
 
       if (earlier != NULL && strcmp (earlier->digest, job->digest) == 0)
         text = job_describe (earlier, NULL);
       else
-        (void)error_set (&error, ERROR_KEY_REUSED, "this key was used before with another job");
+        (void) error_set (&error, ERROR_KEY_REUSED, "this key was used before with another job");
     }
   else
     {
       /* It may have been recorded all the same, and is then found and run. */
       jobs->adopting = true;
-      (void)error_set (&error, ERROR_PLATFORM_UNAVAILABLE,
-                       "the key-value service did not record the job in time; "
-                       "try again with the same key");
+      (void) error_set (&error, ERROR_PLATFORM_UNAVAILABLE,
+                        "the key-value service did not record the job in time; "
+                        "try again with the same key");
     }
   accept->done (&error, text, accept->data);
   job_free (accept->job);
@@ -976,14 +976,14 @@
     {
       const kv_entry_t *entry = g_ptr_array_index (reply->entries, 0);
 
-      job = job_from_record (entry->value, (gssize)entry->length);
+      job = job_from_record (entry->value, (gssize) entry->length);
     }
   if (job != NULL)
     text = job_describe (job, NULL);
   else if (reply->status == KV_APPLIED)
-    (void)error_set (&error, ERROR_NOT_FOUND, "there is no job %s", show->id);
+    (void) error_set (&error, ERROR_NOT_FOUND, "there is no job %s", show->id);
   else
-    (void)error_set (&error, ERROR_PLATFORM_UNAVAILABLE, "the key-value service does not answer");
+    (void) error_set (&error, ERROR_PLATFORM_UNAVAILABLE, "the key-value service does not answer");
   show->done (&error, text, show->data);
   g_free (show->id);
   g_free (show);
@@ -1043,6 +1043,6 @@
   guint usable = 0;
 
   for (guint i = 0; i < jobs->placer->workers->len; i++)
-    usable += placer_worker (jobs->placer, (int)i)->usable;
+    usable += placer_worker (jobs->placer, (int) i)->usable;
   return usable;
 }
--- a/src/work/requests.c
+++ b/src/work/requests.c
@@ -205,20 +205,20 @@
     case IDEM_ANSWER:
       return;
     case IDEM_UNKNOWN:
-      (void)error_set (&reply->error, ERROR_OWNER_LOST,
-                       "an earlier try with this key may have run; its answer is lost");
+      (void) error_set (&reply->error, ERROR_OWNER_LOST,
+                        "an earlier try with this key may have run; its answer is lost");
       return;
     case IDEM_RUNNING:
-      (void)error_set (&reply->error, ERROR_IN_PROGRESS,
-                       "an earlier try with this key is still running");
+      (void) error_set (&reply->error, ERROR_IN_PROGRESS,
+                        "an earlier try with this key is still running");
       return;
     case IDEM_KEY_REUSED:
-      (void)error_set (&reply->error, ERROR_KEY_REUSED,
-                       "this key was used before with another body");
+      (void) error_set (&reply->error, ERROR_KEY_REUSED,
+                        "this key was used before with another body");
       return;
     case IDEM_UNAVAILABLE:
-      (void)error_set (&reply->error, ERROR_PLATFORM_UNAVAILABLE,
-                       "the key-value service did not record the key in time");
+      (void) error_set (&reply->error, ERROR_PLATFORM_UNAVAILABLE,
+                        "the key-value service did not record the key in time");
       return;
     }
 }
@@ -288,10 +288,10 @@
       error_answer (reply->error.kind)->name);
 
   (*metrics_counter (metrics, name))++;
-  histogram_add (&set->waiting, (guint64)MAX (0, reply->waited_us));
+  histogram_add (&set->waiting, (guint64) MAX (0, reply->waited_us));
   if (reply->service_us > 0)
-    histogram_add (&set->service, (guint64)reply->service_us);
-  histogram_add (&set->total, (guint64)MAX (0, now_us - exchange->started_us));
+    histogram_add (&set->service, (guint64) reply->service_us);
+  histogram_add (&set->total, (guint64) MAX (0, now_us - exchange->started_us));
 }
 
 static void
@@ -307,8 +307,8 @@
     reply_claim_problem (exchange, &reply);
   else if (!answered && exchange->scope != NULL && !exchange->claimed && !exchange->first_try
            && action->error == ERROR_DEADLINE_PASSED)
-    (void)error_set (&reply.error, ERROR_IN_PROGRESS,
-                     "the key was not settled by the deadline; try again with the same key");
+    (void) error_set (&reply.error, ERROR_IN_PROGRESS,
+                      "the key was not settled by the deadline; try again with the same key");
   if (!answered && reply.error.detail[0] == '\0')
     g_strlcpy (reply.error.detail, detail_for (reply.error.kind), sizeof reply.error.detail);
   reply.outcome = outcome_of (exchange, reply.error.kind);
@@ -500,8 +500,8 @@
   if (!class->idempotent && message->key == NULL)
     return error_set (error, ERROR_KEY_REQUIRED, "class \"%s\" needs an Idempotency-Key",
                       message->class);
-  *spec = (request_spec_t){ .class_index = (guint)class_index,
-                            .customer_index = (guint)customer_index,
+  *spec = (request_spec_t){ .class_index = (guint) class_index,
+                            .customer_index = (guint) customer_index,
                             .keyed = !class->idempotent };
   return true;
 }
@@ -513,9 +513,9 @@
   gsize size = 0;
   const guchar *bytes = g_bytes_get_data (message->body, &size);
 
-  g_checksum_update (checksum, (const guchar *)message->class, (gssize)strlen (message->class));
-  g_checksum_update (checksum, (const guchar *)"\n", 1);
-  g_checksum_update (checksum, bytes, (gssize)size);
+  g_checksum_update (checksum, (const guchar *) message->class, (gssize) strlen (message->class));
+  g_checksum_update (checksum, (const guchar *) "\n", 1);
+  g_checksum_update (checksum, bytes, (gssize) size);
   return g_strdup (g_checksum_get_string (checksum));
 }
 
@@ -606,7 +606,7 @@
   generation->core
       = request_core_new (environment, cell->router, g_random_int (), g_get_monotonic_time ());
   list_push_front (&cell->generations, &generation->node);
-  (void)requests;
+  (void) requests;
 }
 
 void
@@ -639,7 +639,7 @@
 static void
 set_address (cell_t *cell, int index, const char *address)
 {
-  while (cell->addresses->len <= (guint)index)
+  while (cell->addresses->len <= (guint) index)
     g_ptr_array_add (cell->addresses, NULL);
   g_free (cell->addresses->pdata[index]);
   cell->addresses->pdata[index] = g_strdup (address);
@@ -660,7 +660,7 @@
 {
   for (guint i = 0; i < cell->router->executors->len; i++)
     {
-      executor_t *executor = router_executor (cell->router, (int)i);
+      executor_t *executor = router_executor (cell->router, (int) i);
 
       if (member_list_find (list, executor->id) == NULL)
         executor->state = EXECUTOR_GONE;
@@ -707,7 +707,7 @@
       cell_t *cell = value;
 
       for (guint i = 0; i < cell->router->executors->len; i++)
-        bound = MIN (bound, router_executor (cell->router, (int)i)->connection_share);
+        bound = MIN (bound, router_executor (cell->router, (int) i)->connection_share);
     }
   if (bound != G_MAXUINT && bound > 0)
     executors_set_connections (requests->executors, bound);
@@ -725,7 +725,7 @@
   requests->seats_used = seats_used;
   g_hash_table_iter_init (&iter, requests->cells);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    router_set_seats (((cell_t *)value)->router, seats, seats_used);
+    router_set_seats (((cell_t *) value)->router, seats, seats_used);
   bound_connections (requests);
   tick_soon (requests);
 }
@@ -741,7 +741,7 @@
     return;
   g_hash_table_iter_init (&iter, requests->cells);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    router_set_state (((cell_t *)value)->router, id, EXECUTOR_LEAVING);
+    router_set_state (((cell_t *) value)->router, id, EXECUTOR_LEAVING);
 }
 
 static void
@@ -759,7 +759,7 @@
 
       for (guint i = 0; i < cell->router->executors->len; i++)
         {
-          const executor_t *executor = router_executor (cell->router, (int)i);
+          const executor_t *executor = router_executor (cell->router, (int) i);
 
           if (executor->state == EXECUTOR_LIVE && executor->may_probe)
             probes_add (probes, executor->id, g_ptr_array_index (cell->addresses, i));
@@ -778,7 +778,7 @@
   requests->metrics = metrics;
   requests->cells = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cell_free);
   requests->exchanges = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, exchange_free);
-  requests->id_prefix = ((guint64)g_random_int () << 32U) | g_random_int ();
+  requests->id_prefix = ((guint64) g_random_int () << 32U) | g_random_int ();
   requests->probes = probes_new (executors, probe_targets, probe_answered, requests);
   return requests;
 }
@@ -846,12 +846,12 @@
   json_put_number (builder, "executors", cell->router->executors->len);
   json_put_number (builder, "executors_usable", usable);
   json_put_number (builder, "slots", capacity);
-  json_put_number (builder, "admitted", (gint64)counters->admitted);
-  json_put_number (builder, "shed", (gint64)counters->shed);
-  json_put_number (builder, "sent", (gint64)counters->sent);
-  json_put_number (builder, "retried", (gint64)counters->retried);
-  json_put_number (builder, "retry_denied", (gint64)counters->retry_denied);
-  json_put_number (builder, "expired", (gint64)counters->expired);
+  json_put_number (builder, "admitted", (gint64) counters->admitted);
+  json_put_number (builder, "shed", (gint64) counters->shed);
+  json_put_number (builder, "sent", (gint64) counters->sent);
+  json_put_number (builder, "retried", (gint64) counters->retried);
+  json_put_number (builder, "retry_denied", (gint64) counters->retry_denied);
+  json_put_number (builder, "expired", (gint64) counters->expired);
   describe_classes (generation, builder);
   json_builder_end_object (builder);
 }
--- a/standins/backends.c
+++ b/standins/backends.c
@@ -135,9 +135,9 @@
                          "Content-Length: 500\r\n\r\n{\"part\":",
                          request_id);
 
-  (void)g_output_stream_write_all (g_io_stream_get_output_stream (stream), text, strlen (text),
-                                   NULL, NULL, NULL);
-  (void)g_io_stream_close (stream, NULL, NULL);
+  (void) g_output_stream_write_all (g_io_stream_get_output_stream (stream), text, strlen (text),
+                                    NULL, NULL, NULL);
+  (void) g_io_stream_close (stream, NULL, NULL);
 }
 
 static char *
@@ -217,7 +217,7 @@
   if (ms == 0)
     run_over (run);
   else
-    g_timeout_add ((guint)ms, run_over, run);
+    g_timeout_add ((guint) ms, run_over, run);
 }
 
 static void
@@ -340,7 +340,7 @@
 
   task->backend = worker;
   task->id = g_strdup (json_get_text (request, "id", ""));
-  task->work = g_strndup (task->id, (gsize)(strrchr (task->id, '/') - task->id));
+  task->work = g_strndup (task->id, (gsize) (strrchr (task->id, '/') - task->id));
   task->cpu_milli = json_get_number (request, "cpu_milli", 0);
   task->memory_mb = json_get_number (request, "memory_mb", 0);
   task->accelerators = json_get_number (request, "accelerators", 0);
@@ -351,7 +351,7 @@
   task->running = true;
   g_hash_table_insert (worker->tasks, task->id, task);
   change_running (worker->backends, task->work, 1);
-  task->timer = g_timeout_add ((guint)MAX (1, run_ms), task_over, task);
+  task->timer = g_timeout_add ((guint) MAX (1, run_ms), task_over, task);
 }
 
 static void
@@ -725,13 +725,13 @@
   soup_message_set_request_body_from_bytes (message, "application/json", body);
   reply = soup_session_send_and_read (session, message, NULL, NULL);
   if (reply == NULL)
-    (void)fprintf (stderr, "standin-backends: the platform at %s does not answer\n", platform);
+    (void) fprintf (stderr, "standin-backends: the platform at %s does not answer\n", platform);
 }
 
 static gboolean
 stop (gpointer data)
 {
-  g_main_loop_quit (((backends_t *)data)->loop);
+  g_main_loop_quit (((backends_t *) data)->loop);
   return G_SOURCE_REMOVE;
 }
 
@@ -875,7 +875,7 @@
 
       worker->is_worker = true;
       worker->rack = g_strdup_printf ("%s-%s-rack-%u", backends->environment, zone,
-                                      (guint)(i / zone_count / options->per_rack));
+                                      (guint) (i / zone_count / options->per_rack));
       worker->cpu_milli = options->cpu_milli;
       worker->memory_mb = options->memory_mb;
       worker->accelerators = options->accelerators;
@@ -893,7 +893,7 @@
 
   if (!load_options (&options, argc, argv, &error))
     {
-      (void)fprintf (stderr, "standin-backends: %s\n", error.detail);
+      (void) fprintf (stderr, "standin-backends: %s\n", error.detail);
       return 2;
     }
   zones = g_strsplit (options.zones, ",", -1);
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -114,13 +114,13 @@
   gsize size = 0;
   g_autofree guchar *bytes = g_base64_decode (json_get_text (object, member, ""), &size);
 
-  return g_strndup ((const char *)bytes, size);
+  return g_strndup ((const char *) bytes, size);
 }
 
 static void
 put_encoded (JsonBuilder *builder, const char *member, const char *text)
 {
-  g_autofree char *encoded = g_base64_encode ((const guchar *)text, strlen (text));
+  g_autofree char *encoded = g_base64_encode ((const guchar *) text, strlen (text));
 
   json_put_text (builder, member, encoded);
 }
@@ -344,7 +344,7 @@
 
   lease->ttl_s = json_get_number_or_text (request, "TTL", 60);
   lease->until_us = g_get_monotonic_time () + lease->ttl_s * G_USEC_PER_SEC;
-  g_hash_table_insert (platform->leases, GINT_TO_POINTER ((gint)id), lease);
+  g_hash_table_insert (platform->leases, GINT_TO_POINTER ((gint) id), lease);
   put_int_text (builder, "ID", id);
   put_int_text (builder, "TTL", lease->ttl_s);
 }
@@ -353,7 +353,7 @@
 keep_alive (const platform_t *platform, JsonBuilder *builder, JsonObject *request)
 {
   gint64 id = json_get_number_or_text (request, "ID", 0);
-  lease_t *lease = g_hash_table_lookup (platform->leases, GINT_TO_POINTER ((gint)id));
+  lease_t *lease = g_hash_table_lookup (platform->leases, GINT_TO_POINTER ((gint) id));
 
   if (lease != NULL)
     lease->until_us = g_get_monotonic_time () + lease->ttl_s * G_USEC_PER_SEC;
@@ -372,7 +372,7 @@
 {
   leased_t *leased = data;
 
-  if (((record_t *)value)->lease == leased->lease)
+  if (((record_t *) value)->lease == leased->lease)
     g_ptr_array_add (leased->keys, g_strdup (key));
   return FALSE;
 }
@@ -383,7 +383,7 @@
   g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
   leased_t leased = { .lease = id, .keys = keys };
 
-  g_hash_table_remove (platform->leases, GINT_TO_POINTER ((gint)id));
+  g_hash_table_remove (platform->leases, GINT_TO_POINTER ((gint) id));
   g_tree_foreach (platform->records, collect_leased, &leased);
   if (keys->len > 0)
     platform->revision++;
@@ -609,7 +609,7 @@
   delayed->message = g_object_ref (message);
   delayed->path = g_strdup (path);
   soup_server_message_pause (message);
-  g_timeout_add ((guint)platform->faults.latency_ms, delay_over, delayed);
+  g_timeout_add ((guint) platform->faults.latency_ms, delay_over, delayed);
 }
 
 static void
@@ -707,7 +707,7 @@
     end_leases (platform, true);
   if (faults->down)
     for (guint i = 0; i < platform->watches->len; i++)
-      standin_hang_up (((watch_t *)g_ptr_array_index (platform->watches, i))->message);
+      standin_hang_up (((watch_t *) g_ptr_array_index (platform->watches, i))->message);
   platform->peak_calls = 0;
   standin_respond (message, 200, g_strdup ("{}"));
 }
@@ -760,7 +760,7 @@
 static gboolean
 stop (gpointer data)
 {
-  g_main_loop_quit (((platform_t *)data)->loop);
+  g_main_loop_quit (((platform_t *) data)->loop);
   return G_SOURCE_REMOVE;
 }
 
@@ -782,17 +782,17 @@
 
   if (!settings_load (settings, 1, argc, argv, &result, &error))
     {
-      (void)fprintf (stderr, "standin-platform: %s\n", error.detail);
+      (void) fprintf (stderr, "standin-platform: %s\n", error.detail);
       return 2;
     }
   platform.records = g_tree_new_full (compare_keys, NULL, g_free, record_free);
   platform.leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   platform.watches = g_ptr_array_new ();
   platform.vms
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_node_unref);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) json_node_unref);
   platform.versions = g_ptr_array_new ();
   platform.loop = g_main_loop_new (NULL, FALSE);
-  server = standin_listen ((guint16)port, handle, &platform);
+  server = standin_listen ((guint16) port, handle, &platform);
   g_timeout_add (lease_sweep_ms, sweep_leases, &platform);
   g_unix_signal_add (SIGTERM, stop, &platform);
   g_unix_signal_add (SIGINT, stop, &platform);
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -15,7 +15,7 @@
   soup_server_add_handler (server, NULL, handler, data, NULL);
   if (!soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
     {
-      (void)fprintf (stderr, "standin: cannot listen on port %u: %s\n", port, error->message);
+      (void) fprintf (stderr, "standin: cannot listen on port %u: %s\n", port, error->message);
       exit (1);
     }
   return server;
@@ -25,9 +25,9 @@
 standin_port (SoupServer *server)
 {
   GSList *uris = soup_server_get_uris (server);
-  guint16 port = (guint16)g_uri_get_port (uris->data);
+  guint16 port = (guint16) g_uri_get_port (uris->data);
 
-  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  g_slist_free_full (uris, (GDestroyNotify) g_uri_unref);
   return port;
 }
 
@@ -45,7 +45,7 @@
   GSocket *socket = soup_server_message_get_socket (message);
 
   if (socket != NULL)
-    (void)g_socket_shutdown (socket, TRUE, TRUE, NULL);
+    (void) g_socket_shutdown (socket, TRUE, TRUE, NULL);
 }
 
 JsonNode *
@@ -56,7 +56,7 @@
   gsize size = 0;
   const char *text = g_bytes_get_data (bytes, &size);
 
-  return json_parse_object (text != NULL ? text : "", (gssize)size);
+  return json_parse_object (text != NULL ? text : "", (gssize) size);
 }
 
 void
@@ -65,8 +65,8 @@
   va_list args;
 
   va_start (args, format);
-  (void)vprintf (format, args);
+  (void) vprintf (format, args);
   va_end (args);
-  (void)putchar ('\n');
-  (void)fflush (stdout);
+  (void) putchar ('\n');
+  (void) fflush (stdout);
 }
--- /dev/null
+++ b/tests/property.h
@@ -0,0 +1,90 @@
+// What the property tests share: the C interface and RapidCheck.
+#pragma once
+
+#include <glib.h>
+
+extern "C"
+{
+#include "decide/claim.h"
+#include "decide/fairqueue.h"
+#include "decide/job.h"
+#include "decide/place.h"
+#include "decide/request.h"
+#include "decide/router.h"
+}
+
+#include <rapidcheck.h>
+
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+// An environment with `classes` request classes, every second one idempotent, and
+// `customers` customers of weight 1, 2, ….
+inline environment_t *
+make_environment (guint classes, guint customers)
+{
+  environment_t *environment = environment_new (customers);
+
+  g_strlcpy (environment->name, "test", sizeof environment->name);
+  environment->version = 1;
+  environment->class_count = classes;
+  for (guint i = 0; i < classes; i++)
+    {
+      work_class_t *spec = &environment->classes[i];
+
+      g_snprintf (spec->name, sizeof spec->name, "class-%u", i);
+      spec->kind = WORK_REQUEST;
+      spec->idempotent = i % 2 == 0;
+      spec->urgency = i;
+      spec->deadline_us = G_USEC_PER_SEC;
+      spec->share = 1.0 / classes;
+      spec->limit = 1.0;
+      spec->queue_limit = 100;
+      spec->retry_attempts = 2;
+    }
+  for (guint i = 0; i < customers; i++)
+    {
+      g_snprintf (environment->customers[i].name, sizeof environment->customers[i].name,
+                  "customer-%u", i);
+      environment->customers[i].weight = i + 1;
+    }
+  return environment;
+}
+
+// A value from [min, max) that is uniform at every size of the case.
+template <typename T>
+T
+draw (T min, T max)
+{
+  return *rc::gen::resize (rc::kNominalSize, rc::gen::inRange<T> (min, max));
+}
+
+// Counts failed properties; `N passed, N failed` is the program's last line.
+class Suite
+{
+public:
+  template <typename Property>
+  void
+  check (const std::string &name, Property property)
+  {
+    if (rc::check (name, property))
+      passed_++;
+    else
+      failed_++;
+  }
+
+  int
+  finish () const
+  {
+    std::printf ("%d passed, %d failed\n", passed_, failed_);
+    return failed_ == 0 ? 0 : 1;
+  }
+
+private:
+  int passed_ = 0;
+  int failed_ = 0;
+};
