--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,418 @@
+/* Load generator: a balancer and its callers in one.
+ *
+ * Sends requests to the entry VMs that say they are ready, in an open loop at a
+ * rate or in a closed loop, checks that each answer echoes its own request, and
+ * prints what came back as name=value lines.
+ */
+#include "base/histogram.h"
+#include "base/http_client.h"
+#include "base/json.h"
+#include "base/settings.h"
+
+#include <libsoup/soup.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct
+{
+  char *targets;
+  char *path;
+  char *headers; /* "Name: value" pairs, split at '|' */
+  char *prefix;  /* of the bodies and keys */
+  gint64 rate;
+  gint64 connections;
+  gint64 count;
+  gint64 tries; /* of a keyed request whose answer was lost */
+  gint64 max_open;
+  gboolean keyed;
+  gboolean raw; /* the answer need not echo */
+} load_options_t;
+
+typedef struct
+{
+  char *address;
+  bool ready;
+} target_t;
+
+typedef struct
+{
+  const load_options_t *options;
+  SoupSession *session;
+  SoupSession *health;
+  GPtrArray *targets;
+  char **headers;
+  GMainLoop *loop;
+  gint64 started;
+  gint64 ended;
+  gint64 open;
+  gint64 start_us;
+  guint next_target;
+  histogram_t latency;
+  gint64 results;
+  gint64 in_time;
+  gint64 replayed;
+  gint64 not_run;
+  gint64 unknown;
+  gint64 transport;
+  gint64 wrong;
+  gint64 resent;
+  gint64 other;
+  gint64 dropped; /* not sent: too many open */
+} load_t;
+
+typedef struct
+{
+  load_t *load;
+  SoupMessage *message;
+  gint64 number;
+  gint64 tries;
+  gint64 start_us;
+} call_t;
+
+static const guint health_ms = 50;
+
+static void send_call (load_t *load, gint64 number, gint64 tries, gint64 start_us);
+static gboolean feed (gpointer data);
+
+static char *
+body_text (const load_t *load, gint64 number)
+{
+  return g_strdup_printf ("{\"n\":%" G_GINT64_FORMAT ",\"p\":\"%s\"}", number,
+                          load->options->prefix);
+}
+
+/* Counts an error answer by what it says of the run. */
+static void
+count_error (load_t *load, const char *text, gsize size)
+{
+  g_autoptr (JsonNode) root = json_parse_object (text != NULL ? text : "", (gssize) size);
+  const char *outcome
+      = root != NULL ? json_get_text (json_node_get_object (root), "outcome", "") : "";
+
+  if (strcmp (outcome, "not_run") == 0)
+    load->not_run++;
+  else if (strcmp (outcome, "unknown") == 0)
+    load->unknown++;
+  else
+    load->other++;
+}
+
+static void
+count_result (const call_t *call, const char *text)
+{
+  load_t *load = call->load;
+  g_autofree char *body = body_text (load, call->number);
+  SoupMessageHeaders *headers = soup_message_get_response_headers (call->message);
+
+  load->results++;
+  load->replayed += soup_message_headers_get_one (headers, "Mimosastair-Replayed") != NULL;
+  if (!load->options->raw && (text == NULL || strstr (text, body) == NULL))
+    load->wrong++;
+  histogram_add (&load->latency, (guint64) (g_get_monotonic_time () - call->start_us));
+}
+
+static void
+call_done (SoupMessage *message G_GNUC_UNUSED, GBytes *body, void *data)
+{
+  call_t *call = data;
+  load_t *load = call->load;
+  guint status = soup_message_get_status (call->message);
+  bool again = body == NULL && call->tries + 1 < load->options->tries;
+
+  if (body == NULL && !again)
+    load->transport++;
+  if (body != NULL)
+    {
+      gsize size = 0;
+      const char *bytes = g_bytes_get_data (body, &size);
+      g_autofree char *text = g_strndup (bytes != NULL ? bytes : "", size);
+
+      if (status == 200)
+        count_result (call, text);
+      else
+        count_error (load, text, size);
+    }
+  load->open--;
+  if (again)
+    {
+      load->resent++;
+      send_call (load, call->number, call->tries + 1, call->start_us);
+    }
+  else
+    {
+      load->ended++;
+    }
+  g_object_unref (call->message);
+  g_free (call);
+  if (load->ended >= load->options->count)
+    g_main_loop_quit (load->loop);
+  else if (load->options->rate == 0)
+    feed (load);
+}
+
+/* The next target that is ready, or any when none is. */
+static const char *
+choose (load_t *load)
+{
+  for (guint i = 0; i < load->targets->len; i++)
+    {
+      const target_t *target
+          = g_ptr_array_index (load->targets, load->next_target++ % load->targets->len);
+
+      if (target->ready)
+        return target->address;
+    }
+  return ((target_t *) g_ptr_array_index (load->targets, 0))->address;
+}
+
+static void
+send_call (load_t *load, gint64 number, gint64 tries, gint64 start_us)
+{
+  g_autofree char *url = g_strdup_printf ("http://%s%s", choose (load), load->options->path);
+  char *text = body_text (load, number);
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+  call_t *call = g_new0 (call_t, 1);
+  SoupMessageHeaders *headers;
+
+  call->load = load;
+  call->number = number;
+  call->tries = tries;
+  call->start_us = start_us;
+  call->message = soup_message_new ("POST", url);
+  soup_message_add_flags (call->message, SOUP_MESSAGE_IDEMPOTENT);
+  headers = soup_message_get_request_headers (call->message);
+  for (char **header = load->headers; *header != NULL; header++)
+    {
+      g_auto (GStrv) pair = g_strsplit (*header, ": ", 2);
+
+      soup_message_headers_append (headers, pair[0], pair[1]);
+    }
+  if (load->options->keyed)
+    {
+      g_autofree char *key
+          = g_strdup_printf ("%s-%" G_GINT64_FORMAT, load->options->prefix, number);
+
+      soup_message_headers_append (headers, "Idempotency-Key", key);
+    }
+  soup_message_set_request_body_from_bytes (call->message, "application/json", body);
+  load->open++;
+  http_fetch (load->session, call->message, HTTP_ANSWER_MAX_BYTES, NULL, call_done, call);
+}
+
+/* Starts what is due. */
+static gboolean
+feed (gpointer data)
+{
+  load_t *load = data;
+  const load_options_t *options = load->options;
+  gint64 now_us = g_get_monotonic_time ();
+  double due = (double) (now_us - load->start_us) / G_USEC_PER_SEC * (double) options->rate;
+
+  if (options->rate == 0)
+    {
+      while (load->started < options->count && load->open < options->connections)
+        send_call (load, load->started++, 0, g_get_monotonic_time ());
+      return G_SOURCE_REMOVE;
+    }
+  while (load->started < options->count && (double) load->started < due)
+    {
+      if (load->open >= options->max_open)
+        {
+          load->started++;
+          load->ended++;
+          load->dropped++;
+          continue;
+        }
+      send_call (load, load->started++, 0, now_us);
+    }
+  if (load->ended >= options->count)
+    g_main_loop_quit (load->loop);
+  return G_SOURCE_CONTINUE;
+}
+
+typedef struct
+{
+  target_t *target;
+  SoupMessage *message;
+} health_call_t;
+
+static void
+health_done (SoupMessage *message G_GNUC_UNUSED, GBytes *body, void *data)
+{
+  health_call_t *call = data;
+
+  call->target->ready = body != NULL && soup_message_get_status (call->message) == 200;
+  g_object_unref (call->message);
+  g_free (call);
+}
+
+static gboolean
+ask_health (gpointer data)
+{
+  load_t *load = data;
+
+  for (guint i = 0; i < load->targets->len; i++)
+    {
+      target_t *target = g_ptr_array_index (load->targets, i);
+      g_autofree char *url = g_strdup_printf ("http://%s/healthz", target->address);
+      health_call_t *call = g_new0 (health_call_t, 1);
+
+      call->target = target;
+      call->message = soup_message_new ("GET", url);
+      http_fetch (load->health, call->message, HTTP_ANSWER_MAX_BYTES, NULL, health_done, call);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static bool
+load_options (load_options_t *options, int argc, char **argv, error_info_t *error)
+{
+  const setting_t settings[] = {
+    { .flag = "targets",
+      .kind = SETTING_TEXT,
+      .value = &options->targets,
+      .min = 1,
+      .max = 4000,
+      .placeholder = "IP:PORT,...",
+      .help = "entry VMs" },
+    { .flag = "path",
+      .kind = SETTING_TEXT,
+      .value = &options->path,
+      .min = 1,
+      .max = 400,
+      .placeholder = "PATH",
+      .help = "path of the requests" },
+    { .flag = "headers",
+      .kind = SETTING_TEXT,
+      .value = &options->headers,
+      .fallback = "",
+      .max = 4000,
+      .placeholder = "A: b|C: d",
+      .help = "headers of the requests" },
+    { .flag = "prefix",
+      .kind = SETTING_TEXT,
+      .value = &options->prefix,
+      .fallback = "load",
+      .min = 1,
+      .max = 40,
+      .placeholder = "TEXT",
+      .help = "prefix of bodies and keys" },
+    { .flag = "rate",
+      .kind = SETTING_NUMBER,
+      .value = &options->rate,
+      .fallback = "0",
+      .max = 1000000,
+      .placeholder = "PER_S",
+      .help = "requests a second; 0: closed loop" },
+    { .flag = "connections",
+      .kind = SETTING_NUMBER,
+      .value = &options->connections,
+      .fallback = "32",
+      .min = 1,
+      .max = 10000,
+      .placeholder = "COUNT",
+      .help = "requests in progress of the closed loop" },
+    { .flag = "count",
+      .kind = SETTING_NUMBER,
+      .value = &options->count,
+      .fallback = "1000",
+      .min = 1,
+      .max = 100000000,
+      .placeholder = "COUNT",
+      .help = "requests" },
+    { .flag = "tries",
+      .kind = SETTING_NUMBER,
+      .value = &options->tries,
+      .fallback = "1",
+      .min = 1,
+      .max = 10,
+      .placeholder = "COUNT",
+      .help = "tries of a request whose connection broke" },
+    { .flag = "max-open",
+      .kind = SETTING_NUMBER,
+      .value = &options->max_open,
+      .fallback = "4000",
+      .min = 1,
+      .max = 100000,
+      .placeholder = "COUNT",
+      .help = "requests in progress of the open loop" },
+    { .flag = "keyed",
+      .kind = SETTING_SWITCH,
+      .value = &options->keyed,
+      .fallback = "0",
+      .help = "send an idempotency key" },
+    { .flag = "raw",
+      .kind = SETTING_SWITCH,
+      .value = &options->raw,
+      .fallback = "0",
+      .help = "do not check that answers echo the request" },
+  };
+  settings_result_t result;
+
+  return settings_load (settings, G_N_ELEMENTS (settings), argc, argv, &result, error);
+}
+
+static void
+print_results (const load_t *load)
+{
+  double seconds = (double) (g_get_monotonic_time () - load->start_us) / G_USEC_PER_SEC;
+
+  (void) printf ("sent=%" G_GINT64_FORMAT "\nresults=%" G_GINT64_FORMAT
+                 "\nnot_run=%" G_GINT64_FORMAT "\nunknown=%" G_GINT64_FORMAT
+                 "\ntransport_errors=%" G_GINT64_FORMAT "\nwrong_answers=%" G_GINT64_FORMAT
+                 "\nother=%" G_GINT64_FORMAT "\nreplayed=%" G_GINT64_FORMAT
+                 "\nresent=%" G_GINT64_FORMAT "\ndropped=%" G_GINT64_FORMAT "\n",
+                 load->started, load->results, load->not_run, load->unknown, load->transport,
+                 load->wrong, load->other, load->replayed, load->resent, load->dropped);
+  (void) printf ("p50_us=%" G_GUINT64_FORMAT "\np99_us=%" G_GUINT64_FORMAT
+                 "\nmax_us=%" G_GUINT64_FORMAT "\nper_s=%.0f\n",
+                 (guint64) histogram_quantile (&load->latency, 0.5),
+                 (guint64) histogram_quantile (&load->latency, 0.99),
+                 (guint64) load->latency.max_us, (double) load->results / seconds);
+}
+
+static void
+add_targets (load_t *load)
+{
+  g_auto (GStrv) addresses = g_strsplit (load->options->targets, ",", -1);
+
+  load->targets = g_ptr_array_new ();
+  for (char **address = addresses; *address != NULL; address++)
+    {
+      target_t *target = g_new0 (target_t, 1);
+
+      target->address = g_strdup (*address);
+      target->ready = true;
+      g_ptr_array_add (load->targets, target);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  load_options_t options = { 0 };
+  load_t load = { .options = &options };
+  error_info_t error;
+  const guint connections = 10000;
+
+  if (!load_options (&options, argc, argv, &error))
+    {
+      (void) fprintf (stderr, "load: %s\n", error.detail);
+      return 2;
+    }
+  add_targets (&load);
+  load.headers = g_strsplit (options.headers, "|", -1);
+  load.session = http_session_new (connections, 60, 60);
+  load.health = http_session_new (2, 1, 5);
+  load.loop = g_main_loop_new (NULL, FALSE);
+  if (load.targets->len > 1)
+    g_timeout_add (health_ms, ask_health, &load);
+  load.start_us = g_get_monotonic_time ();
+  if (options.rate > 0)
+    g_timeout_add (1, feed, &load);
+  else
+    feed (&load);
+  g_main_loop_run (load.loop);
+  print_results (&load);
+  return 0;
+}
--- a/src/backend/executors.c
+++ b/src/backend/executors.c
@@ -1,13 +1,22 @@
 #include "backend/executors.h"
 
+#include "base/http_client.h"
 #include "base/json.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
 
-struct executors
+/* The connections to one executor.  A pool for each keeps the library's search for
+ * an idle connection short. */
+typedef struct
 {
   SoupSession *session;
+  guint bound;
+} pool_t;
+
+struct executors
+{
+  GHashTable *pools;          /* address -> pool_t */
   SoupSession *probe_session; /* a probe must not use up a connection for requests */
   guint outstanding;
 };
@@ -32,42 +41,66 @@
   void *data;
 } probe_t;
 
-static const guint total_connections = 65536;
 static const guint idle_timeout_s = 120;
 static const guint probe_timeout_s = 2;
 
+static void
+pool_free (gpointer data)
+{
+  pool_t *pool = data;
+
+  /* Requests in progress hold the session until they end. */
+  g_object_unref (pool->session);
+  g_free (pool);
+}
+
 executors_t *
-executors_new (guint connections)
+executors_new (void)
 {
   executors_t *executors = g_new0 (executors_t, 1);
 
-  executors->session = soup_session_new_with_options (
-      "max-conns", total_connections, "max-conns-per-host", MAX (1U, connections), "timeout", 0U,
-      "idle-timeout", idle_timeout_s, NULL);
-  executors->probe_session
-      = soup_session_new_with_options ("max-conns", total_connections, "max-conns-per-host", 1U,
-                                       "timeout", probe_timeout_s, "idle-timeout", 1U, NULL);
+  executors->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
+  executors->probe_session = http_session_new (1, probe_timeout_s, idle_timeout_s);
   return executors;
 }
 
+static void
+abort_pool (gpointer key G_GNUC_UNUSED, gpointer value, gpointer data G_GNUC_UNUSED)
+{
+  soup_session_abort (((pool_t *) value)->session);
+}
+
 void
 executors_free (executors_t *executors)
 {
   if (executors == NULL)
     return;
-  soup_session_abort (executors->session);
+  g_hash_table_foreach (executors->pools, abort_pool, NULL);
   soup_session_abort (executors->probe_session);
   while (executors->outstanding > 0)
     g_main_context_iteration (NULL, TRUE);
-  g_object_unref (executors->session);
+  g_hash_table_unref (executors->pools);
   g_object_unref (executors->probe_session);
   g_free (executors);
 }
 
 void
-executors_set_connections (executors_t *executors, guint connections)
+executors_bound (executors_t *executors, const char *address, guint connections)
+{
+  pool_t *pool = g_hash_table_lookup (executors->pools, address);
+
+  if (pool != NULL && pool->bound == connections)
+    return;
+  pool = g_new0 (pool_t, 1);
+  pool->bound = connections;
+  pool->session = http_session_new (connections, 0, idle_timeout_s);
+  g_hash_table_replace (executors->pools, g_strdup (address), pool);
+}
+
+void
+executors_forget (executors_t *executors, const char *address)
 {
-  g_object_set (executors->session, "max-conns-per-host", MAX (1U, connections), NULL);
+  g_hash_table_remove (executors->pools, address);
 }
 
 static void
@@ -95,11 +128,10 @@
 }
 
 static void
-call_finished (GObject *source, GAsyncResult *result, gpointer data)
+call_finished (SoupMessage *message, GBytes *body, void *data)
 {
   executor_call_t *call = data;
-  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-  SoupMessageHeaders *headers = soup_message_get_response_headers (call->message);
+  SoupMessageHeaders *headers = soup_message_get_response_headers (message);
   executor_answer_t answer = { .kind = call->started ? ANSWER_LOST : ANSWER_UNSENT };
 
   if (call->aborted)
@@ -152,7 +184,9 @@
                 void *data)
 {
   executor_call_t *call = g_new0 (executor_call_t, 1);
+  const pool_t *pool = g_hash_table_lookup (executors->pools, request->address);
 
+  g_assert (pool != NULL);
   call->executors = executors;
   call->message = run_message (request);
   call->cancel = g_cancellable_new ();
@@ -161,8 +195,8 @@
   call->data = data;
   executors->outstanding++;
   g_signal_connect (call->message, "starting", G_CALLBACK (call_starting), call);
-  soup_session_send_and_read_async (executors->session, call->message, G_PRIORITY_DEFAULT,
-                                    call->cancel, call_finished, call);
+  http_fetch (pool->session, call->message, HTTP_ANSWER_MAX_BYTES, call->cancel, call_finished,
+              call);
   return call;
 }
 
@@ -174,10 +208,9 @@
 }
 
 static void
-probe_finished (GObject *source, GAsyncResult *result, gpointer data)
+probe_finished (SoupMessage *message G_GNUC_UNUSED, GBytes *body, void *data)
 {
   probe_t *probe = data;
-  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   g_autoptr (JsonNode) root = NULL;
   const char *state = NULL;
   gsize size = 0;
@@ -209,6 +242,6 @@
   probe->done = done;
   probe->data = data;
   executors->outstanding++;
-  soup_session_send_and_read_async (executors->probe_session, message, G_PRIORITY_DEFAULT, NULL,
-                                    probe_finished, probe);
+  http_fetch (executors->probe_session, message, HTTP_ANSWER_MAX_BYTES, NULL, probe_finished,
+              probe);
 }
--- a/src/backend/executors.h
+++ b/src/backend/executors.h
@@ -3,7 +3,8 @@
  * POST /v1/run carries a request; the answer must echo its Request-Id and be whole.
  * Requests are sent as POST, which the HTTP library does not resend.  An attempt
  * that is given up closes its connection, so that its late answer can reach nobody.
- * The library never opens more connections to one executor than `connections`.
+ * Each executor has a pool of its own, in which the library never opens more
+ * connections than its bound.
  */
 #pragma once
 
@@ -37,12 +38,15 @@
 
 typedef void (*executor_done_t) (const executor_answer_t *answer, void *data);
 
-/* `connections` bounds those to one executor; 1 to 4,096. */
-executors_t *executors_new (guint connections);
+executors_t *executors_new (void);
 void executors_free (executors_t *executors);
 
-/* Changes the bound.  Fewer: idle connections above it are closed. */
-void executors_set_connections (executors_t *executors, guint connections);
+/* Bounds the connections to the executor at `address`; 1 to 4,096.  Must be called
+ * before the first request to it; a later change closes its idle connections. */
+void executors_bound (executors_t *executors, const char *address, guint connections);
+
+/* Forgets an executor: its connections close once they are idle. */
+void executors_forget (executors_t *executors, const char *address);
 
 /* Starts the request.  `done` is called once, unless the call is aborted. */
 executor_call_t *executors_send (executors_t *executors,
--- a/src/backend/workers.c
+++ b/src/backend/workers.c
@@ -1,5 +1,6 @@
 #include "backend/workers.h"
 
+#include "base/http_client.h"
 #include "base/json.h"
 
 #include <libsoup/soup.h>
@@ -26,16 +27,14 @@
 static const guint timeout_s = 3;
 static const gint unacknowledged_ms = 3000;
 static const guint connections_per_worker = 2;
-static const guint total_connections = 4096;
+static const guint idle_timeout_s = 30;
 
 workers_t *
 workers_new (void)
 {
   workers_t *workers = g_new0 (workers_t, 1);
 
-  workers->session = soup_session_new_with_options (
-      "max-conns", total_connections, "max-conns-per-host", connections_per_worker, "timeout",
-      timeout_s, "idle-timeout", 30U, NULL);
+  workers->session = http_session_new (connections_per_worker, timeout_s, idle_timeout_s);
   return workers;
 }
 
@@ -52,12 +51,11 @@
 }
 
 static void
-finished (GObject *source, GAsyncResult *result, gpointer data)
+finished (SoupMessage *message, GBytes *body, void *data)
 {
   call_t *call = data;
-  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   worker_result_t kind = call->started ? WORKER_LOST : WORKER_UNSENT;
-  guint status = soup_message_get_status (call->message);
+  guint status = soup_message_get_status (message);
   g_autoptr (JsonNode) root = NULL;
   gsize size = 0;
 
@@ -107,22 +105,17 @@
 {
   g_autoptr (JsonBuilder) builder = body;
   g_autofree char *url = g_strdup_printf ("http://%s%s", address, path);
-  char *text = json_builder_text (builder);
-  g_autoptr (GBytes) bytes = g_bytes_new_take (text, strlen (text));
   call_t *call = g_new0 (call_t, 1);
 
   call->workers = workers;
   call->done = done;
   call->data = data;
-  call->message = soup_message_new ("POST", url);
-  soup_message_set_request_body_from_bytes (call->message, "application/json", bytes);
-  soup_message_add_flags (call->message, SOUP_MESSAGE_IDEMPOTENT);
+  call->message = http_post_new (url, json_builder_text (builder));
   workers->outstanding++;
   workers->calls++;
   g_signal_connect (call->message, "starting", G_CALLBACK (starting), call);
   g_signal_connect (call->message, "network-event", G_CALLBACK (network_event), NULL);
-  soup_session_send_and_read_async (workers->session, call->message, G_PRIORITY_DEFAULT, NULL,
-                                    finished, call);
+  http_fetch (workers->session, call->message, HTTP_ANSWER_MAX_BYTES, NULL, finished, call);
 }
 
 guint64
--- /dev/null
+++ b/src/base/http_client.c
@@ -0,0 +1,142 @@
+#include "base/http_client.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+/* One call on its way. */
+typedef struct
+{
+  SoupMessage *message;
+  GCancellable *cancel;
+  GInputStream *stream;
+  GByteArray *bytes;
+  gsize max_bytes;
+  http_fetched_t done;
+  void *data;
+} fetch_t;
+
+enum
+{
+  READ_BYTES = 16 * 1024
+};
+
+static const guint total_connections = 65536;
+
+SoupSession *
+http_session_new (guint connections, guint timeout_s, guint idle_timeout_s)
+{
+  SoupSession *session = soup_session_new_with_options (
+      "max-conns", total_connections, "max-conns-per-host", connections, "timeout", timeout_s,
+      "idle-timeout", idle_timeout_s, NULL);
+
+  /* Addresses are IP numbers; a look-up of proxies would cost a thread each time. */
+  soup_session_set_proxy_resolver (session, NULL);
+  soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
+  soup_session_remove_feature_by_type (session, SOUP_TYPE_AUTH_MANAGER);
+  return session;
+}
+
+SoupMessage *
+http_post_new (const char *url, char *text)
+{
+  SoupMessage *message = soup_message_new ("POST", url);
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+
+  soup_message_set_request_body_from_bytes (message, "application/json", body);
+  soup_message_add_flags (message, SOUP_MESSAGE_IDEMPOTENT);
+  return message;
+}
+
+static void
+finish (fetch_t *fetch, bool whole)
+{
+  g_autoptr (GBytes) body = NULL;
+
+  if (whole && !g_cancellable_is_cancelled (fetch->cancel))
+    body = g_byte_array_free_to_bytes (g_steal_pointer (&fetch->bytes));
+  if (fetch->stream != NULL)
+    (void) g_input_stream_close (fetch->stream, NULL, NULL);
+  fetch->done (fetch->message, body, fetch->data);
+  g_clear_object (&fetch->stream);
+  g_clear_pointer (&fetch->bytes, g_byte_array_unref);
+  g_clear_object (&fetch->cancel);
+  g_object_unref (fetch->message);
+  g_free (fetch);
+}
+
+/* Reads what is there; false when more must be waited for. */
+static bool
+read_some (fetch_t *fetch)
+{
+  guint8 buffer[READ_BYTES];
+
+  for (;;)
+    {
+      g_autoptr (GError) error = NULL;
+      gssize size = g_pollable_input_stream_read_nonblocking (
+          G_POLLABLE_INPUT_STREAM (fetch->stream), buffer, sizeof buffer, NULL, &error);
+
+      if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        return false;
+      if (size <= 0 || fetch->bytes->len + (gsize) size > fetch->max_bytes)
+        {
+          finish (fetch, size == 0);
+          return true;
+        }
+      g_byte_array_append (fetch->bytes, buffer, (guint) size);
+    }
+}
+
+static gboolean
+readable (GObject *stream G_GNUC_UNUSED, gpointer data)
+{
+  fetch_t *fetch = data;
+
+  if (g_cancellable_is_cancelled (fetch->cancel))
+    {
+      finish (fetch, false);
+      return G_SOURCE_REMOVE;
+    }
+  return read_some (fetch) ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+}
+
+static void
+wait_readable (fetch_t *fetch)
+{
+  g_autoptr (GSource) source = g_pollable_input_stream_create_source (
+      G_POLLABLE_INPUT_STREAM (fetch->stream), fetch->cancel);
+
+  g_source_set_callback (source, G_SOURCE_FUNC (readable), fetch, NULL);
+  g_source_attach (source, g_main_context_get_thread_default ());
+}
+
+static void
+sent (GObject *source, GAsyncResult *result, gpointer data)
+{
+  fetch_t *fetch = data;
+
+  fetch->stream = soup_session_send_finish (SOUP_SESSION (source), result, NULL);
+  if (fetch->stream == NULL)
+    finish (fetch, false);
+  else if (!read_some (fetch))
+    wait_readable (fetch);
+}
+
+void
+http_fetch (SoupSession *session,
+            SoupMessage *message,
+            gsize max_bytes,
+            GCancellable *cancel,
+            http_fetched_t done,
+            void *data)
+{
+  fetch_t *fetch = g_new0 (fetch_t, 1);
+
+  fetch->message = g_object_ref (message);
+  fetch->cancel = cancel != NULL ? g_object_ref (cancel) : g_cancellable_new ();
+  fetch->bytes = g_byte_array_new ();
+  fetch->max_bytes = max_bytes;
+  fetch->done = done;
+  fetch->data = data;
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, fetch->cancel, sent, fetch);
+}
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -17,16 +17,14 @@
 {
   list_node_t node;
   http_server_t *server;
-  GSocketConnection *stream; /* weak */
-  GSocket *socket;           /* of the stream; only its address is used after it */
-  gint64 reading_since_us;   /* 0 while a request is answered */
-  bool has_headers;          /* part of a request has come */
+  GSocket *socket;         /* weak */
+  gint64 reading_since_us; /* 0 while a request is answered */
+  bool has_headers;        /* part of a request has come */
 } link_t;
 
 struct http_server
 {
   SoupServer *soup;
-  GSocketService *service;
   http_limits_t limits;
   http_handler_t handler;
   void *data;
@@ -55,17 +53,18 @@
 };
 
 static const guint sweep_ms = 250;
+static const int backlog = 1024; /* connections that wait to be accepted */
 static const guint header_fields_too_large = 431;
 static const char *const json_type = "application/json";
 
 static void
-link_closed (gpointer data, GObject *stream G_GNUC_UNUSED)
+link_closed (gpointer data, GObject *socket)
 {
   link_t *link = data;
   http_server_t *server = link->server;
 
   list_remove (&link->node);
-  g_hash_table_remove (server->by_socket, link->socket);
+  g_hash_table_remove (server->by_socket, socket);
   server->link_count--;
   g_free (link);
 }
@@ -251,17 +250,42 @@
   server->handler (request, server->data);
 }
 
+/* Takes a new connection into the books, or closes it when there are too many. */
+static link_t *
+link_new (http_server_t *server, GSocket *socket)
+{
+  link_t *link;
+
+  if (server->link_count >= server->limits.connections)
+    {
+      server->counters.refused_connections++;
+      (void) g_socket_shutdown (socket, TRUE, TRUE, NULL);
+      return NULL;
+    }
+  (void) g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  link = g_new0 (link_t, 1);
+  link->server = server;
+  link->socket = socket;
+  list_push_back (&server->links, &link->node);
+  server->link_count++;
+  g_hash_table_insert (server->by_socket, socket, link);
+  g_object_weak_ref (G_OBJECT (socket), link_closed, link);
+  return link;
+}
+
+/* A connection was accepted, or its former request is answered. */
 static void
 request_started (SoupServer *soup G_GNUC_UNUSED, SoupServerMessage *message, gpointer data)
 {
   http_server_t *server = data;
   link_t *link = link_of (server, message);
 
-  if (link != NULL)
-    {
-      link->reading_since_us = g_get_monotonic_time ();
-      link->has_headers = false;
-    }
+  if (link == NULL)
+    link = link_new (server, soup_server_message_get_socket (message));
+  if (link == NULL)
+    return;
+  link->reading_since_us = g_get_monotonic_time ();
+  link->has_headers = false;
   g_signal_connect (message, "got-chunk", G_CALLBACK (got_chunk), server);
 }
 
@@ -274,36 +298,6 @@
     link->reading_since_us = 0;
 }
 
-static gboolean
-incoming (GSocketService *service G_GNUC_UNUSED,
-          GSocketConnection *stream,
-          GObject *source G_GNUC_UNUSED,
-          gpointer data)
-{
-  http_server_t *server = data;
-  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (stream, NULL);
-  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (stream, NULL);
-  link_t *link;
-
-  if (server->link_count >= server->limits.connections || local == NULL || remote == NULL)
-    {
-      server->counters.refused_connections++;
-      return TRUE;
-    }
-  link = g_new0 (link_t, 1);
-  link->server = server;
-  link->stream = stream;
-  link->socket = g_socket_connection_get_socket (stream);
-  (void) g_socket_set_option (link->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  g_hash_table_insert (server->by_socket, link->socket, link);
-  link->reading_since_us = g_get_monotonic_time ();
-  list_push_back (&server->links, &link->node);
-  server->link_count++;
-  g_object_weak_ref (G_OBJECT (stream), link_closed, link);
-  (void) soup_server_accept_iostream (server->soup, G_IO_STREAM (stream), local, remote, NULL);
-  return TRUE;
-}
-
 static gboolean
 sweep (gpointer data)
 {
@@ -323,25 +317,46 @@
   return G_SOURCE_CONTINUE;
 }
 
-static bool
-listen_on (http_server_t *server, const char *address, error_info_t *error)
+static GSocket *
+bind_socket (const char *address, error_info_t *error)
 {
   g_autofree char *host = NULL;
   guint16 port = 0;
   g_autoptr (GSocketAddress) wanted = NULL;
-  g_autoptr (GSocketAddress) bound = NULL;
+  g_autoptr (GSocket) socket = NULL;
   g_autoptr (GError) problem = NULL;
 
   if (!settings_split_address (address, &host, &port))
-    return error_set (error, ERROR_BAD_SETTING, "\"%s\" is not IP:PORT", address);
+    {
+      (void) error_set (error, ERROR_BAD_SETTING, "\"%s\" is not IP:PORT", address);
+      return NULL;
+    }
   wanted = g_inet_socket_address_new_from_string (host, port);
-  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (server->service), wanted,
-                                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, &bound,
-                                      &problem))
-    return error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address,
-                      problem->message);
+  socket = g_socket_new (g_socket_address_get_family (wanted), G_SOCKET_TYPE_STREAM,
+                         G_SOCKET_PROTOCOL_TCP, &problem);
+  if (socket != NULL)
+    g_socket_set_listen_backlog (socket, backlog);
+  if (socket != NULL && g_socket_bind (socket, wanted, TRUE, &problem)
+      && g_socket_listen (socket, &problem))
+    return g_steal_pointer (&socket);
+  (void) error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address, problem->message);
+  return NULL;
+}
+
+static bool
+listen_on (http_server_t *server, const char *address, error_info_t *error)
+{
+  g_autoptr (GSocket) socket = bind_socket (address, error);
+  g_autoptr (GSocketAddress) bound = NULL;
+  g_autoptr (GError) problem = NULL;
+
+  if (socket == NULL)
+    return false;
+  bound = g_socket_get_local_address (socket, NULL);
   server->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
-  return true;
+  if (soup_server_listen_socket (server->soup, socket, 0, &problem))
+    return true;
+  return error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address, problem->message);
 }
 
 http_server_t *
@@ -359,19 +374,16 @@
   list_init (&server->links);
   server->by_socket = g_hash_table_new (NULL, NULL);
   server->soup = soup_server_new ("server-header", "mimosastair", NULL);
-  server->service = g_socket_service_new ();
   soup_server_add_early_handler (server->soup, NULL, early, server, NULL);
   soup_server_add_handler (server->soup, NULL, handle, server, NULL);
   g_signal_connect (server->soup, "request-started", G_CALLBACK (request_started), server);
   g_signal_connect (server->soup, "request-read", G_CALLBACK (request_read), server);
-  g_signal_connect (server->service, "incoming", G_CALLBACK (incoming), server);
   server->timer = g_timeout_add (sweep_ms, sweep, server);
   if (!listen_on (server, address, error))
     {
       http_server_free (server);
       return NULL;
     }
-  g_socket_service_start (server->service);
   return server;
 }
 
@@ -381,16 +393,13 @@
   if (server == NULL)
     return;
   g_source_remove (server->timer);
-  g_socket_service_stop (server->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
   soup_server_disconnect (server->soup);
   g_object_unref (server->soup);
-  g_object_unref (server->service);
   while (!list_is_empty (&server->links))
     {
       link_t *link = LIST_ENTRY (server->links.next, link_t, node);
 
-      g_object_weak_unref (G_OBJECT (link->stream), link_closed, link);
+      g_object_weak_unref (G_OBJECT (link->socket), link_closed, link);
       list_remove (&link->node);
       g_free (link);
     }
@@ -408,8 +417,7 @@
 http_server_stop (http_server_t *server)
 {
   server->stopping = true;
-  g_socket_service_stop (server->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
+  soup_server_disconnect (server->soup);
 }
 
 guint
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -321,7 +321,7 @@
 {
   const options_t *options = &daemon->options;
 
-  daemon->executors = executors_new (1);
+  daemon->executors = executors_new ();
   daemon->workers = workers_new ();
   daemon->requests = requests_new (options->zone, daemon->executors, daemon->idem, daemon->metrics);
   daemon->jobs = jobs_new (daemon->kv, daemon->batch, daemon->workers, daemon->metrics,
--- a/src/platform/kv.c
+++ b/src/platform/kv.c
@@ -1,5 +1,6 @@
 #include "platform/kv.h"
 
+#include "base/http_client.h"
 #include "base/json.h"
 
 #include <libsoup/soup.h>
@@ -44,23 +45,16 @@
 } watch_read_t;
 
 static const guint max_connections = 16;
+static const guint idle_timeout_s = 60;
 static const guint too_many_requests = 429;
 
-static SoupSession *
-session_new (guint timeout_s)
-{
-  return soup_session_new_with_options ("max-conns", max_connections, "max-conns-per-host",
-                                        max_connections, "timeout", timeout_s, "idle-timeout", 60U,
-                                        NULL);
-}
-
 kv_t *
 kv_new (const char *address, guint timeout_s)
 {
   kv_t *kv = g_new0 (kv_t, 1);
 
-  kv->session = session_new (timeout_s);
-  kv->watch_session = session_new (0);
+  kv->session = http_session_new (max_connections, timeout_s, idle_timeout_s);
+  kv->watch_session = http_session_new (max_connections, 0, idle_timeout_s);
   kv->closing = g_cancellable_new ();
   kv->base = g_strdup_printf ("http://%s", address);
   return kv;
@@ -187,10 +181,9 @@
 }
 
 static void
-call_finished (GObject *source, GAsyncResult *result, gpointer data)
+call_finished (SoupMessage *message G_GNUC_UNUSED, GBytes *body, void *data)
 {
   call_t *call = data;
-  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (entry_free);
   kv_reply_t reply = { .entries = entries };
 
@@ -236,8 +229,7 @@
   kv->calls++;
   kv->outstanding++;
   g_signal_connect (call->message, "starting", G_CALLBACK (call_starting), call);
-  soup_session_send_and_read_async (kv->session, call->message, G_PRIORITY_DEFAULT, kv->closing,
-                                    call_finished, call);
+  http_fetch (kv->session, call->message, HTTP_ANSWER_MAX_BYTES, kv->closing, call_finished, call);
 }
 
 static void
--- a/src/platform/vmlist.c
+++ b/src/platform/vmlist.c
@@ -2,6 +2,7 @@
 
 #include "platform/vmlist.h"
 
+#include "base/http_client.h"
 #include "base/json.h"
 #include "base/log.h"
 
@@ -21,7 +22,15 @@
   void *data;
 };
 
+/* A read on its way. */
+typedef struct
+{
+  vmlist_t *vmlist;
+  GCancellable *closing;
+} poll_t;
+
 static const guint timeout_s = 3;
+static const guint idle_timeout_s = 30;
 
 static bool
 read_role (const char *text, member_role_t *role)
@@ -103,21 +112,22 @@
 }
 
 static void
-poll_done (GObject *source, GAsyncResult *result, gpointer data)
+poll_done (SoupMessage *message G_GNUC_UNUSED, GBytes *body, void *data)
 {
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) body
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
-  vmlist_t *vmlist;
+  poll_t *poll = data;
+  vmlist_t *vmlist = poll->vmlist;
 
-  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-    return;
-  vmlist = data;
-  vmlist->in_flight = false;
-  if (body == NULL)
-    note_failure (vmlist);
-  else
-    adopt (vmlist, body);
+  /* Cancelled by vmlist_free(), which has freed the reader. */
+  if (!g_cancellable_is_cancelled (poll->closing))
+    {
+      vmlist->in_flight = false;
+      if (body == NULL)
+        note_failure (vmlist);
+      else
+        adopt (vmlist, body);
+    }
+  g_object_unref (poll->closing);
+  g_free (poll);
 }
 
 static gboolean
@@ -125,13 +135,16 @@
 {
   vmlist_t *vmlist = data;
   g_autoptr (SoupMessage) message = NULL;
+  poll_t *poll;
 
   if (vmlist->in_flight)
     return G_SOURCE_CONTINUE;
   vmlist->in_flight = true;
   message = soup_message_new ("GET", vmlist->url);
-  soup_session_send_and_read_async (vmlist->session, message, G_PRIORITY_DEFAULT, vmlist->closing,
-                                    poll_done, vmlist);
+  poll = g_new0 (poll_t, 1);
+  poll->vmlist = vmlist;
+  poll->closing = g_object_ref (vmlist->closing);
+  http_fetch (vmlist->session, message, HTTP_ANSWER_MAX_BYTES, vmlist->closing, poll_done, poll);
   return G_SOURCE_CONTINUE;
 }
 
@@ -140,7 +153,7 @@
 {
   vmlist_t *vmlist = g_new0 (vmlist_t, 1);
 
-  vmlist->session = soup_session_new_with_options ("timeout", timeout_s, NULL);
+  vmlist->session = http_session_new (1, timeout_s, idle_timeout_s);
   vmlist->closing = g_cancellable_new ();
   vmlist->url = g_strdup_printf ("http://%s/v1/vms", address);
   vmlist->current = member_list_new (0);
--- a/src/work/requests.c
+++ b/src/work/requests.c
@@ -656,14 +656,16 @@
 }
 
 static void
-drop_missing (cell_t *cell, const member_list_t *list)
+drop_missing (requests_t *requests, const cell_t *cell, const member_list_t *list)
 {
   for (guint i = 0; i < cell->router->executors->len; i++)
     {
       executor_t *executor = router_executor (cell->router, (int) i);
 
-      if (member_list_find (list, executor->id) == NULL)
-        executor->state = EXECUTOR_GONE;
+      if (member_list_find (list, executor->id) != NULL || executor->state == EXECUTOR_GONE)
+        continue;
+      executor->state = EXECUTOR_GONE;
+      executors_forget (requests->executors, g_ptr_array_index (cell->addresses, i));
     }
 }
 
@@ -674,43 +676,47 @@
     requests->timer = g_timeout_add (tick_ms, tick, requests);
 }
 
-void
-requests_set_list (requests_t *requests, const member_list_t *list)
+/* Gives each executor's pool of connections the executor's share. */
+static void
+bound_connections (requests_t *requests)
 {
   GHashTableIter iter;
   gpointer value;
 
-  for (guint i = 0; i < list->members->len; i++)
+  g_hash_table_iter_init (&iter, requests->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const member_t *member = &g_array_index (list->members, member_t, i);
+      const cell_t *cell = value;
 
-      if (member->role == MEMBER_EXECUTOR)
-        update_executor (requests, member);
+      for (guint i = 0; i < cell->router->executors->len; i++)
+        {
+          const executor_t *executor = router_executor (cell->router, (int) i);
+
+          if (executor->connection_share > 0)
+            executors_bound (requests->executors, g_ptr_array_index (cell->addresses, i),
+                             executor->connection_share);
+        }
     }
-  g_hash_table_iter_init (&iter, requests->cells);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    drop_missing (value, list);
-  tick_soon (requests);
 }
 
-/* The bound of the HTTP library is that of the smallest executor. */
-static void
-bound_connections (requests_t *requests)
+void
+requests_set_list (requests_t *requests, const member_list_t *list)
 {
   GHashTableIter iter;
   gpointer value;
-  guint bound = G_MAXUINT;
 
-  g_hash_table_iter_init (&iter, requests->cells);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < list->members->len; i++)
     {
-      cell_t *cell = value;
+      const member_t *member = &g_array_index (list->members, member_t, i);
 
-      for (guint i = 0; i < cell->router->executors->len; i++)
-        bound = MIN (bound, router_executor (cell->router, (int) i)->connection_share);
+      if (member->role == MEMBER_EXECUTOR)
+        update_executor (requests, member);
     }
-  if (bound != G_MAXUINT && bound > 0)
-    executors_set_connections (requests->executors, bound);
+  g_hash_table_iter_init (&iter, requests->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    drop_missing (requests, value, list);
+  bound_connections (requests);
+  tick_soon (requests);
 }
 
 void
@@ -751,7 +757,6 @@
   GHashTableIter iter;
   gpointer value;
 
-  bound_connections (requests);
   g_hash_table_iter_init (&iter, requests->cells);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- /dev/null
+++ b/tests/unit.c
@@ -0,0 +1,251 @@
+/* Unit tests of the modules with plain results: errors, histograms, settings,
+ * documents, timers, jobs. */
+#include "base/error.h"
+#include "base/histogram.h"
+#include "base/settings.h"
+#include "decide/job.h"
+#include "decide/timerwheel.h"
+#include "operator/document_json.h"
+#include "work/job_record.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+static void
+test_error_table (void)
+{
+  for (int kind = 0; kind < ERROR_KIND_COUNT; kind++)
+    {
+      const error_answer_t *answer = error_answer ((error_kind_t) kind);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (answer->name);
+      CU_ASSERT (answer->http_status >= 200 && answer->http_status <= 599);
+      CU_ASSERT_EQUAL (error_kind_from_name (answer->name), (error_kind_t) kind);
+      /* What may have run is not offered for another try, unless its key decides. */
+      if (answer->outcome == OUTCOME_UNKNOWN && answer->retry)
+        CU_ASSERT (kind == ERROR_IN_PROGRESS || kind == ERROR_UNREACHABLE);
+    }
+}
+
+static void
+test_histogram (void)
+{
+  histogram_t histogram = { .count = 0 };
+
+  CU_ASSERT_EQUAL (histogram_quantile (&histogram, 0.5), 0);
+  for (uint64_t value = 1; value <= 100000; value++)
+    histogram_add (&histogram, value);
+  for (int percent = 1; percent <= 100; percent++)
+    {
+      double exact = percent * 1000.0;
+      double read = (double) histogram_quantile (&histogram, percent / 100.0);
+
+      CU_ASSERT (read >= exact * 0.999 && read <= exact * 1.126);
+    }
+  for (unsigned i = 1; i < HISTOGRAM_BUCKETS; i++)
+    {
+      CU_ASSERT_EQUAL (histogram_bucket (histogram_bucket_upper_us (i)), i);
+      CU_ASSERT_EQUAL (histogram_bucket (histogram_bucket_upper_us (i - 1) + 1), i);
+    }
+}
+
+typedef struct
+{
+  gint64 number;
+  char *text;
+  char *address;
+} values_t;
+
+/* Loads the settings of a small program from one argument. */
+static bool
+load (values_t *values, const char *argument, error_info_t *error)
+{
+  const setting_t settings[] = { { .flag = "count",
+                                   .kind = SETTING_NUMBER,
+                                   .value = &values->number,
+                                   .fallback = "3",
+                                   .min = 1,
+                                   .max = 9,
+                                   .help = "a count" },
+                                 { .flag = "name",
+                                   .kind = SETTING_TEXT,
+                                   .value = &values->text,
+                                   .fallback = "x",
+                                   .min = 1,
+                                   .max = 4,
+                                   .help = "a name" },
+                                 { .flag = "listen",
+                                   .kind = SETTING_ADDRESS,
+                                   .value = &values->address,
+                                   .fallback = "127.0.0.1:1",
+                                   .help = "an address" } };
+  char program[] = "test";
+  g_autofree char *copy = g_strdup (argument);
+  char *argv[] = { program, copy, NULL };
+  settings_result_t result;
+
+  return settings_load (settings, G_N_ELEMENTS (settings), argument != NULL ? 2 : 1, argv, &result,
+                        error);
+}
+
+static void
+test_settings (void)
+{
+  static const char *const bad[]
+      = { "--count=0",    "--count=10",      "--count=two",        "--name=",
+          "--name=abcde", "--listen=nohost", "--listen=host.x:80", "--listen=1.2.3.4:99999",
+          "--unknown=1" };
+  values_t values = { 0 };
+  error_info_t error;
+
+  CU_ASSERT (load (&values, NULL, &error));
+  CU_ASSERT_EQUAL (values.number, 3);
+  CU_ASSERT (load (&values, "--count=7", &error));
+  CU_ASSERT_EQUAL (values.number, 7);
+  g_setenv ("MIMOSASTAIR_COUNT", "5", TRUE);
+  CU_ASSERT (load (&values, NULL, &error));
+  CU_ASSERT_EQUAL (values.number, 5);
+  CU_ASSERT (load (&values, "--count=8", &error));
+  CU_ASSERT_EQUAL (values.number, 8);
+  g_unsetenv ("MIMOSASTAIR_COUNT");
+  for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      error = (error_info_t){ .kind = ERROR_NONE };
+      CU_ASSERT_FALSE (load (&values, bad[i], &error));
+      CU_ASSERT_EQUAL (error.kind, ERROR_BAD_SETTING);
+      CU_ASSERT_PTR_NULL (strchr (error.detail, '\n'));
+    }
+}
+
+/* Expects as many problems as given, the first with that beginning. */
+static void
+expect_problems (const char *text, guint count, const char *first)
+{
+  g_autoptr (GPtrArray) problems = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (environment_t) environment = document_parse_text (text, -1, 7, problems);
+
+  CU_ASSERT_EQUAL (problems->len, count);
+  CU_ASSERT_EQUAL (environment == NULL, count > 0);
+  if (problems->len > 0)
+    CU_ASSERT (g_str_has_prefix (g_ptr_array_index (problems, 0), first));
+  if (environment != NULL)
+    CU_ASSERT_EQUAL (environment->version, 7);
+}
+
+static void
+test_document (void)
+{
+  expect_problems ("{\"environment\":\"a\",\"customers\":[{\"name\":\"c\"}],\"classes\":"
+                   "[{\"name\":\"k\",\"kind\":\"request\",\"urgency\":0}]}",
+                   0, "");
+  expect_problems ("[", 1, ": not JSON");
+  expect_problems ("[]", 1, ": found no JSON object");
+  /* Every error at once: name, empty list, kind, urgency, share, unknown field. */
+  expect_problems ("{\"environment\":\"A\",\"customers\":[],\"classes\":[{\"name\":\"k\","
+                   "\"kind\":\"x\",\"urgency\":10,\"share\":2,\"colour\":1}]}",
+                   8, "/customers: ");
+  expect_problems ("{\"environment\":\"a\",\"customers\":[{\"name\":\"c\"},{\"name\":\"c\"}],"
+                   "\"classes\":[{\"name\":\"k\",\"kind\":\"request\",\"urgency\":0,"
+                   "\"share\":0.7},{\"name\":\"l\",\"kind\":\"request\",\"urgency\":0,"
+                   "\"share\":0.7}]}",
+                   2, "/classes: found shares that sum to 1.4");
+}
+
+static void
+count_fired (wheel_timer_t *timer, void *data)
+{
+  (void) timer;
+  (*(int *) data)++;
+}
+
+static void
+test_timerwheel (void)
+{
+  g_autofree timerwheel_t *wheel = g_new0 (timerwheel_t, 1);
+  wheel_timer_t timers[3] = { { .due_us = 0 } };
+  const gint64 round_us = (gint64) TIMERWHEEL_TICK_US * TIMERWHEEL_SLOTS;
+  int fired = 0;
+
+  timerwheel_init (wheel, 0);
+  timerwheel_start (wheel, &timers[0], 10000);
+  timerwheel_start (wheel, &timers[1], 10000 + round_us); /* the same slot, a round later */
+  timerwheel_start (wheel, &timers[2], 20000);
+  timerwheel_stop (wheel, &timers[2]);
+  timerwheel_advance (wheel, 9000, count_fired, &fired);
+  CU_ASSERT_EQUAL (fired, 0);
+  timerwheel_advance (wheel, 30000, count_fired, &fired);
+  CU_ASSERT_EQUAL (fired, 1);
+  /* A pause of several rounds. */
+  timerwheel_advance (wheel, 5 * round_us, count_fired, &fired);
+  CU_ASSERT_EQUAL (fired, 2);
+  CU_ASSERT_EQUAL (wheel->count, 0);
+}
+
+static void
+test_task (void)
+{
+  const gint64 lease_us = 10 * G_USEC_PER_SEC;
+  gint64 end_us = task_lease_end_us (0, lease_us);
+  task_t task = { .state = TASK_RUNNING, .lease_until_us = end_us };
+
+  /* A worker whose clock is slow by 1 in 20, told at the last moment. */
+  CU_ASSERT (end_us >= lease_us * 21 / 20);
+  CU_ASSERT_FALSE (task_is_surely_lapsed (&task, end_us - 1));
+  CU_ASSERT (task_is_surely_lapsed (&task, end_us));
+}
+
+static void
+test_job_record (void)
+{
+  g_autoptr (job_t) job = job_new (2);
+  g_autofree char *text = NULL;
+  g_autofree char *id = NULL;
+  g_autofree char *job_id = NULL;
+  g_autoptr (job_t) read = NULL;
+  guint index = 0;
+  guint attempt = 0;
+
+  job->id = g_strdup ("j-1");
+  job->zone = g_strdup ("z");
+  job->environment = g_strdup ("e");
+  job->class = g_strdup ("c");
+  job->customer = g_strdup ("k");
+  job->digest = g_strdup ("d");
+  job->owner = g_strdup ("v");
+  job->incarnation = g_strdup ("i");
+  job->tasks[1].need.memory_mb = 77;
+  job->tasks[1].attempt = 4;
+  text = job_record_text (job, 9);
+  read = job_from_record (text, -1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  CU_ASSERT_EQUAL (read->task_count, 2);
+  CU_ASSERT_EQUAL (read->tasks[1].need.memory_mb, 77);
+  CU_ASSERT_EQUAL (read->tasks[1].state, TASK_RECOVERING);
+  CU_ASSERT_PTR_NULL (job_from_record ("{}", -1));
+  id = job_task_id (&job->tasks[1]);
+  CU_ASSERT (job_split_task_id (id, &job_id, &index, &attempt));
+  CU_ASSERT_STRING_EQUAL (job_id, "j-1");
+  CU_ASSERT (index == 1 && attempt == 4);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return 1;
+  suite = CU_add_suite ("unit", NULL, NULL);
+  CU_add_test (suite, "every error kind has its answer", test_error_table);
+  CU_add_test (suite, "histogram quantiles", test_histogram);
+  CU_add_test (suite, "settings from flags and environment", test_settings);
+  CU_add_test (suite, "every problem of a document is listed", test_document);
+  CU_add_test (suite, "timers fire once, also after a pause", test_timerwheel);
+  CU_add_test (suite, "a lease has surely lapsed only with drift", test_task);
+  CU_add_test (suite, "a job's record is read back", test_job_record);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
