--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -38,6 +38,13 @@
   return true;
 }
 
+static void
+replace_text (char **value, const char *text)
+{
+  g_free (*value);
+  *value = g_strdup (text);
+}
+
 static bool
 store_number (const setting_t *setting, const char *text, error_info_t *error)
 {
@@ -63,7 +70,7 @@
     return error_set (error, ERROR_BAD_SETTING,
                       "--%s: \"%s\" is not an address of the form IP:PORT, port 0 to 65535",
                       setting->flag, text);
-  *(char **) setting->value = g_strdup (text);
+  replace_text (setting->value, text);
   return true;
 }
 
@@ -77,7 +84,7 @@
                       "--%s: \"%s\" must have %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
                       " characters",
                       setting->flag, text, setting->min, setting->max);
-  *(char **) setting->value = g_strdup (text);
+  replace_text (setting->value, text);
   return true;
 }
 
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -13,7 +13,7 @@
 
 typedef enum
 {
-  SETTING_TEXT,    /* char **, g_malloc'd */
+  SETTING_TEXT,    /* char **, g_malloc'd; what it held before is freed */
   SETTING_NUMBER,  /* gint64 *, within min and max */
   SETTING_ADDRESS, /* char **, "IP:PORT", or "" when it is optional */
   SETTING_SWITCH   /* gboolean * */
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -115,6 +115,8 @@
       CU_ASSERT_EQUAL (error.kind, ERROR_BAD_SETTING);
       CU_ASSERT_PTR_NULL (strchr (error.detail, '\n'));
     }
+  g_free (values.text);
+  g_free (values.address);
 }
 
 /* Expects as many problems as given, the first with that beginning. */
