--- a/src/decide/request.c
+++ b/src/decide/request.c
@@ -89,8 +89,7 @@
   for (guint i = 0; i < DOCUMENT_CLASSES_MAX; i++)
     {
       core->service_us[i] = initial_service_us;
-      core->budgets[i]
-          = (retry_budget_t){ .tokens = retry_burst, .ratio = retry_ratio, .burst = retry_burst };
+      core->budgets[i] = (retry_budget_t){ .ratio = retry_ratio, .burst = retry_burst };
     }
   return core;
 }
--- a/src/platform/vmlist.c
+++ b/src/platform/vmlist.c
@@ -19,6 +19,7 @@
   bool failing;
   member_list_t *current;
   GBytes *text; /* of the current list; the same again needs no reading */
+  char *etag;   /* of the current list, or NULL: then the whole list is sent each time */
   vmlist_changed_t changed;
   void *data;
 };
@@ -91,7 +92,7 @@
 }
 
 static void
-adopt (vmlist_t *vmlist, GBytes *body)
+adopt (vmlist_t *vmlist, SoupMessage *message, GBytes *body)
 {
   gsize size = 0;
   const char *text = g_bytes_get_data (body, &size);
@@ -106,6 +107,9 @@
   vmlist->failing = false;
   g_clear_pointer (&vmlist->text, g_bytes_unref);
   vmlist->text = g_bytes_ref (body);
+  g_free (vmlist->etag);
+  vmlist->etag = g_strdup (
+      soup_message_headers_get_one (soup_message_get_response_headers (message), "ETag"));
   list = read_list (json_node_get_object (root));
   if (list->revision <= vmlist->current->revision)
     return;
@@ -115,7 +119,7 @@
 }
 
 static void
-poll_done (SoupMessage *message G_GNUC_UNUSED, GBytes *body, void *data)
+poll_done (SoupMessage *message, GBytes *body, void *data)
 {
   poll_t *poll = data;
   vmlist_t *vmlist = poll->vmlist;
@@ -126,8 +130,10 @@
       vmlist->in_flight = false;
       if (body == NULL)
         note_failure (vmlist);
+      else if (soup_message_get_status (message) == SOUP_STATUS_NOT_MODIFIED)
+        vmlist->failing = false;
       else if (vmlist->text == NULL || !g_bytes_equal (vmlist->text, body))
-        adopt (vmlist, body);
+        adopt (vmlist, message, body);
     }
   g_object_unref (poll->closing);
   g_free (poll);
@@ -144,6 +150,9 @@
     return G_SOURCE_CONTINUE;
   vmlist->in_flight = true;
   message = soup_message_new ("GET", vmlist->url);
+  if (vmlist->etag != NULL)
+    soup_message_headers_append (soup_message_get_request_headers (message), "If-None-Match",
+                                 vmlist->etag);
   poll = g_new0 (poll_t, 1);
   poll->vmlist = vmlist;
   poll->closing = g_object_ref (vmlist->closing);
@@ -179,6 +188,7 @@
   g_object_unref (vmlist->closing);
   member_list_free (vmlist->current);
   g_clear_pointer (&vmlist->text, g_bytes_unref);
+  g_free (vmlist->etag);
   g_free (vmlist->url);
   g_free (vmlist);
 }
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -43,6 +43,7 @@
 typedef struct
 {
   gint64 at_us;
+  gint64 revision;
   char *text;
 } list_version_t;
 
@@ -627,6 +628,7 @@
   json_builder_end_array (builder);
   json_builder_end_object (builder);
   version->at_us = g_get_monotonic_time ();
+  version->revision = platform->list_revision;
   version->text = json_builder_text (builder);
   g_ptr_array_add (platform->versions, version);
 }
@@ -665,6 +667,10 @@
 {
   gint64 as_of_us = g_get_monotonic_time () - platform->faults.list_delay_ms * 1000;
   const char *text = "{\"revision\":0,\"vms\":[]}";
+  g_autofree char *etag = NULL;
+  const char *known = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), "If-None-Match");
+  gint64 revision = 0;
 
   platform->lists++;
   if (platform->faults.down)
@@ -676,10 +682,17 @@
     {
       const list_version_t *version = g_ptr_array_index (platform->versions, i);
 
-      if (version->at_us <= as_of_us)
-        text = version->text;
+      if (version->at_us > as_of_us)
+        continue;
+      text = version->text;
+      revision = version->revision;
     }
-  standin_respond (message, 200, g_strdup (text));
+  etag = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", revision);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "ETag", etag);
+  if (g_strcmp0 (known, etag) == 0)
+    soup_server_message_set_status (message, 304, NULL);
+  else
+    standin_respond (message, 200, g_strdup (text));
 }
 
 static void
