--- a/tests/failure/jobs.sh
+++ b/tests/failure/jobs.sh
@@ -31,6 +31,16 @@
 expect "no task ran in two places" test "$(counter .double_runs)" = 0
 expect "no worker was given more than it has" test "$(counter '[.backends[].over_capacity] | add')" = 0
 
+# A worker that leaves gets no more tasks.
+leaving=$(curl -s "http://$PLATFORM/v1/vms" | jq -c '{vms: [.vms[] | select(.id == "puntina-worker-0") | .state = "leaving"]}')
+curl -s -o /dev/null -X POST "http://$PLATFORM/v1/vms" -d "$leaving"
+left () { tool status --json --operator="$OPERATOR_vm_a" | jq -e '.jobs.workers == 1'; }
+expect "a leaving worker is not used" cell_until 5 left
+before=$(counter '[.backends[] | select(.id == "puntina-worker-0").starts] | add')
+fifth=$(submit "$CALLER_vm_a" "$short" j7)
+expect "a job finishes without it" cell_until 20 ended "$CALLER_vm_a" "$(id "$fifth")"
+expect "it got nothing" test "$(counter '[.backends[] | select(.id == "puntina-worker-0").starts] | add')" = "$before"
+
 # The reply of the acceptance is lost after the write.
 faults "$PLATFORM" '{"lose_replies":1}'
 lost=$(submit "$CALLER_vm_a" "$short" j5)
