--- a/bench/load.c
+++ b/bench/load.c
@@ -4,7 +4,6 @@
  * rate or in a closed loop, checks that each answer echoes its own request, and
  * prints what came back as name=value lines.
  */
-#include "base/histogram.h"
 #include "base/http_client.h"
 #include "base/json.h"
 #include "base/settings.h"
@@ -47,7 +46,7 @@
   gint64 open;
   gint64 start_us;
   guint next_target;
-  histogram_t latency;
+  GArray *latencies; /* gint64, us */
   gint64 results;
   gint64 in_time;
   gint64 replayed;
@@ -108,7 +107,9 @@
   load->replayed += soup_message_headers_get_one (headers, "Mimosastair-Replayed") != NULL;
   if (!load->options->raw && (text == NULL || strstr (text, body) == NULL))
     load->wrong++;
-  histogram_add (&load->latency, (guint64) (g_get_monotonic_time () - call->start_us));
+  gint64 latency_us = g_get_monotonic_time () - call->start_us;
+
+  g_array_append_val (load->latencies, latency_us);
 }
 
 static void
@@ -352,6 +353,25 @@
   return settings_load (settings, G_N_ELEMENTS (settings), argc, argv, &result, error);
 }
 
+static int
+compare_latencies (gconstpointer a, gconstpointer b)
+{
+  gint64 difference = *(const gint64 *) a - *(const gint64 *) b;
+
+  return difference < 0 ? -1 : difference > 0;
+}
+
+/* An exact quantile of the sorted latencies. */
+static gint64
+quantile (const load_t *load, double q)
+{
+  guint count = load->latencies->len;
+
+  if (count == 0)
+    return 0;
+  return g_array_index (load->latencies, gint64, MIN (count - 1, (guint) (q * count)));
+}
+
 static void
 print_results (const load_t *load)
 {
@@ -364,11 +384,11 @@
                  "\nresent=%" G_GINT64_FORMAT "\ndropped=%" G_GINT64_FORMAT "\n",
                  load->started, load->results, load->not_run, load->unknown, load->transport,
                  load->wrong, load->other, load->replayed, load->resent, load->dropped);
-  (void) printf ("p50_us=%" G_GUINT64_FORMAT "\np99_us=%" G_GUINT64_FORMAT
-                 "\nmax_us=%" G_GUINT64_FORMAT "\nper_s=%.0f\n",
-                 (guint64) histogram_quantile (&load->latency, 0.5),
-                 (guint64) histogram_quantile (&load->latency, 0.99),
-                 (guint64) load->latency.max_us, (double) load->results / seconds);
+  g_array_sort (load->latencies, compare_latencies);
+  (void) printf ("p50_us=%" G_GINT64_FORMAT "\np99_us=%" G_GINT64_FORMAT
+                 "\nmax_us=%" G_GINT64_FORMAT "\nper_s=%.0f\n",
+                 quantile (load, 0.5), quantile (load, 0.99), quantile (load, 1.0),
+                 (double) load->results / seconds);
 }
 
 static void
@@ -401,6 +421,7 @@
       return 2;
     }
   add_targets (&load);
+  load.latencies = g_array_new (FALSE, FALSE, sizeof (gint64));
   load.headers = g_strsplit (options.headers, "|", -1);
   load.session = http_session_new (connections, 60, 60);
   load.health = http_session_new (2, 1, 5);
