--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,9 +1,24 @@
 #include "base/log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+enum
+{
+  BUFFER_BYTES = 256 * 1024, /* of lines that wait for the reader */
+  LINE_BYTES = 1024,         /* a longer line is cut */
+  FLUSH_MS = 100             /* longest time that a line waits without need */
+};
 
 static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
+static char buffer[BUFFER_BYTES];
+static gsize used;
+static guint64 dropped;
+static guint64 dropped_told;
+static guint timer;
 
 static const char *
 level_name (GLogLevelFlags level)
@@ -19,39 +34,118 @@
   return "info";
 }
 
-static const char *
-field (const GLogField *fields, gsize count, const char *key)
+/* Writes no more at a time than a pipe that polls as writable takes without blocking. */
+void
+log_flush (void)
 {
-  for (gsize i = 0; i < count; i++)
+  gsize done = 0;
+
+  while (done < used)
     {
-      if (strcmp (fields[i].key, key) == 0)
-        return fields[i].value;
+      struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+      gsize size = MIN (used - done, (gsize) PIPE_BUF);
+      gssize written;
+
+      if (poll (&out, 1, 0) <= 0 || (out.revents & POLLOUT) == 0)
+        break;
+      written = write (STDOUT_FILENO, buffer + done, size);
+      if (written <= 0)
+        break;
+      done += (gsize) written;
     }
-  return NULL;
+  memmove (buffer, buffer + done, used - done);
+  used -= done;
+}
+
+static bool
+append (const char *line, gsize length)
+{
+  if (used + length > sizeof buffer)
+    log_flush ();
+  if (used + length > sizeof buffer)
+    {
+      dropped++;
+      return false;
+    }
+  memcpy (buffer + used, line, length);
+  used += length;
+  return true;
+}
+
+static gsize
+stamp (char *line, GLogLevelFlags level, const char *module)
+{
+  gint64 now_ms = g_get_real_time () / 1000;
+
+  return (gsize) g_snprintf (line, LINE_BYTES,
+                             "time=%" G_GINT64_FORMAT ".%03d level=%s module=%s ", now_ms / 1000,
+                             (int) (now_ms % 1000), level_name (level), module);
 }
 
+static void
+tell_dropped (void)
+{
+  char line[LINE_BYTES];
+  gsize length;
+
+  if (dropped == dropped_told || used + LINE_BYTES > sizeof buffer)
+    return;
+  length = stamp (line, G_LOG_LEVEL_WARNING, "log");
+  length += (gsize) g_snprintf (line + length, sizeof line - length,
+                                "event=lines_dropped count=%" G_GUINT64_FORMAT "\n",
+                                dropped - dropped_told);
+  dropped_told = dropped;
+  (void) append (line, length);
+}
+
+static gboolean
+flush_later (gpointer data G_GNUC_UNUSED)
+{
+  log_flush ();
+  tell_dropped ();
+  timer = 0;
+  if (used > 0)
+    timer = g_timeout_add (FLUSH_MS, flush_later, NULL);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+write_line (GLogLevelFlags level, const char *module, const char *text)
+{
+  char line[LINE_BYTES];
+  gsize length = stamp (line, level, module);
+
+  length += (gsize) g_snprintf (line + length, sizeof line - length, "%s", text);
+  length = MIN (length, sizeof line - 2);
+  line[length++] = '\n';
+  (void) append (line, length);
+  if (timer == 0)
+    timer = g_timeout_add (FLUSH_MS, flush_later, NULL);
+  if (level <= G_LOG_LEVEL_CRITICAL)
+    log_flush ();
+}
+
+/* Messages of libraries have no pairs of their own. */
 static GLogWriterOutput
-write_line (GLogLevelFlags level, const GLogField *fields, gsize count, gpointer data G_GNUC_UNUSED)
+write_library_line (GLogLevelFlags level,
+                    const GLogField *fields,
+                    gsize count,
+                    gpointer data G_GNUC_UNUSED)
 {
-  const char *module = field (fields, count, "MIMOSASTAIR_MODULE");
-  const char *message = field (fields, count, "MESSAGE");
-  g_autoptr (GDateTime) now = NULL;
-  g_autofree char *stamp = NULL;
+  const char *message = "";
+  g_autofree char *quoted = NULL;
+  g_autofree char *text = NULL;
 
   if ((level & G_LOG_LEVEL_MASK) > threshold)
     return G_LOG_WRITER_HANDLED;
-  now = g_date_time_new_now_utc ();
-  stamp = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
-  if (module == NULL)
+  for (gsize i = 0; i < count; i++)
     {
-      /* Messages of libraries have no pairs of their own. */
-      g_autofree char *quoted = g_strescape (message != NULL ? message : "", NULL);
-      (void) fprintf (stderr, "time=%s level=%s module=library event=message text=\"%s\"\n", stamp,
-                      level_name (level), quoted);
-      return G_LOG_WRITER_HANDLED;
+      if (strcmp (fields[i].key, "MESSAGE") == 0)
+        message = fields[i].value;
     }
-  (void) fprintf (stderr, "time=%s level=%s module=%s %s\n", stamp, level_name (level), module,
-                  message);
+  quoted = g_strescape (message, NULL);
+  text = g_strdup_printf ("event=message text=\"%s\"", quoted);
+  write_line (level & G_LOG_LEVEL_MASK, "library", text);
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -68,14 +162,15 @@
     threshold = G_LOG_LEVEL_DEBUG;
   else
     return false;
-  g_log_set_writer_func (write_line, NULL, NULL);
+  g_log_set_writer_func (write_library_line, NULL, NULL);
   return true;
 }
 
 void
 log_event (GLogLevelFlags level, const char *module, const char *event, const char *format, ...)
 {
-  g_autofree char *pairs = NULL;
+  char text[LINE_BYTES];
+  int length = g_snprintf (text, sizeof text, "event=%s%s", event, format != NULL ? " " : "");
   va_list args;
 
   if (level > threshold)
@@ -83,9 +178,14 @@
   if (format != NULL)
     {
       va_start (args, format);
-      pairs = g_strdup_vprintf (format, args);
+      (void) g_vsnprintf (text + length, sizeof text - (gsize) length, format, args);
       va_end (args);
     }
-  g_log_structured ("mimosastair", level, "MIMOSASTAIR_MODULE", module, "MESSAGE", "event=%s%s%s",
-                    event, pairs != NULL ? " " : "", pairs != NULL ? pairs : "");
+  write_line (level, module, text);
+}
+
+guint64
+log_dropped (void)
+{
+  return dropped;
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,7 +1,9 @@
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "entry/entry.h"
 
 #include <stdio.h>
+#include <string.h>
 
 static int
 usage_error (const error_info_t *error)
@@ -18,6 +20,8 @@
   error_info_t error = { .kind = ERROR_NONE };
   daemon_t *daemon;
 
+  if (argc > 1 && strcmp (argv[1], "entry") == 0)
+    return entry_main (argc - 1, argv + 1);
   if (!options_load (&options, argc, argv, &result, &error))
     return usage_error (&error);
   if (result == SETTINGS_HELP)
--- /dev/null
+++ b/src/decide/cell_advice.c
@@ -0,0 +1,311 @@
+#include "decide/cell_state.h"
+
+#include <string.h>
+
+/* A ticket that expires sooner than this is not used: its start is still on the way. */
+static const gint64 ticket_margin_us = 150 * 1000;
+static const gint64 refused_retry_us = 100 * 1000;
+/* Calls that take longer than this count as slow. */
+static const gint64 slow_call_us = 150 * 1000;
+static const double share_rate = 0.05;
+
+enum
+{
+  NAMED_MAX = 100, /* executors of one call */
+  NAMED_SPARE = 1  /* named beyond those expected to be needed */
+};
+
+static void
+advice_free (gpointer data)
+{
+  advice_t *advice = data;
+
+  g_free (advice->ticket);
+  g_free (advice);
+}
+
+static advice_t *
+advice_of (const step_t *step, const executor_t *executor)
+{
+  return step->advice != NULL ? g_hash_table_lookup (step->advice, executor->id) : NULL;
+}
+
+verdict_t
+cell_verdict (const step_t *step, const executor_t *executor)
+{
+  const advice_t *advice = advice_of (step, executor);
+
+  return advice != NULL ? advice->verdict : VERDICT_UNKNOWN;
+}
+
+const char *
+cell_ticket (const step_t *step, const executor_t *executor, gint64 now_us)
+{
+  const advice_t *advice;
+
+  if (!step->job->queue->advice.is_needed)
+    return "";
+  advice = advice_of (step, executor);
+  if (advice == NULL || advice->verdict != VERDICT_ALLOWED || advice->ticket == NULL
+      || advice->born != executor->born || advice->expires_us - ticket_margin_us < now_us)
+    return NULL;
+  return advice->ticket;
+}
+
+void
+cell_forget_ticket (step_t *step, const executor_t *executor)
+{
+  advice_t *advice = advice_of (step, executor);
+
+  if (advice != NULL)
+    g_clear_pointer (&advice->ticket, g_free);
+}
+
+void
+cell_drop_advice (cell_t *cell, step_t *step)
+{
+  advice_call_t *call;
+
+  g_clear_pointer (&step->advice, g_hash_table_unref);
+  if (step->advice_order == 0)
+    return;
+  call = g_hash_table_lookup (cell->advice_calls, &step->advice_order);
+  if (call != NULL)
+    call->step = NULL;
+  step->advice_order = 0;
+}
+
+typedef struct
+{
+  executor_t *executor;
+  guint fits; /* tasks of the step that fit there now */
+  bool is_allowed;
+} candidate_t;
+
+static guint
+tasks_that_fit (const step_t *step, const executor_t *executor)
+{
+  room_t room = cell_free_room (executor);
+  room_t need = step->spec->need;
+  guint fits = step->spec->count;
+
+  if (need.cpu_milli > 0 && !step->spec->fills)
+    fits = MIN (fits, room.cpu_milli / need.cpu_milli);
+  if (need.mem_mb > 0)
+    fits = MIN (fits, room.mem_mb / need.mem_mb);
+  if (need.gpu > 0)
+    fits = MIN (fits, room.gpu / need.gpu);
+  if (step->spec->max_per_executor > 0)
+    fits = MIN (fits, step->spec->max_per_executor);
+  return fits;
+}
+
+static int
+by_usefulness (const void *a, const void *b)
+{
+  const candidate_t *left = a;
+  const candidate_t *right = b;
+
+  if (left->is_allowed != right->is_allowed)
+    return left->is_allowed ? -1 : 1;
+  if (left->fits != right->fits)
+    return left->fits > right->fits ? -1 : 1;
+  return strcmp (left->executor->id, right->executor->id);
+}
+
+static GArray *
+candidates (const cell_t *cell, const step_t *step, gint64 now_us)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+
+  for (guint i = 0; i < cell->executor_list->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+      verdict_t verdict = cell_verdict (step, executor);
+      candidate_t candidate = { .executor = executor, .is_allowed = verdict == VERDICT_ALLOWED };
+
+      if (verdict == VERDICT_DENIED || !cell_executor_usable (executor, now_us)
+          || !cell_executor_suits (step, executor) || cell_ticket (step, executor, now_us) != NULL)
+        continue;
+      candidate.fits = tasks_that_fit (step, executor);
+      if (candidate.fits > 0)
+        g_array_append_val (found, candidate);
+    }
+  g_array_sort (found, by_usefulness);
+  return found;
+}
+
+/* Names as many executors as are likely to be needed. */
+static GPtrArray *
+choose_named (const step_t *step, const GArray *found)
+{
+  GPtrArray *named = g_ptr_array_new_with_free_func (g_free);
+  double share = CLAMP (step->job->queue->allowed_share, 0.1, 1.0);
+  double expected = 0.0;
+
+  for (guint i = 0; i < found->len && named->len < NAMED_MAX; i++)
+    {
+      const candidate_t *candidate = &g_array_index (found, candidate_t, i);
+
+      if (expected >= step->wanting + NAMED_SPARE)
+        break;
+      expected += candidate->fits * (candidate->is_allowed ? 1.0 : share);
+      g_ptr_array_add (named, g_strdup (candidate->executor->id));
+    }
+  return named;
+}
+
+/* Room that tickets in hand already cover. */
+static guint
+tasks_covered (const cell_t *cell, const step_t *step, gint64 now_us)
+{
+  guint covered = 0;
+
+  for (guint i = 0; i < cell->executor_list->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+
+      if (cell_ticket (step, executor, now_us) != NULL && cell_executor_usable (executor, now_us))
+        covered += tasks_that_fit (step, executor);
+    }
+  return covered;
+}
+
+static void
+send_call (cell_t *cell, step_t *step, GPtrArray *named, gint64 expected_us, gint64 now_us)
+{
+  advice_call_t *call = g_new0 (advice_call_t, 1);
+  guint64 *key = g_new (guint64, 1);
+  advise_order_t order = {
+    .order = cell->next_order++,
+    .executors = (const char *const *) named->pdata,
+    .executor_count = named->len,
+    .expected_us = expected_us,
+  };
+
+  memcpy (order.step.job, step->job->spec->id, sizeof order.step.job);
+  order.step.occurrence = step->occurrence;
+  order.step.step = step->index;
+  *key = order.order;
+  call->step = step;
+  call->executors = named;
+  call->sent_us = now_us;
+  call->is_slow = expected_us > slow_call_us;
+  step->advice_order = order.order;
+  g_hash_table_insert (cell->advice_calls, key, call);
+  cell->advice_slots--;
+  if (call->is_slow)
+    cell->slow_slots--;
+  cell_note (cell, "advice_asked",
+             "job=%s step=%u.%u queue=%s named=%u wanting=%u expected_ms=%" G_GINT64_FORMAT
+             " order=%" G_GUINT64_FORMAT,
+             order.step.job, step->occurrence, step->index, step->job->queue->name, named->len,
+             step->wanting, expected_us / 1000, order.order);
+  cell->ops->advise (&order, cell->data);
+}
+
+/* Asks for tickets when those in hand do not cover the step.  False when no call can be
+ * made now. */
+bool
+cell_ask_advice (cell_t *cell, step_t *step, gint64 now_us)
+{
+  const advice_terms_t *terms = &step->job->queue->advice;
+  g_autoptr (GArray) found = NULL;
+  GPtrArray *named;
+  gint64 expected_us;
+
+  if (step->advice_order != 0 || step->advice_retry_us > now_us || cell->advice_slots == 0)
+    return false;
+  if (terms->call_us > slow_call_us && cell->slow_slots == 0)
+    return false;
+  if (tasks_covered (cell, step, now_us) >= step->wanting)
+    return false;
+  found = candidates (cell, step, now_us);
+  named = choose_named (step, found);
+  if (named->len == 0)
+    {
+      g_ptr_array_unref (named);
+      return false;
+    }
+  expected_us = terms->call_us + named->len * terms->each_us;
+  send_call (cell, step, named, expected_us, now_us);
+  return true;
+}
+
+static void
+set_verdict (cell_t *cell, step_t *step, const char *id, const char *ticket, gint64 now_us)
+{
+  executor_t *executor = cell_find_executor (cell, id);
+  advice_t *advice;
+
+  if (executor == NULL)
+    return;
+  if (step->advice == NULL)
+    step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, advice_free);
+  advice = g_hash_table_lookup (step->advice, id);
+  if (advice == NULL)
+    {
+      queue_t *queue = step->job->queue;
+
+      advice = g_new0 (advice_t, 1);
+      g_hash_table_insert (step->advice, g_strdup (id), advice);
+      queue->allowed_share += share_rate * ((ticket != NULL ? 1.0 : 0.0) - queue->allowed_share);
+    }
+  advice->verdict = ticket != NULL ? VERDICT_ALLOWED : VERDICT_DENIED;
+  g_free (advice->ticket);
+  advice->ticket = g_strdup (ticket);
+  advice->born = executor->born;
+  advice->expires_us = now_us + step->job->queue->advice.valid_us;
+}
+
+static const char *
+ticket_for (const char *id, const ticket_t *tickets, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      if (strcmp (tickets[i].executor, id) == 0)
+        return tickets[i].ticket;
+    }
+  return NULL;
+}
+
+void
+cell_advice_result (cell_t *cell,
+                    guint64 order,
+                    bool is_answered,
+                    const ticket_t *tickets,
+                    guint ticket_count,
+                    gint64 now_us)
+{
+  advice_call_t *call = g_hash_table_lookup (cell->advice_calls, &order);
+  step_t *step;
+
+  if (call == NULL)
+    return;
+  step = call->step;
+  cell_note (cell, "advice_answered",
+             "order=%" G_GUINT64_FORMAT " answered=%d allowed=%u took_ms=%" G_GINT64_FORMAT
+             " wanted=%d",
+             order, (int) is_answered, ticket_count, (now_us - call->sent_us) / 1000,
+             (int) (step != NULL));
+  if (step != NULL)
+    {
+      step->advice_order = 0;
+      if (!is_answered)
+        step->advice_retry_us = now_us + refused_retry_us;
+      for (guint i = 0; is_answered && i < call->executors->len; i++)
+        {
+          const char *id = g_ptr_array_index (call->executors, i);
+
+          set_verdict (cell, step, id, ticket_for (id, tickets, ticket_count), now_us);
+        }
+    }
+  g_hash_table_remove (cell->advice_calls, &order);
+}
+
+void
+cell_set_advice_slots (cell_t *cell, guint all, guint slow)
+{
+  cell->advice_slots = all;
+  cell->slow_slots = slow;
+}
--- /dev/null
+++ b/src/decide/cell_dispatch.c
@@ -0,0 +1,388 @@
+#include "decide/cell_state.h"
+#include "decide/order.h"
+
+#include <string.h>
+
+/* Steps are looked at again after this while something waits, and while nothing does. */
+static const gint64 busy_step_us = 25 * 1000;
+static const gint64 idle_step_us = 200 * 1000;
+
+enum
+{
+  RESERVATIONS_MAX = 3 /* gangs for which room is kept free at a time */
+};
+
+typedef struct
+{
+  step_t *step;
+  order_key_t key;
+} waiting_t;
+
+bool
+cell_executor_suits (const step_t *step, const executor_t *executor)
+{
+  const job_t *job = step->job;
+  const step_spec_t *spec = step->spec;
+
+  if (g_strcmp0 (executor->service, job->queue->service) != 0)
+    return false;
+  if (spec->requires != NULL && !cell_has_label (executor, spec->requires))
+    return false;
+  return cell_room_fits (spec->need, executor->capacity);
+}
+
+static bool
+is_ready (step_t *step, gint64 now_us)
+{
+  const job_t *job = step->job;
+  const step_t *first = &job->steps[step->occurrence * job->spec->step_count];
+
+  if (step->due_us > now_us)
+    return false;
+  if (step->ready_us > 0)
+    return true;
+  for (guint i = 0; i < step->index; i++)
+    {
+      if ((step->spec->after >> i & 1) != 0 && first[i].done_count < first[i].spec->count)
+        return false;
+    }
+  step->ready_us = now_us;
+  return true;
+}
+
+/* Longest chain of estimated work of an occurrence; of what is not done, or of all. */
+static gint64
+chain_us (const job_t *job, guint occurrence, bool only_open)
+{
+  const step_t *steps = &job->steps[occurrence * job->spec->step_count];
+  gint64 ends[JOB_MAX_STEPS];
+  gint64 longest = 0;
+
+  for (guint i = 0; i < job->spec->step_count; i++)
+    {
+      bool is_done = steps[i].done_count == steps[i].spec->count;
+      gint64 start = 0;
+
+      for (guint j = 0; j < i; j++)
+        {
+          if ((steps[i].spec->after >> j & 1) != 0)
+            start = MAX (start, ends[j]);
+        }
+      ends[i] = start;
+      if (!(only_open && is_done))
+        ends[i] += (gint64) ((double) steps[i].spec->est_us * job->queue->work_ratio);
+      longest = MAX (longest, ends[i]);
+    }
+  return longest;
+}
+
+static order_key_t
+key_of (const step_t *step, gint64 now_us)
+{
+  const job_t *job = step->job;
+  gint64 chain = chain_us (job, step->occurrence, false);
+  order_job_t order = {
+    .priority = job->queue->priority,
+    .accepted_us = job->spec->times > 0 ? step->due_us : job->accepted_us,
+    .objective_us
+    = (gint64) (job->queue->stretch * (double) chain) + job->queue->objective_us,
+    .remaining_us = chain_us (job, step->occurrence, true),
+  };
+
+  return order_key (&order, now_us);
+}
+
+static int
+by_key (const void *a, const void *b)
+{
+  return order_compare (&((const waiting_t *) a)->key, &((const waiting_t *) b)->key);
+}
+
+/* Steps that need a start and may have one, in the order in which they are served. */
+static GArray *
+collect_waiting (cell_t *cell, gint64 now_us)
+{
+  GArray *waiting = g_array_new (FALSE, FALSE, sizeof (waiting_t));
+
+  for (list_node_t *node = cell->job_list.next; node != &cell->job_list; node = node->next)
+    {
+      job_t *job = LIST_ENTRY (node, job_t, node);
+
+      if (job->is_ended || (job->is_old && !cell->is_accounted))
+        continue;
+      for (guint i = 0; i < job->step_total; i++)
+        {
+          waiting_t entry = { .step = &job->steps[i] };
+
+          if (entry.step->wanting == 0 || !is_ready (entry.step, now_us))
+            continue;
+          entry.key = key_of (entry.step, now_us);
+          g_array_append_val (waiting, entry);
+        }
+    }
+  g_array_sort (waiting, by_key);
+  return waiting;
+}
+
+static guint
+runs_of_step (const executor_t *executor, const step_t *step)
+{
+  guint count = 0;
+
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      const run_t *run = LIST_ENTRY (node, run_t, by_executor);
+
+      count += run->ref.step == step->index && run->ref.occurrence == step->occurrence
+               && strcmp (run->ref.job, step->job->spec->id) == 0;
+    }
+  return count;
+}
+
+/* Room on an executor while a round is planned. */
+typedef struct
+{
+  executor_t *executor;
+  room_t room;
+  guint placed; /* tasks of the step, those that run there included */
+  guint taken;  /* tasks placed in this round */
+} slot_t;
+
+static GArray *
+collect_slots (const cell_t *cell, const step_t *step, gint64 now_us)
+{
+  GArray *slots = g_array_new (FALSE, FALSE, sizeof (slot_t));
+
+  for (guint i = 0; i < cell->executor_list->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+      slot_t slot = { .executor = executor };
+
+      if (!cell_executor_usable (executor, now_us) || !cell_executor_suits (step, executor)
+          || cell_ticket (step, executor, now_us) == NULL)
+        continue;
+      slot.room = cell_free_room (executor);
+      if (!cell_room_fits (step->spec->need, slot.room))
+        continue;
+      if (step->spec->max_per_executor > 0)
+        slot.placed = runs_of_step (executor, step);
+      g_array_append_val (slots, slot);
+    }
+  return slots;
+}
+
+/* Lower is better: sound executors, then those near the data, then the fullest, so that
+ * large tasks find whole executors free. */
+static gint64
+slot_cost (const step_t *step, const slot_t *slot)
+{
+  gint64 cost = slot->room.cpu_milli;
+
+  if (step->spec->data_rack != NULL && !cell_has_label (slot->executor, step->spec->data_rack))
+    cost += 1000000;
+  return cost + (gint64) slot->executor->failures * 10000000;
+}
+
+static slot_t *
+best_slot (const step_t *step, GArray *slots)
+{
+  slot_t *best = NULL;
+  gint64 best_cost = G_MAXINT64;
+
+  for (guint i = 0; i < slots->len; i++)
+    {
+      slot_t *slot = &g_array_index (slots, slot_t, i);
+      gint64 cost;
+
+      if (!cell_room_fits (step->spec->need, slot->room))
+        continue;
+      if (step->spec->max_per_executor > 0 && slot->placed >= step->spec->max_per_executor)
+        continue;
+      cost = slot_cost (step, slot);
+      if (cost < best_cost)
+        {
+          best = slot;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+static void
+take_slot (const step_t *step, slot_t *slot)
+{
+  slot->room.cpu_milli -= step->spec->fills ? 0 : step->spec->need.cpu_milli;
+  slot->room.mem_mb -= step->spec->need.mem_mb;
+  slot->room.gpu -= step->spec->need.gpu;
+  slot->placed++;
+  slot->taken++;
+}
+
+static void
+start_task (cell_t *cell, task_t *task, executor_t *executor, guint number, gint64 now_us)
+{
+  step_t *step = task->step;
+  task_ref_t ref = cell_task_ref (task);
+  const char *ticket = cell_ticket (step, executor, now_us);
+  run_t *run = cell_run_new (cell, task, &ref, executor, number);
+  start_order_t order = {
+    .order = cell_order_for (cell, run),
+    .executor = executor->id,
+    .born = executor->born,
+    .task = ref,
+    .run = number,
+    .spec = step->job->spec->spec,
+    .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
+    .ticket = ticket != NULL ? ticket : "",
+  };
+
+  run->state = RUN_ORDERED;
+  run->ordered_us = now_us;
+  cell_note (cell, "task_start",
+             "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
+             " queue=%s waited_ms=%" G_GINT64_FORMAT " cpu=%u free=%u checkpoint=%d",
+             ref.job, ref.occurrence, ref.step, ref.index, number, executor->id, order.order,
+             step->job->queue->name, (now_us - step->ready_us) / 1000, run->room.cpu_milli,
+             executor->capacity.cpu_milli - executor->used.cpu_milli,
+             (int) (task->checkpoint != NULL));
+  cell->ops->start (&order, cell->data);
+}
+
+/* All tasks of a gang at once, or none. */
+static bool
+place_gang (cell_t *cell, step_t *step, GArray *slots, gint64 now_us)
+{
+  g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
+  guint number = 0;
+  const char *checkpoint = NULL;
+
+  if (step->wanting < step->spec->count)
+    return true; /* members of an earlier run are still there */
+  for (guint i = 0; i < step->spec->count; i++)
+    {
+      slot_t *slot = best_slot (step, slots);
+
+      if (slot == NULL)
+        return false;
+      take_slot (step, slot);
+      g_ptr_array_add (chosen, slot->executor);
+      number = MAX (number, step->tasks[i].last_run);
+      if (step->tasks[i].checkpoint != NULL
+          && (checkpoint == NULL || strcmp (step->tasks[i].checkpoint, checkpoint) > 0))
+        checkpoint = step->tasks[i].checkpoint;
+    }
+  if (checkpoint != NULL)
+    {
+      /* All members carry the same one. */
+      g_autofree char *shared = g_strdup (checkpoint);
+
+      for (guint i = 0; i < step->spec->count; i++)
+        {
+          g_free (step->tasks[i].checkpoint);
+          step->tasks[i].checkpoint = g_strdup (shared);
+        }
+    }
+  for (guint i = 0; i < step->spec->count; i++)
+    start_task (cell, &step->tasks[i], g_ptr_array_index (chosen, i), number + 1, now_us);
+  return true;
+}
+
+static bool
+place_each (cell_t *cell, step_t *step, GArray *slots, gint64 now_us)
+{
+  for (guint i = 0; i < step->spec->count; i++)
+    {
+      task_t *task = &step->tasks[i];
+      slot_t *slot;
+
+      if (!cell_task_wants_run (task) || task->retry_us > now_us)
+        continue;
+      slot = best_slot (step, slots);
+      if (slot == NULL)
+        return false;
+      take_slot (step, slot);
+      start_task (cell, task, slot->executor, task->last_run + 1, now_us);
+    }
+  return true;
+}
+
+static bool
+place_step (cell_t *cell, step_t *step, gint64 now_us)
+{
+  g_autoptr (GArray) slots = collect_slots (cell, step, now_us);
+
+  if (step->spec->gang)
+    return place_gang (cell, step, slots, now_us);
+  return place_each (cell, step, slots, now_us);
+}
+
+/* Keeps room free for a gang on the executors that it may use, so that smaller work
+ * does not take each core that becomes free. */
+static void
+reserve_for (cell_t *cell, const step_t *step, gint64 now_us)
+{
+  guint open = step->spec->count;
+
+  for (guint i = 0; i < cell->executor_list->len && open > 0; i++)
+    {
+      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+      room_t need = step->spec->need;
+      guint fits;
+
+      if (!cell_executor_usable (executor, now_us) || !cell_executor_suits (step, executor)
+          || cell_ticket (step, executor, now_us) == NULL)
+        continue;
+      fits = need.cpu_milli > 0 ? executor->capacity.cpu_milli / need.cpu_milli : open;
+      fits = MIN (fits, open);
+      executor->reserved.cpu_milli += fits * need.cpu_milli;
+      executor->reserved.mem_mb += fits * need.mem_mb;
+      executor->reserved.gpu += fits * need.gpu;
+      open -= fits;
+    }
+}
+
+static void
+clear_reservations (cell_t *cell)
+{
+  for (guint i = 0; i < cell->executor_list->len; i++)
+    ((executor_t *) g_ptr_array_index (cell->executor_list, i))->reserved = (room_t){ 0 };
+}
+
+/* Returns true when something still waits. */
+static bool
+dispatch (cell_t *cell, gint64 now_us)
+{
+  g_autoptr (GArray) waiting = collect_waiting (cell, now_us);
+  guint reservations = 0;
+
+  clear_reservations (cell);
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      step_t *step = g_array_index (waiting, waiting_t, i).step;
+      bool is_placed = place_step (cell, step, now_us);
+
+      if (is_placed)
+        continue;
+      if (step->job->queue->advice.is_needed)
+        (void) cell_ask_advice (cell, step, now_us);
+      if (step->spec->gang && reservations < RESERVATIONS_MAX)
+        {
+          reservations++;
+          reserve_for (cell, step, now_us);
+        }
+    }
+  clear_reservations (cell);
+  return waiting->len > 0;
+}
+
+gint64
+cell_step (cell_t *cell, gint64 now_us, gint64 unix_ms G_GNUC_UNUSED)
+{
+  bool is_busy = false;
+
+  cell_fleet_step (cell, now_us);
+  cell_retry_stops (cell, now_us);
+  if (!cell->is_closed)
+    is_busy = dispatch (cell, now_us);
+  return now_us + (is_busy ? busy_step_us : idle_step_us);
+}
--- /dev/null
+++ b/src/decide/plan.c
@@ -0,0 +1,161 @@
+#include "decide/plan.h"
+
+#include <string.h>
+
+const char *
+job_state_name (job_state_t state)
+{
+  switch (state)
+    {
+    case JOB_QUEUED:
+      return "queued";
+    case JOB_RUNNING:
+      return "running";
+    case JOB_SUCCEEDED:
+      return "succeeded";
+    case JOB_FAILED:
+      return "failed";
+    case JOB_CANCELLED:
+      return "cancelled";
+    }
+  return "unknown";
+}
+
+static void
+queue_spec_free (gpointer data)
+{
+  queue_spec_t *queue = data;
+
+  g_free (queue->name);
+  g_free (queue->host);
+  g_free (queue->prefix);
+  g_free (queue->service);
+  g_free (queue);
+}
+
+static void
+service_spec_free (gpointer data)
+{
+  service_spec_t *service = data;
+
+  g_free (service->name);
+  g_free (service);
+}
+
+desired_t *
+desired_new (void)
+{
+  desired_t *desired = g_new0 (desired_t, 1);
+
+  desired->queues = g_ptr_array_new_with_free_func (queue_spec_free);
+  desired->services = g_ptr_array_new_with_free_func (service_spec_free);
+  return desired;
+}
+
+void
+desired_free (desired_t *desired)
+{
+  if (desired == NULL)
+    return;
+  g_ptr_array_unref (desired->queues);
+  g_ptr_array_unref (desired->services);
+  g_free (desired);
+}
+
+void
+job_spec_free (job_spec_t *spec)
+{
+  if (spec == NULL)
+    return;
+  for (guint i = 0; i < spec->step_count; i++)
+    {
+      g_free (spec->steps[i].requires);
+      g_free (spec->steps[i].data_rack);
+      g_free (spec->steps[i].image);
+    }
+  g_free (spec->steps);
+  g_free (spec->queue);
+  g_free (spec->service);
+  g_free (spec->spec);
+  g_free (spec);
+}
+
+/* Compares hosts without case and without a port. */
+static bool
+host_matches (const char *wanted, const char *host)
+{
+  gsize length = strcspn (host, ":");
+
+  return strlen (wanted) == length && g_ascii_strncasecmp (wanted, host, length) == 0;
+}
+
+const queue_spec_t *
+desired_route (const desired_t *desired, const char *host, const char *path)
+{
+  const queue_spec_t *best = NULL;
+  gsize best_length = 0;
+
+  if (desired == NULL || host == NULL)
+    return NULL;
+  for (guint i = 0; i < desired->queues->len; i++)
+    {
+      const queue_spec_t *queue = g_ptr_array_index (desired->queues, i);
+      gsize length = strlen (queue->prefix);
+
+      if ((best == NULL || length > best_length) && host_matches (queue->host, host)
+          && strncmp (path, queue->prefix, length) == 0)
+        {
+          best = queue;
+          best_length = length;
+        }
+    }
+  return best;
+}
+
+const queue_spec_t *
+desired_queue (const desired_t *desired, const char *name)
+{
+  for (guint i = 0; desired != NULL && i < desired->queues->len; i++)
+    {
+      const queue_spec_t *queue = g_ptr_array_index (desired->queues, i);
+
+      if (strcmp (queue->name, name) == 0)
+        return queue;
+    }
+  return NULL;
+}
+
+const service_spec_t *
+desired_service (const desired_t *desired, const char *name)
+{
+  for (guint i = 0; desired != NULL && i < desired->services->len; i++)
+    {
+      const service_spec_t *service = g_ptr_array_index (desired->services, i);
+
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+const char *
+job_spec_fault (const job_spec_t *spec)
+{
+  guint64 tasks = 0;
+
+  if (spec->step_count == 0 || spec->step_count > JOB_MAX_STEPS)
+    return "a job has 1 to 64 steps";
+  if (spec->times > JOB_MAX_TIMES)
+    return "a job has at most 10,000 occurrences";
+  for (guint i = 0; i < spec->step_count; i++)
+    {
+      if (spec->steps[i].count == 0)
+        return "a step has at least one task";
+      if (spec->steps[i].after >> i != 0)
+        return "a step follows earlier steps only";
+      tasks += spec->steps[i].count;
+    }
+  if (tasks * MAX (spec->times, 1) > JOB_MAX_TASKS)
+    return "a job has at most 100,000 tasks";
+  return NULL;
+}
--- /dev/null
+++ b/src/decide/share.c
@@ -0,0 +1,47 @@
+#include "decide/share.h"
+
+/* Higher is worse; VMs of other zones only when there is none of the zone. */
+static double
+cost_of (const share_vm_t *vm, const char *zone, guint more)
+{
+  double load = (double) (vm->held + more) / (double) MAX (vm->cpu_milli, 1);
+
+  if (vm->is_decider)
+    load += 1e3;
+  if (g_strcmp0 (vm->zone, zone) != 0)
+    load += 1e6;
+  return load;
+}
+
+int
+share_choose (const share_vm_t *vms, guint count, const char *zone)
+{
+  int best = -1;
+  double best_cost = 0.0;
+
+  for (guint i = 0; i < count; i++)
+    {
+      double cost = cost_of (&vms[i], zone, 1);
+
+      if (vms[i].is_leaving)
+        continue;
+      if (best < 0 || cost < best_cost)
+        {
+          best = (int) i;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+bool
+share_should_move (const share_vm_t *vms, guint count, const char *zone, guint from)
+{
+  int best = share_choose (vms, count, zone);
+
+  if (best < 0 || (guint) best == from)
+    return false;
+  if (vms[from].is_leaving)
+    return true;
+  return cost_of (&vms[best], zone, 2) <= cost_of (&vms[from], zone, 0);
+}
--- /dev/null
+++ b/src/entry/claim.c
@@ -0,0 +1,542 @@
+#define LOG_MODULE "claim"
+
+#include "entry/claim.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "decide/tenure.h"
+#include "peer/peer.pb-c.h"
+#include "store/mirror.h"
+
+#include <string.h>
+
+typedef enum
+{
+  CLAIM_FOLLOWING,
+  CLAIM_TRYING,
+  CLAIM_HELD,
+  CLAIM_RELEASED
+} claim_state_t;
+
+struct claim
+{
+  store_t *store;
+  claim_config_t config;
+  const claim_events_t *events;
+  void *data;
+  char *key;
+  char *epoch_key;
+  char *prefix;
+  mirror_t *mirror;
+  claim_state_t state;
+  bool is_present; /* the key exists, as far as is known */
+  bool is_synced;
+  char *holder;    /* address last told */
+  tenure_t tenure;
+  gint64 lease;
+  gint64 former_lease; /* of the holder before; 0: not known */
+  gint64 lease_sent_us;
+  gint64 renew_sent_us;
+  gint64 fence;
+  gint64 epoch_revision;
+  guint epoch;
+  guint timer; /* next attempt or renewal */
+  bool is_renewing;
+  void (*released) (void *data);
+  void *released_data;
+};
+
+enum
+{
+  WATCH_MS = 4000,      /* longest wait of one watch on the claim */
+  RENEWALS_PER_TTL = 4, /* tries before the claim is over */
+  RETRY_MS = 250,       /* after a failed attempt */
+  SPREAD_MS = 60        /* VMs try at different moments */
+};
+
+static void try_claim (claim_t *claim);
+static void schedule_renewal (claim_t *claim, guint delay_ms);
+
+static void
+clear_timer (claim_t *claim)
+{
+  if (claim->timer != 0)
+    g_source_remove (claim->timer);
+  claim->timer = 0;
+}
+
+static gboolean
+attempt (gpointer data)
+{
+  claim_t *claim = data;
+
+  claim->timer = 0;
+  if (claim->state == CLAIM_FOLLOWING && claim->is_synced && !claim->is_present)
+    try_claim (claim);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_attempt (claim_t *claim, guint delay_ms)
+{
+  if (claim->state != CLAIM_FOLLOWING || claim->timer != 0)
+    return;
+  claim->timer = g_timeout_add (delay_ms + g_str_hash (claim->config.vm) % SPREAD_MS, attempt, claim);
+}
+
+static void
+stop_trying (claim_t *claim)
+{
+  if (claim->state != CLAIM_TRYING)
+    return;
+  claim->state = CLAIM_FOLLOWING;
+  schedule_attempt (claim, RETRY_MS);
+}
+
+static void
+ignore_reply (const store_reply_t *reply G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
+{
+}
+
+static void
+drop_lease (claim_t *claim)
+{
+  if (claim->lease != 0)
+    claim->store->calls->lease_end (claim->store, claim->lease, ignore_reply, NULL);
+  claim->lease = 0;
+}
+
+static void
+tell_gained (claim_t *claim, bool former_may_act)
+{
+  LOG_INFO ("claim_effective", "fence=%" G_GINT64_FORMAT " former_may_act=%d", claim->fence,
+            (int) former_may_act);
+  claim->events->gained (claim->fence, claim->epoch, former_may_act, claim->data);
+}
+
+/* A holder reckons its claim by its lease: once that has ended, so has the claim.  Where
+ * the key was taken away and the lease runs on, the holder may go on until it looks. */
+static void
+former_checked (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  if (claim->state != CLAIM_HELD)
+    return;
+  if (reply->status == STORE_DONE)
+    claim->store->calls->lease_end (claim->store, claim->former_lease, ignore_reply, NULL);
+  claim->former_lease = 0;
+  tell_gained (claim, reply->status != STORE_MISSING);
+}
+
+static void
+hold (claim_t *claim, gint64 fence)
+{
+  claim->state = CLAIM_HELD;
+  claim->is_present = true;
+  claim->fence = fence;
+  tenure_begin (&claim->tenure, (gint64) claim->config.ttl_ms * 1000, claim->lease_sent_us);
+  LOG_INFO ("claim_gained", "domain=%s fence=%" G_GINT64_FORMAT " epoch=%u", claim->config.domain,
+            fence, claim->epoch);
+  schedule_renewal (claim, claim->config.ttl_ms / RENEWALS_PER_TTL);
+  if (claim->former_lease != 0)
+    claim->store->calls->keep (claim->store, claim->former_lease, former_checked, claim);
+  else
+    tell_gained (claim, claim->epoch > 0);
+}
+
+static void
+lose (claim_t *claim, const char *reason)
+{
+  if (claim->state != CLAIM_HELD)
+    return;
+  LOG_WARN ("claim_lost", "domain=%s fence=%" G_GINT64_FORMAT " reason=%s", claim->config.domain,
+            claim->fence, reason);
+  clear_timer (claim);
+  claim->state = CLAIM_FOLLOWING;
+  claim->tenure = (tenure_t){ 0 };
+  drop_lease (claim);
+  claim->events->lost (reason, claim->data);
+  schedule_attempt (claim, RETRY_MS);
+}
+
+/* True when the item is the claim as this process wrote it. */
+static bool
+is_ours (const claim_t *claim, const store_item_t *item)
+{
+  Mimosastair__Claim *message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
+  bool ours;
+
+  if (message == NULL)
+    return false;
+  ours = strcmp (message->vm, claim->config.vm) == 0 && message->life == claim->config.life
+         && (claim->fence == 0 || item->created == claim->fence);
+  mimosastair__claim__free_unpacked (message, NULL);
+  return ours;
+}
+
+/* A write without an answer: the key tells whether it was carried out. */
+static void
+read_back (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  if (claim->state != CLAIM_TRYING)
+    return;
+  claim->fence = 0;
+  if (reply->status == STORE_DONE && reply->items->len > 0
+      && is_ours (claim, g_ptr_array_index (reply->items, 0)))
+    {
+      hold (claim, ((store_item_t *) g_ptr_array_index (reply->items, 0))->created);
+      return;
+    }
+  /* Without its lease a write that is carried out late fails. */
+  drop_lease (claim);
+  stop_trying (claim);
+}
+
+static void
+claimed (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  if (claim->state != CLAIM_TRYING)
+    return;
+  switch (reply->status)
+    {
+    case STORE_DONE:
+      hold (claim, reply->revision);
+      return;
+    case STORE_LOST:
+      claim->store->calls->get (claim->store, claim->key, read_back, claim);
+      return;
+    case STORE_REFUSED:
+    case STORE_MISSING:
+    case STORE_UNAVAILABLE:
+      drop_lease (claim);
+      stop_trying (claim);
+      return;
+    }
+}
+
+static void
+write_claim (claim_t *claim)
+{
+  Mimosastair__Claim message = MIMOSASTAIR__CLAIM__INIT;
+  g_autofree guint8 *packed = NULL;
+  gsize bytes;
+  guint32 next_epoch = g_htonl (claim->epoch + 1);
+  store_expect_t expect[] = { { claim->key, 0 }, { claim->epoch_key, claim->epoch_revision } };
+
+  message.vm = (char *) claim->config.vm;
+  message.address = (char *) claim->config.address;
+  message.life = claim->config.life;
+  message.epoch = claim->epoch;
+  bytes = mimosastair__claim__get_packed_size (&message);
+  packed = g_malloc (bytes);
+  mimosastair__claim__pack (&message, packed);
+  {
+    store_write_t writes[]
+        = { { claim->key, packed, bytes, claim->lease },
+            { claim->epoch_key, (const guint8 *) &next_epoch, sizeof next_epoch, 0 } };
+
+    claim->store->calls->txn (claim->store, expect, G_N_ELEMENTS (expect), writes,
+                              G_N_ELEMENTS (writes), claimed, claim);
+  }
+}
+
+static void
+epoch_read (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+  guint32 epoch = 0;
+
+  if (claim->state != CLAIM_TRYING)
+    return;
+  if (reply->status != STORE_DONE && reply->status != STORE_MISSING)
+    {
+      stop_trying (claim);
+      return;
+    }
+  claim->epoch_revision = 0;
+  if (reply->items->len > 0)
+    {
+      const store_item_t *item = g_ptr_array_index (reply->items, 0);
+
+      claim->epoch_revision = item->revision;
+      if (item->value_bytes == sizeof epoch)
+        memcpy (&epoch, item->value, sizeof epoch);
+    }
+  claim->epoch = g_ntohl (epoch);
+  write_claim (claim);
+}
+
+static void
+leased (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  if (claim->state != CLAIM_TRYING)
+    return;
+  if (reply->status != STORE_DONE || reply->lease == 0)
+    {
+      stop_trying (claim);
+      return;
+    }
+  claim->lease = reply->lease;
+  claim->store->calls->get (claim->store, claim->epoch_key, epoch_read, claim);
+}
+
+static void
+try_claim (claim_t *claim)
+{
+  claim->state = CLAIM_TRYING;
+  claim->fence = 0;
+  claim->lease = 0;
+  claim->lease_sent_us = clock_now_us ();
+  claim->store->calls->lease (claim->store, claim->config.ttl_ms, leased, claim);
+}
+
+static void
+renewal_seen (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  claim->is_renewing = false;
+  if (claim->state != CLAIM_HELD)
+    return;
+  if (reply->status == STORE_MISSING)
+    {
+      lose (claim, "key_gone");
+      return;
+    }
+  if (reply->status == STORE_DONE && reply->items->len > 0)
+    {
+      if (!is_ours (claim, g_ptr_array_index (reply->items, 0)))
+        {
+          lose (claim, "taken_over");
+          return;
+        }
+      tenure_seen (&claim->tenure);
+    }
+  else
+    LOG_WARN ("claim_unseen", "status=%s left_ms=%" G_GINT64_FORMAT,
+              store_status_name (reply->status), claim_left_us (claim, clock_now_us ()) / 1000);
+}
+
+static void
+renewed (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  if (claim->state != CLAIM_HELD)
+    {
+      claim->is_renewing = false;
+      return;
+    }
+  if (reply->status == STORE_MISSING)
+    {
+      claim->is_renewing = false;
+      lose (claim, "lease_ended");
+      return;
+    }
+  if (reply->status == STORE_DONE)
+    tenure_renewed (&claim->tenure, claim->renew_sent_us);
+  else
+    LOG_WARN ("claim_not_renewed", "status=%s left_ms=%" G_GINT64_FORMAT,
+              store_status_name (reply->status), claim_left_us (claim, clock_now_us ()) / 1000);
+  claim->store->calls->get (claim->store, claim->key, renewal_seen, claim);
+}
+
+static gboolean
+renew (gpointer data)
+{
+  claim_t *claim = data;
+
+  claim->timer = 0;
+  if (claim->state != CLAIM_HELD)
+    return G_SOURCE_REMOVE;
+  schedule_renewal (claim, claim->config.ttl_ms / RENEWALS_PER_TTL);
+  if (claim->is_renewing)
+    return G_SOURCE_REMOVE;
+  claim->is_renewing = true;
+  claim->renew_sent_us = clock_now_us ();
+  claim->store->calls->keep (claim->store, claim->lease, renewed, claim);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_renewal (claim_t *claim, guint delay_ms)
+{
+  clear_timer (claim);
+  claim->timer = g_timeout_add (delay_ms, renew, claim);
+}
+
+static void
+tell_holder (claim_t *claim, const char *vm, const char *address)
+{
+  if (g_strcmp0 (claim->holder, address) == 0)
+    return;
+  g_free (claim->holder);
+  claim->holder = g_strdup (address);
+  LOG_INFO ("claim_holder", "domain=%s vm=%s address=%s", claim->config.domain,
+            vm != NULL ? vm : "-", address != NULL ? address : "-");
+  claim->events->holder (vm, address, claim->data);
+}
+
+static void
+released (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  LOG_INFO ("claim_released", "domain=%s status=%s", claim->config.domain,
+            store_status_name (reply->status));
+  if (claim->released != NULL)
+    claim->released (claim->released_data);
+  claim->released = NULL;
+}
+
+/* This VM's process before this one is dead: what it claimed is free. */
+static void
+drop_former_life (claim_t *claim, const store_item_t *item)
+{
+  store_expect_t expect = { claim->key, item->revision };
+  store_write_t write = { claim->key, NULL, 0, 0 };
+
+  LOG_INFO ("claim_of_former_life", "fence=%" G_GINT64_FORMAT, item->created);
+  claim->store->calls->txn (claim->store, &expect, 1, &write, 1, ignore_reply, NULL);
+}
+
+static void
+key_changed (const store_item_t *item, void *data)
+{
+  claim_t *claim = data;
+  Mimosastair__Claim *message;
+
+  if (strcmp (item->key, claim->key) != 0)
+    return;
+  claim->is_present = !item->deleted;
+  if (item->deleted)
+    {
+      if (claim->state == CLAIM_HELD)
+        claim_check (claim);
+      else
+        tell_holder (claim, NULL, NULL);
+      schedule_attempt (claim, 0);
+      return;
+    }
+  if (claim->state == CLAIM_FOLLOWING)
+    claim->former_lease = item->lease;
+  message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
+  if (message == NULL)
+    return;
+  if (claim->state == CLAIM_HELD && !is_ours (claim, item) && item->created > claim->fence)
+    lose (claim, "taken_over");
+  if (claim->state == CLAIM_FOLLOWING && strcmp (message->vm, claim->config.vm) == 0
+      && message->life != claim->config.life)
+    drop_former_life (claim, item);
+  tell_holder (claim, message->vm, message->address);
+  mimosastair__claim__free_unpacked (message, NULL);
+}
+
+static void
+key_synced (void *data)
+{
+  claim_t *claim = data;
+
+  claim->is_synced = true;
+  if (!claim->is_present)
+    schedule_attempt (claim, 0);
+}
+
+static void
+key_lost (void *data)
+{
+  claim_t *claim = data;
+
+  claim->is_synced = false;
+  LOG_WARN ("store_lost", "of=claim");
+}
+
+static const mirror_events_t mirror_events = { key_changed, key_synced, key_lost };
+
+claim_t *
+claim_new (store_t *store, const claim_config_t *config, const claim_events_t *events, void *data)
+{
+  claim_t *claim = g_new0 (claim_t, 1);
+
+  claim->store = store;
+  claim->config = *config;
+  claim->events = events;
+  claim->data = data;
+  claim->key = g_strdup_printf ("claim/%s", config->domain);
+  claim->prefix = g_strdup ("claim/");
+  claim->epoch_key = g_strdup_printf ("epoch/%s", config->domain);
+  claim->mirror = mirror_new (store, claim->prefix, WATCH_MS, &mirror_events, claim);
+  return claim;
+}
+
+void
+claim_free (claim_t *claim)
+{
+  if (claim == NULL)
+    return;
+  clear_timer (claim);
+  mirror_free (claim->mirror);
+  g_free (claim->key);
+  g_free (claim->prefix);
+  g_free (claim->epoch_key);
+  g_free (claim->holder);
+  g_free (claim);
+}
+
+gint64
+claim_left_us (const claim_t *claim, gint64 now_us)
+{
+  return claim->state == CLAIM_HELD ? tenure_left_us (&claim->tenure, now_us) : 0;
+}
+
+const char *
+claim_key (const claim_t *claim)
+{
+  return claim->key;
+}
+
+gint64
+claim_revision (const claim_t *claim)
+{
+  return claim->fence;
+}
+
+void
+claim_give_up (claim_t *claim, void (*done) (void *data), void *data)
+{
+  store_expect_t expect = { claim->key, claim->fence };
+  store_write_t write = { claim->key, NULL, 0, 0 };
+  bool was_held = claim->state == CLAIM_HELD;
+
+  clear_timer (claim);
+  claim->state = CLAIM_RELEASED;
+  claim->released = done;
+  claim->released_data = data;
+  if (was_held)
+    claim->store->calls->txn (claim->store, &expect, 1, &write, 1, released, claim);
+  else
+    done (data);
+}
+
+void
+claim_check (claim_t *claim)
+{
+  if (claim->state == CLAIM_HELD)
+    schedule_renewal (claim, 0);
+}
+
+void
+claim_hint_free (claim_t *claim)
+{
+  if (claim->state != CLAIM_FOLLOWING)
+    return;
+  claim->is_present = false;
+  schedule_attempt (claim, 0);
+}
--- /dev/null
+++ b/src/entry/claim.h
@@ -0,0 +1,51 @@
+/* The claim on a scheduling domain: who decides.
+ *
+ * Every entry VM follows the claim's key; when it is gone, each tries to write it with a
+ * lease of its own, on condition that it is absent.  The fence of a holder is the
+ * store's revision of that write, so it rises from holder to holder.
+ */
+#pragma once
+
+#include "store/store.h"
+
+typedef struct claim claim_t;
+
+typedef struct
+{
+  /* This VM decides from now on.  `epoch` counts the claims before this one.
+   * `former_may_act`: the holder before may not know yet that it was deposed. */
+  void (*gained) (gint64 fence, guint epoch, bool former_may_act, void *data);
+  /* This VM no longer decides. */
+  void (*lost) (const char *reason, void *data);
+  /* Another holder, or (address NULL) none. */
+  void (*holder) (const char *vm, const char *address, void *data);
+} claim_events_t;
+
+typedef struct
+{
+  const char *domain;
+  const char *vm;
+  const char *address; /* of the peer listener */
+  gint64 life;         /* of this process */
+  guint ttl_ms;
+} claim_config_t;
+
+claim_t *claim_new (store_t *store, const claim_config_t *config, const claim_events_t *events, void *data);
+void claim_free (claim_t *claim);
+
+/* Time for which the claim is certainly this VM's; not above 0 when it is not. */
+gint64 claim_left_us (const claim_t *claim, gint64 now_us);
+
+/* Key and revision of the claim, for conditions of writes. */
+const char *claim_key (const claim_t *claim);
+gint64 claim_revision (const claim_t *claim);
+
+/* Gives the claim up for good; this VM does not try again.  `done` is called once the
+ * key is gone or the service did not answer. */
+void claim_give_up (claim_t *claim, void (*done) (void *data), void *data);
+
+/* Looks at the key soon: a write was refused by it. */
+void claim_check (claim_t *claim);
+
+/* The holder told that the key is free. */
+void claim_hint_free (claim_t *claim);
--- /dev/null
+++ b/src/entry/decider.h
@@ -0,0 +1,49 @@
+/* The decider of a domain while this VM holds its claim.
+ *
+ * Loads jobs from the key-value service, follows the registry, serves the connections of
+ * all entry VMs, and moves events and orders between them and the cell.
+ */
+#pragma once
+
+#include "decide/cell.h"
+#include "entry/claim.h"
+#include "base/metrics.h"
+
+#include <gio/gio.h>
+
+typedef struct decider decider_t;
+
+typedef struct
+{
+  const char *vm; /* this VM */
+  gint64 fence;
+  guint epoch;
+  cell_limits_t limits;
+} decider_config_t;
+
+/* `deposed` is called once when the claim turns out to be another's. */
+decider_t *decider_new (store_t *store,
+                        claim_t *claim,
+                        const decider_config_t *config,
+                        const desired_t *desired,
+                        metrics_t *metrics,
+                        void (*deposed) (void *data),
+                        void *data);
+
+/* Stops at once; nothing is issued after. */
+void decider_free (decider_t *decider);
+
+void decider_set_desired (decider_t *decider, const desired_t *desired);
+
+/* Serves an entry VM's connection. */
+void decider_accept (decider_t *decider, GSocketConnection *connection);
+
+/* Issues no more starts and stores what waits; `done` is called when that is stored, or
+ * after `timeout_ms`. */
+void decider_close (decider_t *decider, guint timeout_ms, void (*done) (void *data), void *data);
+
+/* Tells every VM that the claim is free. */
+void decider_tell_released (decider_t *decider);
+
+/* Appends gauges of the cell. */
+void decider_print (const decider_t *decider, GString *out);
--- /dev/null
+++ b/src/entry/intake.c
@@ -0,0 +1,425 @@
+#define LOG_MODULE "intake"
+
+#include "entry/intake.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/codec.h"
+#include "entry/keys.h"
+
+#include <string.h>
+
+struct intake
+{
+  store_t *store;
+  uplink_t *uplink;
+  metrics_t *metrics;
+  guint open;
+};
+
+typedef enum
+{
+  ACTION_SUBMIT,
+  ACTION_STATE,
+  ACTION_CANCEL,
+  ACTION_PENDING
+} action_t;
+
+/* One request of a customer. */
+typedef struct
+{
+  intake_t *intake;
+  action_t action;
+  char id[JOB_ID_BYTES];
+  job_spec_t *spec;
+  char *key;     /* of the job */
+  char *end_key; /* of its end */
+  guint8 *record;
+  gsize record_bytes;
+  gint64 started_us;
+  gint64 deadline_us;
+  bool may_be_stored; /* a write got no answer */
+  gint64 job_revision;
+  intake_done_t done;
+  intake_state_t state_done;
+  intake_pending_t pending_done;
+  void *data;
+} request_t;
+
+enum
+{
+  ASK_TIMEOUT_MS = 400, /* the decider answers within a few milliseconds */
+  RETRY_MS = 60         /* between tries at the store */
+};
+
+/* A try at the store takes about this long; no other is begun later. */
+static const gint64 last_try_us = 150 * 1000;
+
+static const char *
+action_name (action_t action)
+{
+  static const char *const names[] = { "submit", "state", "cancel", "pending" };
+
+  return names[action];
+}
+
+static request_t *
+request_new (intake_t *intake, action_t action, const char *id, gint64 deadline_us, void *data)
+{
+  request_t *request = g_new0 (request_t, 1);
+
+  request->intake = intake;
+  request->action = action;
+  request->started_us = clock_now_us ();
+  request->deadline_us = deadline_us;
+  request->data = data;
+  intake->open++;
+  if (id == NULL)
+    return request;
+  g_strlcpy (request->id, id, sizeof request->id);
+  request->key = keys_job (id);
+  request->end_key = keys_end (id);
+  return request;
+}
+
+static void
+request_free (request_t *request)
+{
+  request->intake->open--;
+  job_spec_free (request->spec);
+  g_free (request->key);
+  g_free (request->end_key);
+  g_free (request->record);
+  g_free (request);
+}
+
+static void
+count (request_t *request, error_kind_t kind)
+{
+  g_autofree char *name
+      = g_strdup_printf ("mimosastair_intake_total{action=\"%s\",result=\"%s\"}",
+                         action_name (request->action), error_answer (kind)->name);
+
+  (*metrics_counter (request->intake->metrics, name))++;
+}
+
+/* Answers a submission or a cancel. */
+static void
+finish (request_t *request, error_kind_t kind)
+{
+  count (request, kind);
+  if (request->action == ACTION_SUBMIT || kind != ERROR_NONE)
+    LOG_INFO ("job_request", "job=%s action=%s queue=%s result=%s took_ms=%" G_GINT64_FORMAT,
+              request->id, action_name (request->action),
+              request->spec != NULL ? request->spec->queue : "-", error_answer (kind)->name,
+              (clock_now_us () - request->started_us) / 1000);
+  if (kind == ERROR_NONE && request->action == ACTION_SUBMIT)
+    uplink_job_stored (request->intake->uplink, request->spec);
+  if (kind == ERROR_NONE && request->action == ACTION_CANCEL)
+    uplink_job_cancelled (request->intake->uplink, request->id);
+  request->done (kind, request->data);
+  request_free (request);
+}
+
+static bool
+has_time (const request_t *request)
+{
+  return clock_now_us () + last_try_us < request->deadline_us;
+}
+
+/* ---- Submit. */
+
+static void store_job (request_t *request);
+
+static gboolean
+store_job_again (gpointer data)
+{
+  store_job (data);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+job_stored (const store_reply_t *reply, void *data)
+{
+  request_t *request = data;
+
+  switch (reply->status)
+    {
+    case STORE_DONE:
+    case STORE_REFUSED:
+      /* Refused: this job is stored already, by an earlier try or another VM. */
+      finish (request, ERROR_NONE);
+      return;
+    case STORE_LOST:
+      request->may_be_stored = true;
+      break;
+    case STORE_MISSING:
+    case STORE_UNAVAILABLE:
+      break;
+    }
+  if (!request->may_be_stored)
+    finish (request, ERROR_PLATFORM_UNAVAILABLE);
+  else if (has_time (request))
+    (void) g_timeout_add (RETRY_MS, store_job_again, request);
+  else
+    finish (request, ERROR_ANSWER_LOST);
+}
+
+static void
+store_job (request_t *request)
+{
+  store_expect_t expect[] = { { request->key, 0 }, { request->end_key, 0 } };
+  store_write_t write = { request->key, request->record, request->record_bytes, 0 };
+
+  request->intake->store->calls->txn (request->intake->store, expect, G_N_ELEMENTS (expect),
+                                      &write, 1, job_stored, request);
+}
+
+void
+intake_submit (
+    intake_t *intake, job_spec_t *spec, gint64 deadline_us, intake_done_t done, void *data)
+{
+  request_t *request = request_new (intake, ACTION_SUBMIT, spec->id, deadline_us, data);
+
+  request->done = done;
+  request->spec = spec;
+  request->record = codec_pack_job (spec, &request->record_bytes);
+  store_job (request);
+}
+
+/* ---- State. */
+
+static void
+finish_state (request_t *request, error_kind_t kind, job_state_t state)
+{
+  count (request, kind);
+  LOG_DEBUG ("job_state", "job=%s result=%s state=%s", request->id, error_answer (kind)->name,
+             job_state_name (state));
+  if (kind == ERROR_NOT_FOUND)
+    LOG_INFO ("job_unknown", "job=%s action=state", request->id);
+  request->state_done (kind, state, request->data);
+  request_free (request);
+}
+
+static void
+end_read (const store_reply_t *reply, void *data)
+{
+  request_t *request = data;
+  Mimosastair__Ended *message;
+
+  if (reply->status == STORE_MISSING)
+    {
+      finish_state (request, ERROR_NOT_FOUND, JOB_QUEUED);
+      return;
+    }
+  if (reply->status != STORE_DONE || reply->items->len == 0)
+    {
+      finish_state (request, ERROR_PLATFORM_UNAVAILABLE, JOB_QUEUED);
+      return;
+    }
+  {
+    const store_item_t *item = g_ptr_array_index (reply->items, 0);
+
+    message = mimosastair__ended__unpack (NULL, item->value_bytes, item->value);
+  }
+  if (message == NULL)
+    {
+      finish_state (request, ERROR_INTERNAL, JOB_QUEUED);
+      return;
+    }
+  finish_state (request, ERROR_NONE, message->state);
+  mimosastair__ended__free_unpacked (message, NULL);
+}
+
+/* A job moves from its record to its end in one transaction, so that reading in this
+ * order finds it. */
+static void
+job_read (const store_reply_t *reply, void *data)
+{
+  request_t *request = data;
+
+  if (reply->status == STORE_DONE)
+    finish_state (request, ERROR_NONE, JOB_QUEUED);
+  else if (reply->status == STORE_MISSING)
+    request->intake->store->calls->get (request->intake->store, request->end_key, end_read,
+                                        request);
+  else
+    finish_state (request, ERROR_PLATFORM_UNAVAILABLE, JOB_QUEUED);
+}
+
+static void
+state_asked (const uplink_answer_t *answer, void *data)
+{
+  request_t *request = data;
+
+  if (answer->is_answered && answer->is_known)
+    finish_state (request, ERROR_NONE, answer->state);
+  else
+    request->intake->store->calls->get (request->intake->store, request->key, job_read, request);
+}
+
+void
+intake_state (
+    intake_t *intake, const char *id, gint64 deadline_us, intake_state_t done, void *data)
+{
+  request_t *request = request_new (intake, ACTION_STATE, id, deadline_us, data);
+
+  request->state_done = done;
+  uplink_ask (intake->uplink, id, NULL, ASK_TIMEOUT_MS, state_asked, request);
+}
+
+/* ---- Cancel. */
+
+static void find_job (request_t *request);
+static void store_cancel (request_t *request);
+
+static gboolean
+cancel_again (gpointer data)
+{
+  request_t *request = data;
+
+  if (request->job_revision > 0)
+    store_cancel (request);
+  else
+    find_job (request);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+retry_cancel (request_t *request)
+{
+  if (has_time (request))
+    (void) g_timeout_add (RETRY_MS, cancel_again, request);
+  else
+    finish (request, request->may_be_stored ? ERROR_ANSWER_LOST : ERROR_PLATFORM_UNAVAILABLE);
+}
+
+static void
+cancel_stored (const store_reply_t *reply, void *data)
+{
+  request_t *request = data;
+
+  switch (reply->status)
+    {
+    case STORE_DONE:
+      finish (request, ERROR_NONE);
+      return;
+    case STORE_REFUSED:
+    case STORE_MISSING:
+      /* The job's record has changed or is gone: it has ended. */
+      request->job_revision = 0;
+      break;
+    case STORE_LOST:
+      request->may_be_stored = true;
+      break;
+    case STORE_UNAVAILABLE:
+      break;
+    }
+  retry_cancel (request);
+}
+
+static void
+store_cancel (request_t *request)
+{
+  g_autofree char *key = keys_cancel (request->id);
+  store_expect_t expect = { request->key, request->job_revision };
+  store_write_t write = { key, (const guint8 *) "1", 1, 0 };
+
+  request->intake->store->calls->txn (request->intake->store, &expect, 1, &write, 1,
+                                      cancel_stored, request);
+}
+
+static void
+cancel_end_read (const store_reply_t *reply, void *data)
+{
+  request_t *request = data;
+
+  if (reply->status == STORE_DONE)
+    finish (request, ERROR_NONE);
+  else if (reply->status == STORE_MISSING)
+    finish (request, ERROR_NOT_FOUND);
+  else
+    retry_cancel (request);
+}
+
+static void
+cancel_job_read (const store_reply_t *reply, void *data)
+{
+  request_t *request = data;
+
+  if (reply->status == STORE_DONE && reply->items->len > 0)
+    {
+      request->job_revision = ((store_item_t *) g_ptr_array_index (reply->items, 0))->revision;
+      store_cancel (request);
+    }
+  else if (reply->status == STORE_MISSING)
+    request->intake->store->calls->get (request->intake->store, request->end_key, cancel_end_read,
+                                        request);
+  else
+    retry_cancel (request);
+}
+
+static void
+find_job (request_t *request)
+{
+  request->intake->store->calls->get (request->intake->store, request->key, cancel_job_read,
+                                      request);
+}
+
+void
+intake_cancel (
+    intake_t *intake, const char *id, gint64 deadline_us, intake_done_t done, void *data)
+{
+  request_t *request = request_new (intake, ACTION_CANCEL, id, deadline_us, data);
+
+  request->done = done;
+  find_job (request);
+}
+
+/* ---- Backlog of a queue. */
+
+static void
+pending_asked (const uplink_answer_t *answer, void *data)
+{
+  request_t *request = data;
+  error_kind_t kind = answer->is_answered ? ERROR_NONE : ERROR_UNREACHABLE;
+
+  count (request, kind);
+  request->pending_done (kind, answer->pending, request->data);
+  request_free (request);
+}
+
+void
+intake_pending (
+    intake_t *intake, const char *queue, gint64 deadline_us, intake_pending_t done, void *data)
+{
+  request_t *request = request_new (intake, ACTION_PENDING, NULL, deadline_us, data);
+
+  request->pending_done = done;
+  uplink_ask (intake->uplink, NULL, queue, ASK_TIMEOUT_MS, pending_asked, request);
+}
+
+/* ---- Life. */
+
+intake_t *
+intake_new (store_t *store, uplink_t *uplink, metrics_t *metrics)
+{
+  intake_t *intake = g_new0 (intake_t, 1);
+
+  intake->store = store;
+  intake->uplink = uplink;
+  intake->metrics = metrics;
+  return intake;
+}
+
+void
+intake_free (intake_t *intake)
+{
+  g_free (intake);
+}
+
+guint
+intake_open (const intake_t *intake)
+{
+  return intake->open;
+}
--- /dev/null
+++ b/src/entry/keys.h
@@ -0,0 +1,36 @@
+/* Keys of the scheduler's records in the key-value service. */
+#pragma once
+
+#include <glib.h>
+
+#define KEYS_JOBS "job/"    /* job/ID: Job; job/ID.x: it was cancelled */
+#define KEYS_PROGRESS "run/" /* run/ID: Progress */
+#define KEYS_ENDS "end/"    /* end/ID: Ended */
+#define KEYS_FLEET "fleet"  /* ids of executors that may run something */
+#define KEYS_BATCH "batch"  /* counter of the decider's transactions */
+#define KEYS_CANCEL_SUFFIX ".x"
+
+/* Free with g_free(). */
+static inline char *
+keys_job (const char *id)
+{
+  return g_strconcat (KEYS_JOBS, id, NULL);
+}
+
+static inline char *
+keys_cancel (const char *id)
+{
+  return g_strconcat (KEYS_JOBS, id, KEYS_CANCEL_SUFFIX, NULL);
+}
+
+static inline char *
+keys_progress (const char *id)
+{
+  return g_strconcat (KEYS_PROGRESS, id, NULL);
+}
+
+static inline char *
+keys_end (const char *id)
+{
+  return g_strconcat (KEYS_ENDS, id, NULL);
+}
--- /dev/null
+++ b/src/entry/options.c
@@ -0,0 +1,164 @@
+#include "entry/options.h"
+
+static entry_options_t loaded;
+
+static const setting_t settings[] = {
+  { .flag = "vm",
+    .kind = SETTING_TEXT,
+    .value = &loaded.vm,
+    .min = 1,
+    .max = 63,
+    .placeholder = "ID",
+    .help = "name of this VM, unique among the entry VMs" },
+  { .flag = "zone",
+    .kind = SETTING_TEXT,
+    .value = &loaded.zone,
+    .min = 1,
+    .max = 63,
+    .placeholder = "ZONE",
+    .help = "availability zone of this VM" },
+  { .flag = "listen",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.listen,
+    .fallback = "127.0.0.1:8080",
+    .placeholder = "IP:PORT",
+    .help = "address for customers" },
+  { .flag = "ready-listen",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.ready_listen,
+    .fallback = "127.0.0.1:8081",
+    .placeholder = "IP:PORT",
+    .help = "address for the balancer's readiness check" },
+  { .flag = "peer-listen",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.peer_listen,
+    .fallback = "127.0.0.1:8082",
+    .placeholder = "IP:PORT",
+    .help = "address for other entry VMs" },
+  { .flag = "metrics-listen",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.metrics_listen,
+    .fallback = "127.0.0.1:8083",
+    .placeholder = "IP:PORT",
+    .help = "address for metrics (path /metrics)" },
+  { .flag = "store",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.store,
+    .placeholder = "IP:PORT",
+    .help = "the platform's key-value service" },
+  { .flag = "advice",
+    .kind = SETTING_ADDRESS,
+    .value = &loaded.advice,
+    .fallback = "",
+    .placeholder = "IP:PORT",
+    .help = "the service that says which executors may run a step; empty: none" },
+  { .flag = "domain",
+    .kind = SETTING_TEXT,
+    .value = &loaded.domain,
+    .fallback = "all",
+    .min = 1,
+    .max = 63,
+    .placeholder = "NAME",
+    .help = "scheduling domain that this VM may decide for, the same on all of it" },
+  { .flag = "log-level",
+    .kind = SETTING_TEXT,
+    .value = &loaded.log_level,
+    .fallback = "info",
+    .min = 4,
+    .max = 7,
+    .placeholder = "LEVEL",
+    .help = "error, warning, info or debug" },
+  { .flag = "cpu-milli",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.cpu_milli,
+    .fallback = "1000",
+    .min = 1,
+    .max = 1000000,
+    .placeholder = "COUNT",
+    .help = "processor of this VM in thousandths of a core; weighs what it is given to do" },
+  { .flag = "hold-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.hold_ms,
+    .fallback = "6000",
+    .min = 1000,
+    .max = 600000,
+    .placeholder = "MS",
+    .help = "length of the leases that executors are given, the same on all" },
+  { .flag = "gang-wait-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.gang_wait_ms,
+    .fallback = "3000",
+    .min = 100,
+    .max = 600000,
+    .placeholder = "MS",
+    .help = "time that members of a gang wait for each other" },
+  { .flag = "claim-ttl-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.claim_ttl_ms,
+    .fallback = "3000",
+    .min = 1000,
+    .max = 60000,
+    .placeholder = "MS",
+    .help = "time after which another VM decides when this one is lost, the same on all" },
+  { .flag = "max-connections",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.max_connections,
+    .fallback = "2000",
+    .min = 1,
+    .max = 100000,
+    .placeholder = "COUNT",
+    .help = "connections of customers" },
+  { .flag = "drain-delay-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.drain_delay_ms,
+    .fallback = "2500",
+    .min = 0,
+    .max = 60000,
+    .placeholder = "MS",
+    .help = "time after SIGTERM in which the balancer learns of it and requests are still taken" },
+  { .flag = "drain-timeout-ms",
+    .kind = SETTING_NUMBER,
+    .value = &loaded.drain_timeout_ms,
+    .fallback = "3000",
+    .min = 100,
+    .max = 600000,
+    .placeholder = "MS",
+    .help = "longest time after that in which requests in progress may end" },
+};
+
+bool
+entry_options_load (entry_options_t *options,
+                    int argc,
+                    char **argv,
+                    settings_result_t *result,
+                    error_info_t *error)
+{
+  bool ok = settings_load (settings, G_N_ELEMENTS (settings), argc, argv, result, error);
+
+  *options = loaded;
+  return ok;
+}
+
+void
+entry_options_clear (entry_options_t *options)
+{
+  g_free (options->vm);
+  g_free (options->zone);
+  g_free (options->listen);
+  g_free (options->ready_listen);
+  g_free (options->peer_listen);
+  g_free (options->metrics_listen);
+  g_free (options->store);
+  g_free (options->advice);
+  g_free (options->domain);
+  g_free (options->log_level);
+}
+
+void
+entry_options_print_help (FILE *out)
+{
+  (void) fprintf (out, "usage: mimosastaird entry --vm=ID --zone=ZONE --store=IP:PORT [FLAG...]\n\n"
+                       "Entry VM of a scheduling domain: takes jobs, and decides or carries out\n"
+                       "what the domain's decider orders.\n\n");
+  settings_print_help (settings, G_N_ELEMENTS (settings), out);
+}
--- /dev/null
+++ b/src/entry/options.h
@@ -0,0 +1,33 @@
+/* Settings of the entry daemon. */
+#pragma once
+
+#include "base/settings.h"
+
+typedef struct
+{
+  char *vm;
+  char *zone;
+  char *listen;
+  char *ready_listen;
+  char *peer_listen;
+  char *metrics_listen;
+  char *store;
+  char *advice;
+  char *domain;
+  char *log_level;
+  gint64 cpu_milli;
+  gint64 hold_ms;
+  gint64 gang_wait_ms;
+  gint64 claim_ttl_ms;
+  gint64 max_connections;
+  gint64 drain_delay_ms;
+  gint64 drain_timeout_ms;
+} entry_options_t;
+
+bool entry_options_load (entry_options_t *options,
+                         int argc,
+                         char **argv,
+                         settings_result_t *result,
+                         error_info_t *error);
+void entry_options_clear (entry_options_t *options);
+void entry_options_print_help (FILE *out);
--- /dev/null
+++ b/src/entry/recorder.h
@@ -0,0 +1,46 @@
+/* Writes what the decider must not lose, in batches of conditional transactions.
+ *
+ * Each transaction holds only while the claim is this VM's, and replaces a counter that
+ * the one before wrote, so that one whose answer was lost and that is carried out late
+ * changes nothing.
+ */
+#pragma once
+
+#include "decide/cell.h"
+#include "entry/claim.h"
+
+typedef struct recorder recorder_t;
+
+typedef struct
+{
+  /* The ends of these jobs are stored. */
+  void (*ended) (const char *id, job_state_t state, void *data);
+  /* A batch is stored: its ends may be acknowledged. */
+  void (*stored) (guint64 batch, void *data);
+  /* The executors of cell_fleet() are stored. */
+  void (*fleet_stored) (void *data);
+  /* The claim is not this VM's any more. */
+  void (*deposed) (void *data);
+} recorder_events_t;
+
+/* `cell` must outlive the recorder. */
+recorder_t *recorder_new (store_t *store,
+                          const char *claim_key,
+                          gint64 claim_revision,
+                          cell_t *cell,
+                          const recorder_events_t *events,
+                          void *data);
+void recorder_free (recorder_t *recorder);
+
+/* The job has a progress record from an earlier claim. */
+void recorder_has_progress (recorder_t *recorder, const char *id);
+
+void recorder_save (recorder_t *recorder, const char *id);
+void recorder_finish (recorder_t *recorder, const char *id, job_state_t state);
+void recorder_save_fleet (recorder_t *recorder);
+
+/* True when nothing waits to be written. */
+bool recorder_is_idle (const recorder_t *recorder);
+
+/* Writes at once what waits. */
+void recorder_flush (recorder_t *recorder);
--- /dev/null
+++ b/src/entry/uplink.c
@@ -0,0 +1,388 @@
+#define LOG_MODULE "uplink"
+
+#include "entry/uplink.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/agent.h"
+#include "entry/codec.h"
+#include "peer/link.h"
+
+#include <string.h>
+
+struct uplink
+{
+  uplink_config_t config;
+  agent_t *agent;
+  char *holder;
+  link_t *link;
+  bool is_open;
+  bool is_leaving;
+  bool is_ready; /* the decider has rebuilt its state */
+  gint64 opened_us;
+  gint64 valid_until_us;
+  gint64 fence;
+  guint ping_timer;
+  guint connect_timer;
+  guint64 next_ask;
+  GHashTable *asks;    /* number -> ask_t */
+  GHashTable *unknown; /* job id -> packed job: not yet confirmed by a decider */
+  GHashTable *cancels; /* job ids, likewise */
+};
+
+typedef struct
+{
+  uplink_t *uplink;
+  guint64 number;
+  guint timer;
+  uplink_asked_t done;
+  void *data;
+} ask_t;
+
+enum
+{
+  PING_MS = 250,
+  RECONNECT_MS = 100,
+  UNKNOWN_MAX = 5000, /* jobs kept for a decider that does not confirm; it finds the others itself */
+  JOBS_PER_FRAME = 50
+};
+
+/* A decider that has sent nothing for this long is not there any more. */
+static const gint64 silence_us = 1100 * 1000;
+
+static void connect_now (uplink_t *uplink);
+
+static bool
+send_frame (const Mimosastair__Frame *frame, void *data)
+{
+  uplink_t *uplink = data;
+
+  return uplink->is_open && link_send (uplink->link, frame);
+}
+
+static gboolean
+connect_later (gpointer data)
+{
+  uplink_t *uplink = data;
+
+  uplink->connect_timer = 0;
+  connect_now (uplink);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_connect (uplink_t *uplink, guint delay_ms)
+{
+  if (uplink->connect_timer == 0 && uplink->holder != NULL)
+    uplink->connect_timer = g_timeout_add (delay_ms, connect_later, uplink);
+}
+
+static void
+close_link (uplink_t *uplink)
+{
+  link_free (uplink->link);
+  uplink->link = NULL;
+  uplink->is_open = false;
+  uplink->is_ready = false;
+  uplink->valid_until_us = 0;
+  agent_reset (uplink->agent);
+}
+
+static void
+broken (link_t *link G_GNUC_UNUSED, const char *reason, void *data)
+{
+  uplink_t *uplink = data;
+
+  if (uplink->is_open)
+    LOG_WARN ("decider_lost", "address=%s reason=%s", uplink->holder, reason);
+  close_link (uplink);
+  schedule_connect (uplink, RECONNECT_MS);
+}
+
+static void
+send_ping (uplink_t *uplink)
+{
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+  Mimosastair__Ping ping = MIMOSASTAIR__PING__INIT;
+
+  ping.sent_us = clock_now_us ();
+  frame.ping = &ping;
+  (void) send_frame (&frame, uplink);
+}
+
+static void
+send_hello (uplink_t *uplink)
+{
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+  Mimosastair__Hello hello = MIMOSASTAIR__HELLO__INIT;
+
+  hello.vm = (char *) uplink->config.vm;
+  hello.zone = (char *) uplink->config.zone;
+  hello.cpu_milli = uplink->config.cpu_milli;
+  hello.leaving = uplink->is_leaving;
+  frame.hello = &hello;
+  (void) send_frame (&frame, uplink);
+}
+
+static void
+send_job (uplink_t *uplink, GBytes *packed)
+{
+  gsize size;
+  const guint8 *bytes = g_bytes_get_data (packed, &size);
+  Mimosastair__Job *job = mimosastair__job__unpack (NULL, size, bytes);
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+
+  if (job == NULL)
+    return;
+  frame.n_job = 1;
+  frame.job = &job;
+  (void) send_frame (&frame, uplink);
+  mimosastair__job__free_unpacked (job, NULL);
+}
+
+static void
+send_cancel (uplink_t *uplink, const char *id)
+{
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+  char *list = (char *) id;
+
+  frame.n_cancel = 1;
+  frame.cancel = &list;
+  (void) send_frame (&frame, uplink);
+}
+
+/* What no decider has confirmed, sent on each new connection. */
+static void
+send_unknown (uplink_t *uplink)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, uplink->unknown);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    send_job (uplink, value);
+  g_hash_table_iter_init (&iter, uplink->cancels);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    send_cancel (uplink, key);
+}
+
+static void
+opened (link_t *link G_GNUC_UNUSED, void *data)
+{
+  uplink_t *uplink = data;
+
+  uplink->is_open = true;
+  uplink->opened_us = clock_now_us ();
+  LOG_INFO ("decider_reached", "address=%s", uplink->holder);
+  send_hello (uplink);
+  send_ping (uplink);
+  send_unknown (uplink);
+}
+
+static void
+handle_pong (uplink_t *uplink, const Mimosastair__Pong *pong)
+{
+  uplink->fence = pong->fence;
+  uplink->is_ready = pong->ready;
+  uplink->valid_until_us = pong->valid_us > 0 ? pong->sent_us + pong->valid_us : 0;
+  agent_permit (uplink->agent, pong->fence, uplink->valid_until_us);
+}
+
+static void
+finish_ask (ask_t *ask, const uplink_answer_t *answer)
+{
+  if (ask->timer != 0)
+    g_source_remove (ask->timer);
+  ask->done (answer, ask->data);
+  g_free (ask);
+}
+
+static void
+handle_answer (uplink_t *uplink, const Mimosastair__Answer *message)
+{
+  guint64 number = message->number;
+  ask_t *ask = g_hash_table_lookup (uplink->asks, &number);
+  uplink_answer_t answer = {
+    .is_answered = true,
+    .is_known = message->known,
+    .state = message->state,
+    .pending = message->pending,
+  };
+
+  if (ask == NULL)
+    return;
+  g_hash_table_steal (uplink->asks, &number);
+  finish_ask (ask, &answer);
+}
+
+static void
+handle_frame (link_t *link G_GNUC_UNUSED, const Mimosastair__Frame *frame, void *data)
+{
+  uplink_t *uplink = data;
+
+  if (frame->pong != NULL)
+    handle_pong (uplink, frame->pong);
+  agent_handle (uplink->agent, frame);
+  for (gsize i = 0; i < frame->n_job_known; i++)
+    g_hash_table_remove (uplink->unknown, frame->job_known[i]->id);
+  for (gsize i = 0; i < frame->n_cancel; i++)
+    g_hash_table_remove (uplink->cancels, frame->cancel[i]);
+  for (gsize i = 0; i < frame->n_answer; i++)
+    handle_answer (uplink, frame->answer[i]);
+  if (frame->released)
+    uplink->valid_until_us = 0;
+}
+
+static const link_events_t link_events = { opened, handle_frame, broken };
+
+static void
+connect_now (uplink_t *uplink)
+{
+  if (uplink->holder == NULL || uplink->link != NULL)
+    return;
+  uplink->opened_us = clock_now_us ();
+  uplink->link = link_connect (uplink->holder, &link_events, uplink);
+}
+
+static gboolean
+ping (gpointer data)
+{
+  uplink_t *uplink = data;
+  gint64 now_us = clock_now_us ();
+
+  if (uplink->is_open && now_us - link_heard_us (uplink->link) > silence_us)
+    broken (uplink->link, "silent", uplink);
+  else if (uplink->is_open)
+    send_ping (uplink);
+  return G_SOURCE_CONTINUE;
+}
+
+void
+uplink_set_holder (uplink_t *uplink, const char *address)
+{
+  if (g_strcmp0 (uplink->holder, address) == 0)
+    return;
+  g_free (uplink->holder);
+  uplink->holder = g_strdup (address);
+  close_link (uplink);
+  if (address != NULL && uplink->connect_timer == 0)
+    connect_now (uplink);
+}
+
+void
+uplink_leave (uplink_t *uplink)
+{
+  uplink->is_leaving = true;
+  send_hello (uplink);
+}
+
+void
+uplink_job_stored (uplink_t *uplink, const job_spec_t *spec)
+{
+  gsize bytes;
+  guint8 *packed = codec_pack_job (spec, &bytes);
+  GBytes *job = g_bytes_new_take (packed, bytes);
+
+  send_job (uplink, job);
+  if (g_hash_table_size (uplink->unknown) < UNKNOWN_MAX)
+    g_hash_table_insert (uplink->unknown, g_strdup (spec->id), job);
+  else
+    g_bytes_unref (job);
+}
+
+void
+uplink_job_cancelled (uplink_t *uplink, const char *id)
+{
+  send_cancel (uplink, id);
+  if (g_hash_table_size (uplink->cancels) < UNKNOWN_MAX)
+    (void) g_hash_table_add (uplink->cancels, g_strdup (id));
+}
+
+static gboolean
+ask_timed_out (gpointer data)
+{
+  ask_t *ask = data;
+  uplink_answer_t answer = { .is_answered = false };
+
+  ask->timer = 0;
+  g_hash_table_steal (ask->uplink->asks, &ask->number);
+  finish_ask (ask, &answer);
+  return G_SOURCE_REMOVE;
+}
+
+void
+uplink_ask (uplink_t *uplink,
+            const char *id,
+            const char *queue,
+            guint timeout_ms,
+            uplink_asked_t done,
+            void *data)
+{
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+  Mimosastair__Ask message = MIMOSASTAIR__ASK__INIT;
+  Mimosastair__Ask *list = &message;
+  ask_t *ask = g_new0 (ask_t, 1);
+
+  ask->uplink = uplink;
+  ask->number = uplink->next_ask++;
+  ask->done = done;
+  ask->data = data;
+  g_hash_table_insert (uplink->asks, &ask->number, ask);
+  message.number = ask->number;
+  if (id != NULL)
+    message.id = (char *) id;
+  if (queue != NULL)
+    message.queue = (char *) queue;
+  frame.n_ask = 1;
+  frame.ask = &list;
+  /* Without a decider the answer comes at once, as if it had timed out. */
+  if (!uplink_is_served (uplink) || !send_frame (&frame, uplink))
+    timeout_ms = 0;
+  ask->timer = g_timeout_add (timeout_ms, ask_timed_out, ask);
+}
+
+bool
+uplink_is_served (const uplink_t *uplink)
+{
+  return uplink->is_open && uplink->is_ready;
+}
+
+guint
+uplink_executors (const uplink_t *uplink)
+{
+  return agent_executors (uplink->agent);
+}
+
+uplink_t *
+uplink_new (const uplink_config_t *config)
+{
+  uplink_t *uplink = g_new0 (uplink_t, 1);
+
+  uplink->config = *config;
+  uplink->agent = agent_new (config->hold_ms, config->advice_address, send_frame, uplink);
+  uplink->asks = g_hash_table_new (g_int64_hash, g_int64_equal);
+  uplink->unknown = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                           (GDestroyNotify) g_bytes_unref);
+  uplink->cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  uplink->next_ask = 1;
+  uplink->ping_timer = g_timeout_add (PING_MS, ping, uplink);
+  return uplink;
+}
+
+void
+uplink_free (uplink_t *uplink)
+{
+  if (uplink == NULL)
+    return;
+  g_source_remove (uplink->ping_timer);
+  if (uplink->connect_timer != 0)
+    g_source_remove (uplink->connect_timer);
+  link_free (uplink->link);
+  agent_free (uplink->agent);
+  g_hash_table_unref (uplink->asks);
+  g_hash_table_unref (uplink->unknown);
+  g_hash_table_unref (uplink->cancels);
+  g_free (uplink->holder);
+  g_free (uplink);
+}
--- /dev/null
+++ b/src/entry/uplink.h
@@ -0,0 +1,60 @@
+/* This VM's connection to the decider.
+ *
+ * Tells it of stored jobs and cancels, asks it for states, and carries the agent's
+ * reports; keeps what the decider has not confirmed and sends it again on the next
+ * connection.
+ */
+#pragma once
+
+#include "decide/plan.h"
+#include "peer/peer.pb-c.h"
+
+typedef struct uplink uplink_t;
+
+typedef struct
+{
+  const char *vm;
+  const char *zone;
+  guint cpu_milli;
+  guint hold_ms;
+  const char *advice_address;
+} uplink_config_t;
+
+uplink_t *uplink_new (const uplink_config_t *config);
+void uplink_free (uplink_t *uplink);
+
+/* The decider's peer address; NULL: there is none. */
+void uplink_set_holder (uplink_t *uplink, const char *address);
+
+/* Tells the decider that this VM takes no more executors. */
+void uplink_leave (uplink_t *uplink);
+
+/* The decider is to know this job, which is stored.  Copies `spec`. */
+void uplink_job_stored (uplink_t *uplink, const job_spec_t *spec);
+
+/* The decider is to know that the job's cancel is stored. */
+void uplink_job_cancelled (uplink_t *uplink, const char *id);
+
+typedef struct
+{
+  bool is_answered; /* by a decider that has rebuilt its state */
+  bool is_known;
+  job_state_t state;
+  guint pending;
+} uplink_answer_t;
+
+typedef void (*uplink_asked_t) (const uplink_answer_t *answer, void *data);
+
+/* Asks for a job's state, or (id NULL) a queue's backlog.  `done` is called once, within
+ * `timeout_ms`, and not before this returns. */
+void uplink_ask (uplink_t *uplink,
+                 const char *id,
+                 const char *queue,
+                 guint timeout_ms,
+                 uplink_asked_t done,
+                 void *data);
+
+/* A decider answers and its claim is valid. */
+bool uplink_is_served (const uplink_t *uplink);
+
+guint uplink_executors (const uplink_t *uplink);
