--- a/src/base/log.c
+++ b/src/base/log.c
@@ -77,9 +77,8 @@
 {
   gint64 now_ms = g_get_real_time () / 1000;
 
-  return (gsize) g_snprintf (line, LINE_BYTES,
-                             "time=%" G_GINT64_FORMAT ".%03d level=%s module=%s ", now_ms / 1000,
-                             (int) (now_ms % 1000), level_name (level), module);
+  return (gsize) g_snprintf (line, LINE_BYTES, "time=%" G_GINT64_FORMAT ".%03d level=%s module=%s ",
+                             now_ms / 1000, (int) (now_ms % 1000), level_name (level), module);
 }
 
 static void
--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -24,7 +24,8 @@
 }
 
 cell_t *
-cell_new (const cell_limits_t *limits, guint epoch, gint64 now_us, const cell_ops_t *ops, void *data)
+cell_new (
+    const cell_limits_t *limits, guint epoch, gint64 now_us, const cell_ops_t *ops, void *data)
 {
   cell_t *cell = g_new0 (cell_t, 1);
 
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -39,12 +39,12 @@
 typedef enum
 {
   ORDER_OK,
-  ORDER_LOST,      /* no answer: carried out, or not, or later */
-  ORDER_NOT_SENT,  /* certainly never carried out */
-  ORDER_FENCED,    /* the executor has seen a later claim */
-  ORDER_OLD,       /* this run or a later one was stopped or ended there */
-  ORDER_LATE,      /* its lease was over when it arrived */
-  ORDER_NO_ROOM,   /* the executor guards its capacity */
+  ORDER_LOST,     /* no answer: carried out, or not, or later */
+  ORDER_NOT_SENT, /* certainly never carried out */
+  ORDER_FENCED,   /* the executor has seen a later claim */
+  ORDER_OLD,      /* this run or a later one was stopped or ended there */
+  ORDER_LATE,     /* its lease was over when it arrived */
+  ORDER_NO_ROOM,  /* the executor guards its capacity */
   ORDER_BAD_TICKET,
   ORDER_BUSY,      /* the executor is not healthy; nothing was done */
   ORDER_OTHER_LIFE /* the executor has restarted */
@@ -163,8 +163,8 @@
 
 /* `epoch` counts the claims before this one; runs of jobs from before it are numbered
  * above those of every earlier claim. */
-cell_t *
-cell_new (const cell_limits_t *limits, guint epoch, gint64 now_us, const cell_ops_t *ops, void *data);
+cell_t *cell_new (
+    const cell_limits_t *limits, guint epoch, gint64 now_us, const cell_ops_t *ops, void *data);
 void cell_free (cell_t *cell);
 
 /* Takes a version of the desired state (borrowed until the next). */
--- a/src/decide/cell_dispatch.c
+++ b/src/decide/cell_dispatch.c
@@ -84,8 +84,7 @@
   order_job_t order = {
     .priority = job->queue->priority,
     .accepted_us = job->spec->times > 0 ? step->due_us : job->accepted_us,
-    .objective_us
-    = (gint64) (job->queue->stretch * (double) chain) + job->queue->objective_us,
+    .objective_us = (gint64) (job->queue->stretch * (double) chain) + job->queue->objective_us,
     .remaining_us = chain_us (job, step->occurrence, true),
   };
 
--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -119,8 +119,9 @@
     return;
   if (executor->born != 0)
     {
-      cell_note (cell, "executor_restarted", "executor=%s born=%" G_GINT64_FORMAT
-                 " before=%" G_GINT64_FORMAT, executor->id, born, executor->born);
+      cell_note (cell, "executor_restarted",
+                 "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT, executor->id,
+                 born, executor->born);
       end_all_runs (cell, executor, "executor_restarted", now_us);
     }
   executor->born = born;
@@ -388,8 +389,8 @@
   if (report->is_renewed)
     extend_lapse (cell, executor, now_us);
   if (executor->is_reached != report->is_reached)
-    cell_note (cell, report->is_reached ? "executor_reached" : "executor_unreached",
-               "executor=%s", executor->id);
+    cell_note (cell, report->is_reached ? "executor_reached" : "executor_unreached", "executor=%s",
+               executor->id);
   executor->is_reached = report->is_reached;
   if (!report->is_reached)
     return;
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -6,8 +6,7 @@
 static const gint64 stop_retry_us = 400 * 1000;
 
 run_t *
-cell_run_new (
-    cell_t *cell, task_t *task, const task_ref_t *ref, executor_t *executor, guint number)
+cell_run_new (cell_t *cell, task_t *task, const task_ref_t *ref, executor_t *executor, guint number)
 {
   run_t *run = g_new0 (run_t, 1);
 
@@ -109,9 +108,11 @@
   };
 
   run->retry_us = 0;
-  cell_note (cell, "task_stop", "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
-             " running_ms=%" G_GINT64_FORMAT, run->ref.job, run->ref.occurrence, run->ref.step,
-             run->ref.index, run->number, run->executor->id, order.order,
+  cell_note (cell, "task_stop",
+             "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
+             " running_ms=%" G_GINT64_FORMAT,
+             run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
+             run->executor->id, order.order,
              run->alive_us > 0 ? (now_us - run->alive_us) / 1000 : -1);
   cell->ops->stop (&order, cell->data);
 }
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -21,7 +21,7 @@
   double stretch;
   gint64 objective_us;
   advice_terms_t advice;
-  bool is_routed; /* in the present desired state */
+  bool is_routed;       /* in the present desired state */
   double allowed_share; /* of executors named in calls for advice */
   double work_ratio;    /* real over estimated run time */
   guint pending;        /* live jobs without a started task */
@@ -98,9 +98,9 @@
   guint gang_failures;   /* runs of the gang that failed */
   guint gang_failed_run; /* the latest that was counted */
   gint64 due_us;
-  gint64 ready_us; /* prerequisites done; 0: not yet */
-  GHashTable *advice; /* executor id -> advice_t */
-  guint64 advice_order;  /* 0: none on its way */
+  gint64 ready_us;      /* prerequisites done; 0: not yet */
+  GHashTable *advice;   /* executor id -> advice_t */
+  guint64 advice_order; /* 0: none on its way */
   gint64 advice_retry_us;
   guint advice_needed; /* executors that the call on its way is about */
 };
@@ -110,8 +110,8 @@
   job_spec_t *spec;
   queue_t *queue;
   job_state_t state;
-  bool is_old; /* may have been started under an earlier claim */
-  bool is_ended;   /* its end is being stored, or is */
+  bool is_old;   /* may have been started under an earlier claim */
+  bool is_ended; /* its end is being stored, or is */
   bool is_stored_end;
   bool was_started;
   bool is_dirty;
@@ -160,7 +160,7 @@
 /* Calls for advice on their way. */
 typedef struct
 {
-  step_t *step; /* NULL: the step is gone */
+  step_t *step;         /* NULL: the step is gone */
   GPtrArray *executors; /* ids, owned */
   gint64 sent_us;
   bool is_slow;
--- a/src/decide/order.h
+++ b/src/decide/order.h
@@ -11,10 +11,10 @@
 
 typedef struct
 {
-  guint priority;        /* 0 is urgent */
+  guint priority; /* 0 is urgent */
   gint64 accepted_us;
-  gint64 objective_us;   /* time from acceptance until the job is late */
-  gint64 remaining_us;   /* longest chain of work still to be done, as estimated */
+  gint64 objective_us; /* time from acceptance until the job is late */
+  gint64 remaining_us; /* longest chain of work still to be done, as estimated */
 } order_job_t;
 
 typedef struct
--- a/src/decide/plan.h
+++ b/src/decide/plan.h
@@ -69,8 +69,8 @@
   bool checkpointing;
   bool long_running;
   bool fills;
-  char *requires;  /* a label of the executor; NULL: any */
-  char *data_rack; /* label of the rack that holds the data; NULL: none */
+  char *requires;         /* a label of the executor; NULL: any */
+  char *data_rack;        /* label of the rack that holds the data; NULL: none */
   guint max_per_executor; /* 0: no limit */
   char *image;
   guint target_ms;
@@ -89,6 +89,7 @@
   guint times;        /* 0: once */
   gint64 start_at_ms; /* Unix time of occurrence 0 */
   gint64 interval_ms;
+  gint64 revision; /* of the stored record; 0: not known */
 } job_spec_t;
 
 typedef enum
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -32,12 +32,12 @@
   gint64 born;
   guint64 acked;
   guint64 mark;
-  guint64 shown;       /* latest end that it listed */
-  gint64 clock_ms;     /* its clock when it last answered */
-  gint64 clock_at_us;  /* ours at that moment; 0: never */
-  bool is_answering;   /* the latest hold was answered */
-  bool is_quick;       /* the next hold does not wait for an end */
-  bool is_holding;     /* a hold is on its way */
+  guint64 shown;      /* latest end that it listed */
+  gint64 clock_ms;    /* its clock when it last answered */
+  gint64 clock_at_us; /* ours at that moment; 0: never */
+  bool is_answering;  /* the latest hold was answered */
+  bool is_quick;      /* the next hold does not wait for an end */
+  bool is_holding;    /* a hold is on its way */
   bool is_dropped;
   guint timer;
   guint calls; /* on their way, the hold included */
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -31,7 +31,7 @@
   claim_state_t state;
   bool is_present; /* the key exists, as far as is known */
   bool is_synced;
-  char *holder;    /* address last told */
+  char *holder; /* address last told */
   tenure_t tenure;
   gint64 lease;
   gint64 former_lease; /* of the holder before; 0: not known */
@@ -81,7 +81,8 @@
 {
   if (claim->state != CLAIM_FOLLOWING || claim->timer != 0)
     return;
-  claim->timer = g_timeout_add (delay_ms + g_str_hash (claim->config.vm) % SPREAD_MS, attempt, claim);
+  claim->timer
+      = g_timeout_add (delay_ms + g_str_hash (claim->config.vm) % SPREAD_MS, attempt, claim);
 }
 
 static void
--- a/src/entry/claim.h
+++ b/src/entry/claim.h
@@ -30,7 +30,8 @@
   guint ttl_ms;
 } claim_config_t;
 
-claim_t *claim_new (store_t *store, const claim_config_t *config, const claim_events_t *events, void *data);
+claim_t *
+claim_new (store_t *store, const claim_config_t *config, const claim_events_t *events, void *data);
 void claim_free (claim_t *claim);
 
 /* Time for which the claim is certainly this VM's; not above 0 when it is not. */
--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -62,6 +62,7 @@
   message->times = spec->times;
   message->start_at_ms = spec->start_at_ms;
   message->interval_ms = spec->interval_ms;
+  message->revision = spec->revision;
   message->n_steps = spec->step_count;
   message->steps = g_new0 (Mimosastair__Step *, spec->step_count);
   for (guint i = 0; i < spec->step_count; i++)
@@ -142,6 +143,7 @@
   spec->times = message->times;
   spec->start_at_ms = message->start_at_ms;
   spec->interval_ms = message->interval_ms;
+  spec->revision = message->revision;
   spec->step_count = (guint) message->n_steps;
   spec->steps = g_new0 (step_spec_t, message->n_steps);
   for (guint i = 0; i < spec->step_count; i++)
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -87,10 +87,10 @@
 {
   REGISTRY_WAIT_MS = 1000, /* longest wait of one watch */
   JOBS_WAIT_MS = 2000,
-  JOBS_PAUSE_MS = 400,     /* VMs tell of new jobs directly; this finds the rest */
-  SWEEP_MS = 100,          /* assignments and silent VMs are looked at */
-  SETTLE_MS = 250,         /* VMs connect before executors are shared out */
-  ENDED_MAX = 20000        /* ended jobs remembered; older ones are read from the store */
+  JOBS_PAUSE_MS = 400, /* VMs tell of new jobs directly; this finds the rest */
+  SWEEP_MS = 100,      /* assignments and silent VMs are looked at */
+  SETTLE_MS = 250,     /* VMs connect before executors are shared out */
+  ENDED_MAX = 20000    /* ended jobs remembered; older ones are read from the store */
 };
 
 static const gint64 vm_silence_us = 1300 * 1000;
@@ -718,6 +718,22 @@
   cell_order_result (vm->decider->cell, order, message->outcome, clock_now_us ());
 }
 
+/* A record that is older than the claim was found when the jobs were loaded, or its job
+ * has ended under an earlier claim. */
+static bool
+is_news (const decider_t *decider, const job_spec_t *spec)
+{
+  return spec->revision > decider->config.fence
+         && g_hash_table_lookup (decider->ended, spec->id) == NULL;
+}
+
+/* True when the holder before may still start a job that came after this claim. */
+static bool
+is_contested (const decider_t *decider)
+{
+  return decider->config.limits.claim_us > 0 && !cell_is_accounted (decider->cell);
+}
+
 static void
 handle_job (vm_t *vm, const Mimosastair__Job *message)
 {
@@ -731,9 +747,9 @@
   if (!decider->is_loaded)
     return;
   spec = codec_job_from_message (message);
-  if (spec != NULL && g_hash_table_lookup (decider->ended, spec->id) == NULL)
-    (void) cell_add_job (decider->cell, spec, NULL, 0, !cell_is_accounted (decider->cell) && decider->config.limits.claim_us > 0,
-                         clock_now_us (), clock_unix_ms ());
+  if (spec != NULL && is_news (decider, spec))
+    (void) cell_add_job (decider->cell, spec, NULL, 0, is_contested (decider), clock_now_us (),
+                         clock_unix_ms ());
   else
     job_spec_free (spec);
   known.id = message->id;
@@ -944,9 +960,8 @@
   if (cell_add_job (decider->cell, spec,
                     progress != NULL ? (const task_progress_t *) (void *) progress->data : NULL,
                     progress != NULL ? progress->len : 0,
-                    !decider->is_loaded
-                        || (!cell_is_accounted (decider->cell) && decider->config.limits.claim_us > 0),
-                    clock_now_us (), clock_unix_ms ())
+                    !decider->is_loaded || is_contested (decider), clock_now_us (),
+                    clock_unix_ms ())
       && decider->is_loaded)
     LOG_INFO ("job_found", "job=%s", id);
   schedule_step (decider);
@@ -1113,8 +1128,8 @@
   decider->deposed_data = data;
   decider->started_us = clock_now_us ();
   list_init (&decider->vms);
-  decider->progress = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                             (GDestroyNotify) g_array_unref);
+  decider->progress
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref);
   decider->assignments = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, assignment_free);
   decider->orders = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   decider->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/entry/decider.h
+++ b/src/entry/decider.h
@@ -5,9 +5,9 @@
  */
 #pragma once
 
+#include "base/metrics.h"
 #include "decide/cell.h"
 #include "entry/claim.h"
-#include "base/metrics.h"
 
 #include <gio/gio.h>
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -56,10 +56,10 @@
 static void
 take_desired (entry_t *entry, desired_t *desired)
 {
-  LOG_INFO ("desired_state", "version=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
-            " queues=%u services=%u", desired->version,
-            entry->desired != NULL ? entry->desired->version : 0, desired->queues->len,
-            desired->services->len);
+  LOG_INFO ("desired_state",
+            "version=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT " queues=%u services=%u",
+            desired->version, entry->desired != NULL ? entry->desired->version : 0,
+            desired->queues->len, desired->services->len);
   if (entry->desired != NULL)
     g_queue_push_tail (&entry->former_desired, entry->desired);
   entry->desired = desired;
@@ -163,8 +163,8 @@
       g_source_remove (entry->free_idle);
       (void) free_decider (entry);
     }
-  entry->decider = decider_new (entry->store, entry->claim, &config, entry->desired,
-                                entry->metrics, deposed, entry);
+  entry->decider = decider_new (entry->store, entry->claim, &config, entry->desired, entry->metrics,
+                                deposed, entry);
 }
 
 static void
@@ -244,8 +244,7 @@
 
   metrics_print (entry->metrics, out);
   g_string_append_printf (out, "mimosastair_open_requests %u\n", intake_open (entry->intake));
-  g_string_append_printf (out, "mimosastair_executors_held %u\n",
-                          uplink_executors (entry->uplink));
+  g_string_append_printf (out, "mimosastair_executors_held %u\n", uplink_executors (entry->uplink));
   g_string_append_printf (out, "mimosastair_decider_known %d\n",
                           (int) uplink_is_served (entry->uplink));
   g_string_append_printf (out, "mimosastair_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
@@ -266,8 +265,7 @@
 {
   entry_t *entry = data;
   gint64 now_us = clock_now_us ();
-  gint64 delay_end_us
-      = entry->drain_until_us - entry->options.drain_timeout_ms * 1000;
+  gint64 delay_end_us = entry->drain_until_us - entry->options.drain_timeout_ms * 1000;
 
   if (now_us < delay_end_us)
     return G_SOURCE_CONTINUE;
@@ -308,8 +306,7 @@
   LOG_INFO ("stopping", "decider=%d open=%u", (int) (entry->decider != NULL),
             intake_open (entry->intake));
   entry->drain_until_us
-      = clock_now_us ()
-        + (entry->options.drain_delay_ms + entry->options.drain_timeout_ms) * 1000;
+      = clock_now_us () + (entry->options.drain_delay_ms + entry->options.drain_timeout_ms) * 1000;
   uplink_leave (entry->uplink);
   if (entry->decider != NULL && entry->free_idle == 0)
     decider_close (entry->decider, HANDOVER_MS, decider_closed, entry);
@@ -395,10 +392,12 @@
 void
 entry_run (entry_t *entry)
 {
-  LOG_INFO ("started", "vm=%s zone=%s listen=%s peer=%s store=%s cpu_milli=%" G_GINT64_FORMAT
-            " hold_ms=%" G_GINT64_FORMAT, entry->options.vm, entry->options.zone,
-            entry->options.listen, entry->options.peer_listen, entry->options.store,
-            entry->options.cpu_milli, entry->options.hold_ms);
+  LOG_INFO ("started",
+            "vm=%s zone=%s listen=%s peer=%s store=%s cpu_milli=%" G_GINT64_FORMAT
+            " hold_ms=%" G_GINT64_FORMAT,
+            entry->options.vm, entry->options.zone, entry->options.listen,
+            entry->options.peer_listen, entry->options.store, entry->options.cpu_milli,
+            entry->options.hold_ms);
   g_main_loop_run (entry->loop);
   LOG_INFO ("stopped", "open=%u", intake_open (entry->intake));
   log_flush ();
--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -113,7 +113,7 @@
               request->id, action_name (request->action),
               request->spec != NULL ? request->spec->queue : "-", error_answer (kind)->name,
               (clock_now_us () - request->started_us) / 1000);
-  if (kind == ERROR_NONE && request->action == ACTION_SUBMIT)
+  if (kind == ERROR_NONE && request->action == ACTION_SUBMIT && request->spec->revision > 0)
     uplink_job_stored (request->intake->uplink, request->spec);
   if (kind == ERROR_NONE && request->action == ACTION_CANCEL)
     uplink_job_cancelled (request->intake->uplink, request->id);
@@ -138,6 +138,20 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Revision of the job's record; 0 when the job has ended. */
+static gint64
+live_revision (const request_t *request, const store_reply_t *reply)
+{
+  for (guint i = 0; i < reply->items->len; i++)
+    {
+      const store_item_t *item = g_ptr_array_index (reply->items, i);
+
+      if (strcmp (item->key, request->key) == 0)
+        return item->revision;
+    }
+  return 0;
+}
+
 static void
 job_stored (const store_reply_t *reply, void *data)
 {
@@ -146,8 +160,12 @@
   switch (reply->status)
     {
     case STORE_DONE:
+      request->spec->revision = reply->revision;
+      finish (request, ERROR_NONE);
+      return;
     case STORE_REFUSED:
-      /* Refused: this job is stored already, by an earlier try or another VM. */
+      /* This job is stored already, by an earlier try or another VM. */
+      request->spec->revision = live_revision (request, reply);
       finish (request, ERROR_NONE);
       return;
     case STORE_LOST:
@@ -171,8 +189,8 @@
   store_expect_t expect[] = { { request->key, 0 }, { request->end_key, 0 } };
   store_write_t write = { request->key, request->record, request->record_bytes, 0 };
 
-  request->intake->store->calls->txn (request->intake->store, expect, G_N_ELEMENTS (expect),
-                                      &write, 1, job_stored, request);
+  request->intake->store->calls->txn (request->intake->store, expect, G_N_ELEMENTS (expect), &write,
+                                      1, job_stored, request);
 }
 
 void
@@ -259,8 +277,7 @@
 }
 
 void
-intake_state (
-    intake_t *intake, const char *id, gint64 deadline_us, intake_state_t done, void *data)
+intake_state (intake_t *intake, const char *id, gint64 deadline_us, intake_state_t done, void *data)
 {
   request_t *request = request_new (intake, ACTION_STATE, id, deadline_us, data);
 
@@ -325,8 +342,8 @@
   store_expect_t expect = { request->key, request->job_revision };
   store_write_t write = { key, (const guint8 *) "1", 1, 0 };
 
-  request->intake->store->calls->txn (request->intake->store, &expect, 1, &write, 1,
-                                      cancel_stored, request);
+  request->intake->store->calls->txn (request->intake->store, &expect, 1, &write, 1, cancel_stored,
+                                      request);
 }
 
 static void
@@ -367,8 +384,7 @@
 }
 
 void
-intake_cancel (
-    intake_t *intake, const char *id, gint64 deadline_us, intake_done_t done, void *data)
+intake_cancel (intake_t *intake, const char *id, gint64 deadline_us, intake_done_t done, void *data)
 {
   request_t *request = request_new (intake, ACTION_CANCEL, id, deadline_us, data);
 
--- a/src/entry/options.c
+++ b/src/entry/options.c
@@ -127,11 +127,8 @@
 };
 
 bool
-entry_options_load (entry_options_t *options,
-                    int argc,
-                    char **argv,
-                    settings_result_t *result,
-                    error_info_t *error)
+entry_options_load (
+    entry_options_t *options, int argc, char **argv, settings_result_t *result, error_info_t *error)
 {
   bool ok = settings_load (settings, G_N_ELEMENTS (settings), argc, argv, result, error);
 
--- a/src/entry/recorder.c
+++ b/src/entry/recorder.c
@@ -59,7 +59,7 @@
   RETRY_MS = 100,
   CONDITIONS = 2,
   ROWS_MAX = STORE_TXN_ROWS - CONDITIONS - 1, /* beside the counter */
-  END_LEASE_MS = 600 * 1000 /* the longest that the service grants */
+  END_LEASE_MS = 600 * 1000                   /* the longest that the service grants */
 };
 
 static void write_next (recorder_t *recorder);
@@ -313,7 +313,8 @@
   store_expect_t expect[CONDITIONS] = { { recorder->claim_key, recorder->claim_revision },
                                         { KEYS_BATCH, recorder->counter_revision } };
   store_write_t writes[ROWS_MAX + 1];
-  guint64 counter = recorder->claim_revision * 1000000 + recorder->batch * 1000 + recorder->row_next;
+  guint64 counter
+      = recorder->claim_revision * 1000000 + recorder->batch * 1000 + recorder->row_next;
   gsize count = 0;
 
   recorder->counter = counter;
@@ -417,7 +418,8 @@
 recorder_is_idle (const recorder_t *recorder)
 {
   return !recorder->is_writing && !recorder->is_fleet_dirty
-         && g_hash_table_size (recorder->dirty) == 0 && g_queue_is_empty ((GQueue *) &recorder->finished);
+         && g_hash_table_size (recorder->dirty) == 0
+         && g_queue_is_empty ((GQueue *) &recorder->finished);
 }
 
 static void
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -43,7 +43,8 @@
 {
   PING_MS = 250,
   RECONNECT_MS = 100,
-  UNKNOWN_MAX = 5000, /* jobs kept for a decider that does not confirm; it finds the others itself */
+  UNKNOWN_MAX
+  = 5000, /* jobs kept for a decider that does not confirm; it finds the others itself */
   JOBS_PER_FRAME = 50
 };
 
@@ -362,8 +363,8 @@
   uplink->config = *config;
   uplink->agent = agent_new (config->hold_ms, config->advice_address, send_frame, uplink);
   uplink->asks = g_hash_table_new (g_int64_hash, g_int64_equal);
-  uplink->unknown = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                           (GDestroyNotify) g_bytes_unref);
+  uplink->unknown
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   uplink->cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   uplink->next_ask = 1;
   uplink->ping_timer = g_timeout_add (PING_MS, ping, uplink);
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -180,8 +180,8 @@
   link->writing = link->out;
   link->out = g_byte_array_new ();
   operation_began (link);
-  g_output_stream_write_all_async (out, link->writing->data, link->writing->len,
-                                   G_PRIORITY_DEFAULT, link->cancel, written, link);
+  g_output_stream_write_all_async (out, link->writing->data, link->writing->len, G_PRIORITY_DEFAULT,
+                                   link->cancel, written, link);
 }
 
 static gboolean
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1346,7 +1346,7 @@
   (ProtobufCMessageInit) mimosastair__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__job__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mimosastair__job__field_descriptors[10] =
 {
   {
     "id",
@@ -1456,12 +1456,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Job, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__job__field_indices_by_name[] = {
   5,   /* field[5] = accepted_ms */
   0,   /* field[0] = id */
   8,   /* field[8] = interval_ms */
   1,   /* field[1] = queue */
+  9,   /* field[9] = revision */
   2,   /* field[2] = service */
   3,   /* field[3] = spec */
   7,   /* field[7] = start_at_ms */
@@ -1471,7 +1484,7 @@
 static const ProtobufCIntRange mimosastair__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mimosastair__job__descriptor =
 {
@@ -1481,7 +1494,7 @@
   "Mimosastair__Job",
   "mimosastair",
   sizeof(Mimosastair__Job),
-  9,
+  10,
   mimosastair__job__field_descriptors,
   mimosastair__job__field_indices_by_name,
   1,  mimosastair__job__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -99,10 +99,14 @@
    */
   int64_t start_at_ms;
   int64_t interval_ms;
+  /*
+   * of the stored record; between VMs only
+   */
+  int64_t revision;
 };
 #define MIMOSASTAIR__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Mimosastair__TaskProgress
--- a/src/store/mirror.c
+++ b/src/store/mirror.c
@@ -10,8 +10,8 @@
   guint pause_ms;
   const mirror_events_t *events;
   void *data;
-  gint64 revision;    /* watches go on from here */
-  GHashTable *known;  /* keys -> generation of the full read that saw them */
+  gint64 revision;   /* watches go on from here */
+  GHashTable *known; /* keys -> generation of the full read that saw them */
   guint generation;
   char *page_after;   /* last key of the page before */
   gint64 range_start; /* service revision at the first page */
@@ -78,7 +78,8 @@
   if (item->deleted)
     g_hash_table_remove (mirror->known, item->key);
   else
-    g_hash_table_insert (mirror->known, g_strdup (item->key), GUINT_TO_POINTER (mirror->generation));
+    g_hash_table_insert (mirror->known, g_strdup (item->key),
+                         GUINT_TO_POINTER (mirror->generation));
   mirror->events->changed (item, mirror->data);
 }
 
