--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -10,6 +10,22 @@
 
 #include <string.h>
 
+/* Record epoch/DOMAIN: how often the domain was claimed, and the latest claim's lease. */
+typedef struct
+{
+  guint32 epoch;   /* big-endian */
+  guint32 padding; /* 0 */
+  gint64 lease;    /* big-endian */
+} epoch_record_t;
+
+/* One renewal; they may overlap. */
+typedef struct
+{
+  claim_t *claim;
+  gint64 sent_us;
+  gint64 fence;
+} renewal_t;
+
 typedef enum
 {
   CLAIM_FOLLOWING,
@@ -36,12 +52,12 @@
   gint64 lease;
   gint64 former_lease; /* of the holder before; 0: not known */
   gint64 lease_sent_us;
-  gint64 renew_sent_us;
+  gint64 released_revision; /* of a claim whose holder gave it up; 0: none */
   gint64 fence;
   gint64 epoch_revision;
   guint epoch;
+  gint64 abstain_until_us; /* does not claim before */
   guint timer; /* next attempt or renewal */
-  bool is_renewing;
   void (*released) (void *data);
   void *released_data;
 };
@@ -49,11 +65,14 @@
 enum
 {
   WATCH_MS = 4000,      /* longest wait of one watch on the claim */
-  RENEWALS_PER_TTL = 4, /* tries before the claim is over */
+  RENEWALS_PER_TTL = 5, /* tries before the claim is over */
   RETRY_MS = 250,       /* after a failed attempt */
   SPREAD_MS = 60        /* VMs try at different moments */
 };
 
+/* A holder that could not reach the service leaves the claim to others for this long. */
+static const gint64 abstain_us = 2 * G_USEC_PER_SEC;
+
 static void try_claim (claim_t *claim);
 static void schedule_renewal (claim_t *claim, guint delay_ms);
 
@@ -71,7 +90,9 @@
   claim_t *claim = data;
 
   claim->timer = 0;
-  if (claim->state == CLAIM_FOLLOWING && claim->is_synced && !claim->is_present)
+  if (claim->state == CLAIM_FOLLOWING && claim->is_synced
+      && (!claim->is_present || claim->released_revision != 0)
+      && clock_now_us () >= claim->abstain_until_us)
     try_claim (claim);
   return G_SOURCE_REMOVE;
 }
@@ -90,6 +111,7 @@
 {
   if (claim->state != CLAIM_TRYING)
     return;
+  claim->released_revision = 0;
   claim->state = CLAIM_FOLLOWING;
   schedule_attempt (claim, RETRY_MS);
 }
@@ -135,6 +157,7 @@
 {
   claim->state = CLAIM_HELD;
   claim->is_present = true;
+  claim->released_revision = 0;
   claim->fence = fence;
   tenure_begin (&claim->tenure, (gint64) claim->config.ttl_ms * 1000, claim->lease_sent_us);
   LOG_INFO ("claim_gained", "domain=%s fence=%" G_GINT64_FORMAT " epoch=%u", claim->config.domain,
@@ -226,8 +249,10 @@
   Mimosastair__Claim message = MIMOSASTAIR__CLAIM__INIT;
   g_autofree guint8 *packed = NULL;
   gsize bytes;
-  guint32 next_epoch = g_htonl (claim->epoch + 1);
-  store_expect_t expect[] = { { claim->key, 0 }, { claim->epoch_key, claim->epoch_revision } };
+  epoch_record_t record
+      = { .epoch = g_htonl (claim->epoch + 1), .lease = GINT64_TO_BE (claim->lease) };
+  store_expect_t expect[] = { { claim->key, claim->released_revision },
+                              { claim->epoch_key, claim->epoch_revision } };
 
   message.vm = (char *) claim->config.vm;
   message.address = (char *) claim->config.address;
@@ -239,7 +264,7 @@
   {
     store_write_t writes[]
         = { { claim->key, packed, bytes, claim->lease },
-            { claim->epoch_key, (const guint8 *) &next_epoch, sizeof next_epoch, 0 } };
+            { claim->epoch_key, (const guint8 *) &record, sizeof record, 0 } };
 
     claim->store->calls->txn (claim->store, expect, G_N_ELEMENTS (expect), writes,
                               G_N_ELEMENTS (writes), claimed, claim);
@@ -250,7 +275,7 @@
 epoch_read (const store_reply_t *reply, void *data)
 {
   claim_t *claim = data;
-  guint32 epoch = 0;
+  epoch_record_t record = { 0 };
 
   if (claim->state != CLAIM_TRYING)
     return;
@@ -265,10 +290,11 @@
       const store_item_t *item = g_ptr_array_index (reply->items, 0);
 
       claim->epoch_revision = item->revision;
-      if (item->value_bytes == sizeof epoch)
-        memcpy (&epoch, item->value, sizeof epoch);
+      if (item->value_bytes == sizeof record)
+        memcpy (&record, item->value, sizeof record);
     }
-  claim->epoch = g_ntohl (epoch);
+  claim->epoch = g_ntohl (record.epoch);
+  claim->former_lease = GINT64_FROM_BE (record.lease);
   write_claim (claim);
 }
 
@@ -298,71 +324,73 @@
   claim->store->calls->lease (claim->store, claim->config.ttl_ms, leased, claim);
 }
 
+static bool
+is_current (const renewal_t *renewal)
+{
+  return renewal->claim->state == CLAIM_HELD && renewal->claim->fence == renewal->fence;
+}
+
 static void
 renewal_seen (const store_reply_t *reply, void *data)
 {
-  claim_t *claim = data;
+  renewal_t *renewal = data;
+  claim_t *claim = renewal->claim;
+  bool is_ok = is_current (renewal);
 
-  claim->is_renewing = false;
-  if (claim->state != CLAIM_HELD)
+  g_free (renewal);
+  if (!is_ok)
     return;
   if (reply->status == STORE_MISSING)
-    {
-      lose (claim, "key_gone");
-      return;
-    }
-  if (reply->status == STORE_DONE && reply->items->len > 0)
-    {
-      if (!is_ours (claim, g_ptr_array_index (reply->items, 0)))
-        {
-          lose (claim, "taken_over");
-          return;
-        }
-      tenure_seen (&claim->tenure);
-    }
-  else
+    lose (claim, "key_gone");
+  else if (reply->status != STORE_DONE || reply->items->len == 0)
     LOG_WARN ("claim_unseen", "status=%s left_ms=%" G_GINT64_FORMAT,
               store_status_name (reply->status), claim_left_us (claim, clock_now_us ()) / 1000);
+  else if (!is_ours (claim, g_ptr_array_index (reply->items, 0)))
+    lose (claim, "taken_over");
+  else
+    tenure_seen (&claim->tenure);
 }
 
 static void
 renewed (const store_reply_t *reply, void *data)
 {
-  claim_t *claim = data;
+  renewal_t *renewal = data;
+  claim_t *claim = renewal->claim;
 
-  if (claim->state != CLAIM_HELD)
+  if (!is_current (renewal))
     {
-      claim->is_renewing = false;
+      g_free (renewal);
       return;
     }
   if (reply->status == STORE_MISSING)
     {
-      claim->is_renewing = false;
+      g_free (renewal);
       lose (claim, "lease_ended");
       return;
     }
   if (reply->status == STORE_DONE)
-    tenure_renewed (&claim->tenure, claim->renew_sent_us);
+    tenure_renewed (&claim->tenure, renewal->sent_us);
   else
     LOG_WARN ("claim_not_renewed", "status=%s left_ms=%" G_GINT64_FORMAT,
               store_status_name (reply->status), claim_left_us (claim, clock_now_us ()) / 1000);
-  claim->store->calls->get (claim->store, claim->key, renewal_seen, claim);
+  claim->store->calls->get (claim->store, claim->key, renewal_seen, renewal);
 }
 
 static gboolean
 renew (gpointer data)
 {
   claim_t *claim = data;
+  renewal_t *renewal;
 
   claim->timer = 0;
   if (claim->state != CLAIM_HELD)
     return G_SOURCE_REMOVE;
   schedule_renewal (claim, claim->config.ttl_ms / RENEWALS_PER_TTL);
-  if (claim->is_renewing)
-    return G_SOURCE_REMOVE;
-  claim->is_renewing = true;
-  claim->renew_sent_us = clock_now_us ();
-  claim->store->calls->keep (claim->store, claim->lease, renewed, claim);
+  renewal = g_new0 (renewal_t, 1);
+  renewal->claim = claim;
+  renewal->sent_us = clock_now_us ();
+  renewal->fence = claim->fence;
+  claim->store->calls->keep (claim->store, claim->lease, renewed, renewal);
   return G_SOURCE_REMOVE;
 }
 
@@ -426,8 +454,6 @@
       schedule_attempt (claim, 0);
       return;
     }
-  if (claim->state == CLAIM_FOLLOWING)
-    claim->former_lease = item->lease;
   message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
   if (message == NULL)
     return;
@@ -534,10 +560,17 @@
 }
 
 void
-claim_hint_free (claim_t *claim)
+claim_abandoned (claim_t *claim, gint64 revision)
 {
   if (claim->state != CLAIM_FOLLOWING)
     return;
-  claim->is_present = false;
+  claim->released_revision = revision;
   schedule_attempt (claim, 0);
 }
+
+void
+claim_abdicate (claim_t *claim)
+{
+  lose (claim, "abdicated");
+  claim->abstain_until_us = clock_now_us () + abstain_us;
+}
--- a/src/entry/claim.h
+++ b/src/entry/claim.h
@@ -48,5 +48,10 @@
 /* Looks at the key soon: a write was refused by it. */
 void claim_check (claim_t *claim);
 
-/* The holder told that the key is free. */
-void claim_hint_free (claim_t *claim);
+/* The holder of the claim that was written at `revision` has given it up, although the
+ * key may still be there. */
+void claim_abandoned (claim_t *claim, gint64 revision);
+
+/* Gives the claim up without a call: the service does not answer this VM.  Others are to
+ * be told its revision. */
+void claim_abdicate (claim_t *claim);
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -25,6 +25,7 @@
   char *zone;
   guint cpu_milli;
   bool is_leaving;
+  bool has_store; /* the store answers it */
   guint held;
   guint64 advice_order; /* the call that it makes; 0: none */
   bool is_slow_advice;
@@ -50,6 +51,7 @@
   const desired_t *desired;
   metrics_t *metrics;
   void (*deposed) (void *data);
+  void (*abdicate) (void *data);
   void *deposed_data;
   cell_t *cell;
   recorder_t *recorder;
@@ -62,6 +64,7 @@
   bool is_deposed;
   bool is_closing;
   gint64 started_us;
+  gint64 store_lost_us; /* 0: the store answers */
   list_node_t vms;
   GHashTable *assignments; /* executor id -> assignment_t */
   GHashTable *orders;      /* order -> vm_t */
@@ -93,6 +96,8 @@
   ENDED_MAX = 20000    /* ended jobs remembered; older ones are read from the store */
 };
 
+/* Without an answer of the store for this long, while it answers other VMs. */
+static const gint64 store_patience_us = 500 * 1000;
 static const gint64 vm_silence_us = 1300 * 1000;
 static const gint64 ended_kept_us = 300 * G_USEC_PER_SEC;
 /* Part of the VMs that may make slow calls for advice at a time, in percent. */
@@ -635,6 +640,7 @@
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
   Mimosastair__Pong pong = MIMOSASTAIR__PONG__INIT;
 
+  vm->has_store = ping->store_ok;
   pong.sent_us = ping->sent_us;
   pong.valid_us = decider->is_deposed ? 0 : claim_left_us (decider->claim, clock_now_us ());
   pong.fence = decider->config.fence;
@@ -783,7 +789,9 @@
   job_state_t state = JOB_QUEUED;
 
   answer.number = ask->number;
-  if (ask->id[0] != '\0')
+  if (!may_act (decider))
+    answer.unavailable = true;
+  else if (ask->id[0] != '\0')
     {
       const ended_t *ended = g_hash_table_lookup (decider->ended, ask->id);
 
@@ -800,6 +808,112 @@
   (void) link_send (vm->link, &frame);
 }
 
+/* ---- Calls to the store that this VM makes for others. */
+
+typedef struct
+{
+  decider_t *decider;
+  char *vm; /* name; its connection may be another one when the answer comes */
+  guint64 number;
+} relayed_t;
+
+static vm_t *
+vm_named (const decider_t *decider, const char *name)
+{
+  for (list_node_t *node = decider->vms.next; node != &decider->vms; node = node->next)
+    {
+      vm_t *vm = LIST_ENTRY (node, vm_t, node);
+
+      if (g_strcmp0 (vm->name, name) == 0)
+        return vm;
+    }
+  return NULL;
+}
+
+static void
+send_relay_reply (vm_t *vm, guint64 number, const store_reply_t *reply)
+{
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+  Mimosastair__RelayReply message = MIMOSASTAIR__RELAY_REPLY__INIT;
+  Mimosastair__RelayReply *list = &message;
+  guint count = reply->items->len;
+  g_autofree Mimosastair__RelayItem *rows = g_new0 (Mimosastair__RelayItem, count);
+  g_autofree Mimosastair__RelayItem **pointers = g_new0 (Mimosastair__RelayItem *, count);
+
+  for (guint i = 0; i < count; i++)
+    {
+      const store_item_t *item = g_ptr_array_index (reply->items, i);
+
+      mimosastair__relay_item__init (&rows[i]);
+      rows[i].key = item->key;
+      rows[i].value.data = item->value;
+      rows[i].value.len = item->value_bytes;
+      rows[i].revision = item->revision;
+      rows[i].created = item->created;
+      pointers[i] = &rows[i];
+    }
+  message.number = number;
+  message.status = reply->status;
+  message.revision = reply->revision;
+  message.n_items = count;
+  message.items = pointers;
+  frame.n_relay_reply = 1;
+  frame.relay_reply = &list;
+  (void) link_send (vm->link, &frame);
+}
+
+static void
+relayed (const store_reply_t *reply, void *data)
+{
+  relayed_t *call = data;
+  decider_t *decider = call->decider;
+  vm_t *vm;
+
+  decider->calls--;
+  if (!decider->is_freed)
+    {
+      vm = vm_named (decider, call->vm);
+      if (vm != NULL)
+        send_relay_reply (vm, call->number, reply);
+    }
+  else if (decider->calls == 0)
+    destroy (decider);
+  g_free (call->vm);
+  g_free (call);
+}
+
+static void
+handle_relay (vm_t *vm, const Mimosastair__Relay *message)
+{
+  decider_t *decider = vm->decider;
+  store_expect_t expect[STORE_TXN_ROWS];
+  store_write_t writes[STORE_TXN_ROWS];
+  gsize expect_count = MIN (message->n_expect, STORE_TXN_ROWS);
+  gsize write_count = MIN (message->n_write, STORE_TXN_ROWS);
+  relayed_t *call = g_new0 (relayed_t, 1);
+
+  call->decider = decider;
+  call->vm = g_strdup (vm->name);
+  call->number = message->number;
+  decider->calls++;
+  if (message->get[0] != '\0')
+    {
+      decider->store->calls->get (decider->store, message->get, relayed, call);
+      return;
+    }
+  for (gsize i = 0; i < expect_count; i++)
+    expect[i] = (store_expect_t){ message->expect[i]->key, message->expect[i]->revision };
+  for (gsize i = 0; i < write_count; i++)
+    {
+      const Mimosastair__KeyWrite *row = message->write[i];
+
+      writes[i] = (store_write_t){ row->key, row->delete_ ? NULL : row->value.data,
+                                   row->value.len, 0 };
+    }
+  decider->store->calls->txn (decider->store, expect, expect_count, writes, write_count, relayed,
+                              call);
+}
+
 static void
 vm_frame (link_t *link G_GNUC_UNUSED, const Mimosastair__Frame *frame, void *data)
 {
@@ -822,7 +936,9 @@
     handle_cancel (vm, frame->cancel[i]);
   for (gsize i = 0; i < frame->n_ask; i++)
     handle_ask (vm, frame->ask[i]);
-  if (frame->ping == NULL && frame->n_ask == 0)
+  for (gsize i = 0; i < frame->n_relay; i++)
+    handle_relay (vm, frame->relay[i]);
+  if (frame->ping == NULL && frame->n_ask == 0 && frame->n_relay == 0)
     schedule_step (decider);
 }
 
@@ -838,6 +954,29 @@
   vm->link = link_accept (connection, &link_events, vm);
 }
 
+/* Gives the claim up when only other VMs reach the store: one of them can decide. */
+static void
+check_store (decider_t *decider, gint64 now_us)
+{
+  bool others_have_store = false;
+
+  if (!may_act (decider) || store_is_healthy (decider->store, now_us))
+    {
+      decider->store_lost_us = 0;
+      return;
+    }
+  if (decider->store_lost_us == 0)
+    decider->store_lost_us = now_us;
+  for (list_node_t *node = decider->vms.next; node != &decider->vms; node = node->next)
+    others_have_store |= LIST_ENTRY (node, vm_t, node)->has_store;
+  if (!others_have_store || now_us - decider->store_lost_us < store_patience_us)
+    return;
+  LOG_WARN ("decider_abdicates", "fence=%" G_GINT64_FORMAT, decider->config.fence);
+  decider->is_deposed = true;
+  decider_tell_released (decider);
+  decider->abdicate (decider->deposed_data);
+}
+
 static gboolean
 sweep (gpointer data)
 {
@@ -853,6 +992,7 @@
       if (now_us - link_heard_us (vm->link) > vm_silence_us)
         drop_vm (vm, "silent");
     }
+  check_store (decider, now_us);
   if (may_act (decider) && now_us - decider->started_us > SETTLE_MS * 1000)
     share_out (decider);
   return G_SOURCE_CONTINUE;
@@ -1115,6 +1255,7 @@
              const desired_t *desired,
              metrics_t *metrics,
              void (*deposed) (void *data),
+             void (*abdicate) (void *data),
              void *data)
 {
   decider_t *decider = g_new0 (decider_t, 1);
@@ -1125,6 +1266,7 @@
   decider->desired = desired;
   decider->metrics = metrics;
   decider->deposed = deposed;
+  decider->abdicate = abdicate;
   decider->deposed_data = data;
   decider->started_us = clock_now_us ();
   list_init (&decider->vms);
@@ -1216,7 +1358,7 @@
 {
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
 
-  frame.released = true;
+  frame.released = decider->config.fence;
   for (list_node_t *node = decider->vms.next; node != &decider->vms; node = node->next)
     (void) link_send (LIST_ENTRY (node, vm_t, node)->link, &frame);
 }
--- a/src/entry/decider.h
+++ b/src/entry/decider.h
@@ -21,13 +21,15 @@
   cell_limits_t limits;
 } decider_config_t;
 
-/* `deposed` is called once when the claim turns out to be another's. */
+/* `deposed` is called once when the claim turns out to be another's; `abdicate` when the
+ * store answers other VMs but not this one: the VMs have been told that the claim is free. */
 decider_t *decider_new (store_t *store,
                         claim_t *claim,
                         const decider_config_t *config,
                         const desired_t *desired,
                         metrics_t *metrics,
                         void (*deposed) (void *data),
+                        void (*abdicate) (void *data),
                         void *data);
 
 /* Stops at once; nothing is issued after. */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,7 @@
 #include "entry/claim.h"
 #include "entry/decider.h"
 #include "entry/intake.h"
+#include "entry/relay.h"
 #include "entry/uplink.h"
 #include "platform/documents.h"
 #include "platform/job_api.h"
@@ -25,6 +26,7 @@
   GMainLoop *loop;
   metrics_t *metrics;
   store_t *store;
+  store_t *relay; /* the same for customers' requests */
   uplink_t *uplink;
   intake_t *intake;
   job_api_t *api;
@@ -47,6 +49,7 @@
   OPERATOR_WAIT_MS = 1000, /* longest wait of one watch on the desired state */
   DRAIN_POLL_MS = 50,
   HANDOVER_MS = 400, /* longest wait for the store before the claim is given up */
+  FAREWELL_MS = 50,  /* in which the VMs are told that the claim is free */
   METRICS_CONNECTIONS = 16,
   FORMER_DESIRED = 2
 };
@@ -134,7 +137,7 @@
 drop_decider (entry_t *entry)
 {
   if (entry->decider != NULL && entry->free_idle == 0)
-    entry->free_idle = g_idle_add (free_decider, entry);
+    entry->free_idle = g_timeout_add (FAREWELL_MS, free_decider, entry);
 }
 
 static void
@@ -145,6 +148,15 @@
   claim_check (entry->claim);
 }
 
+/* The store answers other VMs but not this one. */
+static void
+abdicate (void *data)
+{
+  entry_t *entry = data;
+
+  claim_abdicate (entry->claim);
+}
+
 static void
 claim_gained (gint64 fence, guint epoch, bool former_may_act, void *data)
 {
@@ -153,7 +165,7 @@
     .vm = entry->options.vm,
     .fence = fence,
     .epoch = epoch,
-    .limits = { .hold_us = entry->options.hold_ms * 1000,
+    .limits = { .hold_us = MIN (entry->options.hold_ms, entry->options.hold_max_ms) * 1000,
                 .claim_us = former_may_act ? entry->options.claim_ttl_ms * 1000 : 0,
                 .gang_wait_us = entry->options.gang_wait_ms * 1000 },
   };
@@ -163,8 +175,7 @@
       g_source_remove (entry->free_idle);
       (void) free_decider (entry);
     }
-  entry->decider = decider_new (entry->store, entry->claim, &config, entry->desired, entry->metrics,
-                                deposed, entry);
+  entry->decider = decider_new (entry->store, entry->claim, &config, entry->desired, entry->metrics, deposed, abdicate, entry);
 }
 
 static void
@@ -181,6 +192,15 @@
   uplink_set_holder (entry->uplink, address);
 }
 
+static void
+claim_was_abandoned (gint64 revision, void *data)
+{
+  entry_t *entry = data;
+
+  if (entry->claim != NULL)
+    claim_abandoned (entry->claim, revision);
+}
+
 static const claim_events_t claim_events = { claim_gained, claim_lost, claim_holder };
 
 static void
@@ -326,12 +346,14 @@
 
 /* ---- Life. */
 
+/* Jobs can be stored by this VM or through the decider. */
 static bool
 wants_connections (void *data)
 {
   const entry_t *entry = data;
 
-  return !entry->is_stopping;
+  return !entry->is_stopping
+         && (store_is_healthy (entry->store, clock_now_us ()) || uplink_is_served (entry->uplink));
 }
 
 static bool
@@ -365,16 +387,20 @@
     .vm = options->vm,
     .zone = options->zone,
     .cpu_milli = (guint) options->cpu_milli,
-    .hold_ms = (guint) options->hold_ms,
+    .hold_ms = (guint) MIN (options->hold_ms, options->hold_max_ms),
     .advice_address = options->advice,
+    .abandoned = claim_was_abandoned,
+    .data = entry,
   };
 
   entry->options = *options;
   entry->loop = g_main_loop_new (NULL, FALSE);
   entry->metrics = metrics_new ();
   entry->store = store_kv_new (options->store, entry->metrics);
+  uplink.store = entry->store;
   entry->uplink = uplink_new (&uplink);
-  entry->intake = intake_new (entry->store, entry->uplink, entry->metrics);
+  entry->relay = relay_new (entry->store, entry->uplink);
+  entry->intake = intake_new (entry->relay, entry->uplink, entry->metrics);
   g_queue_init (&entry->former_desired);
   if (!start_servers (entry, error))
     {
@@ -424,6 +450,7 @@
     }
   intake_free (entry->intake);
   uplink_free (entry->uplink);
+  entry->relay->calls->free (entry->relay);
   entry->store->calls->free (entry->store);
   metrics_free (entry->metrics);
   desired_free (entry->desired);
--- a/src/entry/options.h
+++ b/src/entry/options.h
@@ -17,6 +17,7 @@
   char *log_level;
   gint64 cpu_milli;
   gint64 hold_ms;
+  gint64 hold_max_ms;
   gint64 gang_wait_ms;
   gint64 claim_ttl_ms;
   gint64 max_connections;
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -26,6 +26,7 @@
   guint connect_timer;
   guint64 next_ask;
   GHashTable *asks;    /* number -> ask_t */
+  GHashTable *relays;  /* number -> relay_t */
   GHashTable *unknown; /* job id -> packed job: not yet confirmed by a decider */
   GHashTable *cancels; /* job ids, likewise */
 };
@@ -39,10 +40,20 @@
   void *data;
 } ask_t;
 
+typedef struct
+{
+  uplink_t *uplink;
+  guint64 number;
+  guint timer;
+  bool is_sent;
+  store_done_t done;
+  void *data;
+} relay_t;
+
 enum
 {
   PING_MS = 250,
-  RECONNECT_MS = 100,
+  RECONNECT_MS = 40,
   UNKNOWN_MAX
   = 5000, /* jobs kept for a decider that does not confirm; it finds the others itself */
   JOBS_PER_FRAME = 50
@@ -107,6 +118,7 @@
   Mimosastair__Ping ping = MIMOSASTAIR__PING__INIT;
 
   ping.sent_us = clock_now_us ();
+  ping.store_ok = store_is_healthy (uplink->config.store, ping.sent_us);
   frame.ping = &ping;
   (void) send_frame (&frame, uplink);
 }
@@ -205,7 +217,7 @@
   guint64 number = message->number;
   ask_t *ask = g_hash_table_lookup (uplink->asks, &number);
   uplink_answer_t answer = {
-    .is_answered = true,
+    .is_answered = !message->unavailable,
     .is_known = message->known,
     .state = message->state,
     .pending = message->pending,
@@ -217,6 +229,55 @@
   finish_ask (ask, &answer);
 }
 
+static void
+finish_relay (relay_t *relay, const store_reply_t *reply)
+{
+  if (relay->timer != 0)
+    g_source_remove (relay->timer);
+  g_hash_table_remove (relay->uplink->relays, &relay->number);
+  relay->done (reply, relay->data);
+  g_free (relay);
+}
+
+static void
+handle_relayed (uplink_t *uplink, const Mimosastair__RelayReply *message)
+{
+  guint64 number = message->number;
+  relay_t *relay = g_hash_table_lookup (uplink->relays, &number);
+  g_autoptr (GPtrArray) items = g_ptr_array_new_with_free_func ((GDestroyNotify) store_item_free);
+  store_reply_t reply
+      = { .status = message->status, .revision = message->revision, .items = items };
+
+  if (relay == NULL || message->status > STORE_LOST)
+    return;
+  for (gsize i = 0; i < message->n_items; i++)
+    {
+      const Mimosastair__RelayItem *row = message->items[i];
+      store_item_t *item = g_new0 (store_item_t, 1);
+
+      item->key = g_strdup (row->key);
+      item->value = g_memdup2 (row->value.data, row->value.len);
+      item->value_bytes = row->value.len;
+      item->revision = row->revision;
+      item->created = row->created;
+      g_ptr_array_add (items, item);
+    }
+  finish_relay (relay, &reply);
+}
+
+static gboolean
+relay_timed_out (gpointer data)
+{
+  relay_t *relay = data;
+  g_autoptr (GPtrArray) items = g_ptr_array_new ();
+  store_reply_t reply
+      = { .status = relay->is_sent ? STORE_LOST : STORE_UNAVAILABLE, .items = items };
+
+  relay->timer = 0;
+  finish_relay (relay, &reply);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 handle_frame (link_t *link G_GNUC_UNUSED, const Mimosastair__Frame *frame, void *data)
 {
@@ -231,8 +292,13 @@
     g_hash_table_remove (uplink->cancels, frame->cancel[i]);
   for (gsize i = 0; i < frame->n_answer; i++)
     handle_answer (uplink, frame->answer[i]);
-  if (frame->released)
-    uplink->valid_until_us = 0;
+  for (gsize i = 0; i < frame->n_relay_reply; i++)
+    handle_relayed (uplink, frame->relay_reply[i]);
+  if (frame->released != 0)
+    {
+      uplink->is_ready = false;
+      uplink->config.abandoned (frame->released, uplink->config.data);
+    }
 }
 
 static const link_events_t link_events = { opened, handle_frame, broken };
@@ -343,6 +409,60 @@
   ask->timer = g_timeout_add (timeout_ms, ask_timed_out, ask);
 }
 
+void
+uplink_relay (uplink_t *uplink,
+              const char *get,
+              const store_expect_t *expect,
+              gsize expect_count,
+              const store_write_t *writes,
+              gsize write_count,
+              guint timeout_ms,
+              store_done_t done,
+              void *data)
+{
+  Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+  Mimosastair__Relay message = MIMOSASTAIR__RELAY__INIT;
+  Mimosastair__Relay *list = &message;
+  Mimosastair__KeyRevision conditions[STORE_TXN_ROWS];
+  Mimosastair__KeyRevision *condition_list[STORE_TXN_ROWS];
+  Mimosastair__KeyWrite rows[STORE_TXN_ROWS];
+  Mimosastair__KeyWrite *row_list[STORE_TXN_ROWS];
+  relay_t *relay = g_new0 (relay_t, 1);
+
+  relay->uplink = uplink;
+  relay->number = uplink->next_ask++;
+  relay->done = done;
+  relay->data = data;
+  g_hash_table_insert (uplink->relays, &relay->number, relay);
+  message.number = relay->number;
+  if (get != NULL)
+    message.get = (char *) get;
+  for (gsize i = 0; i < MIN (expect_count, STORE_TXN_ROWS); i++)
+    {
+      mimosastair__key_revision__init (&conditions[i]);
+      conditions[i].key = (char *) expect[i].key;
+      conditions[i].revision = expect[i].revision;
+      condition_list[i] = &conditions[i];
+      message.n_expect++;
+    }
+  for (gsize i = 0; i < MIN (write_count, STORE_TXN_ROWS); i++)
+    {
+      mimosastair__key_write__init (&rows[i]);
+      rows[i].key = (char *) writes[i].key;
+      rows[i].value.data = (guint8 *) writes[i].value;
+      rows[i].value.len = writes[i].value_bytes;
+      rows[i].delete_ = writes[i].value == NULL;
+      row_list[i] = &rows[i];
+      message.n_write++;
+    }
+  message.expect = condition_list;
+  message.write = row_list;
+  frame.n_relay = 1;
+  frame.relay = &list;
+  relay->is_sent = uplink_is_served (uplink) && send_frame (&frame, uplink);
+  relay->timer = g_timeout_add (relay->is_sent ? timeout_ms : 0, relay_timed_out, relay);
+}
+
 bool
 uplink_is_served (const uplink_t *uplink)
 {
@@ -363,6 +483,7 @@
   uplink->config = *config;
   uplink->agent = agent_new (config->hold_ms, config->advice_address, send_frame, uplink);
   uplink->asks = g_hash_table_new (g_int64_hash, g_int64_equal);
+  uplink->relays = g_hash_table_new (g_int64_hash, g_int64_equal);
   uplink->unknown
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   uplink->cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -382,6 +503,7 @@
   link_free (uplink->link);
   agent_free (uplink->agent);
   g_hash_table_unref (uplink->asks);
+  g_hash_table_unref (uplink->relays);
   g_hash_table_unref (uplink->unknown);
   g_hash_table_unref (uplink->cancels);
   g_free (uplink->holder);
--- a/src/entry/uplink.h
+++ b/src/entry/uplink.h
@@ -8,6 +8,7 @@
 
 #include "decide/plan.h"
 #include "peer/peer.pb-c.h"
+#include "store/store.h"
 
 typedef struct uplink uplink_t;
 
@@ -18,6 +19,10 @@
   guint cpu_milli;
   guint hold_ms;
   const char *advice_address;
+  const store_t *store; /* its health is told to the decider */
+  /* The holder gave up the claim written at `revision`, though its key may be there. */
+  void (*abandoned) (gint64 revision, void *data);
+  void *data;
 } uplink_config_t;
 
 uplink_t *uplink_new (const uplink_config_t *config);
@@ -54,6 +59,19 @@
                  uplink_asked_t done,
                  void *data);
 
+/* Has the decider make a call to the key-value service: the value of `get`, or (NULL) a
+ * transaction.  `done` is called once, within `timeout_ms`, and not before this returns;
+ * STORE_LOST when no answer came, STORE_UNAVAILABLE when it was not sent. */
+void uplink_relay (uplink_t *uplink,
+                   const char *get,
+                   const store_expect_t *expect,
+                   gsize expect_count,
+                   const store_write_t *writes,
+                   gsize write_count,
+                   guint timeout_ms,
+                   store_done_t done,
+                   void *data);
+
 /* A decider answers and its claim is valid. */
 bool uplink_is_served (const uplink_t *uplink);
 
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1042,6 +1042,231 @@
   assert(message->base.descriptor == &mimosastair__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mimosastair__key_revision__init
+                     (Mimosastair__KeyRevision         *message)
+{
+  static const Mimosastair__KeyRevision init_value = MIMOSASTAIR__KEY_REVISION__INIT;
+  *message = init_value;
+}
+size_t mimosastair__key_revision__get_packed_size
+                     (const Mimosastair__KeyRevision *message)
+{
+  assert(message->base.descriptor == &mimosastair__key_revision__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__key_revision__pack
+                     (const Mimosastair__KeyRevision *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__key_revision__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__key_revision__pack_to_buffer
+                     (const Mimosastair__KeyRevision *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__key_revision__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__KeyRevision *
+       mimosastair__key_revision__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__KeyRevision *)
+     protobuf_c_message_unpack (&mimosastair__key_revision__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__key_revision__free_unpacked
+                     (Mimosastair__KeyRevision *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__key_revision__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mimosastair__key_write__init
+                     (Mimosastair__KeyWrite         *message)
+{
+  static const Mimosastair__KeyWrite init_value = MIMOSASTAIR__KEY_WRITE__INIT;
+  *message = init_value;
+}
+size_t mimosastair__key_write__get_packed_size
+                     (const Mimosastair__KeyWrite *message)
+{
+  assert(message->base.descriptor == &mimosastair__key_write__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__key_write__pack
+                     (const Mimosastair__KeyWrite *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__key_write__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__key_write__pack_to_buffer
+                     (const Mimosastair__KeyWrite *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__key_write__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__KeyWrite *
+       mimosastair__key_write__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__KeyWrite *)
+     protobuf_c_message_unpack (&mimosastair__key_write__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__key_write__free_unpacked
+                     (Mimosastair__KeyWrite *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__key_write__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mimosastair__relay__init
+                     (Mimosastair__Relay         *message)
+{
+  static const Mimosastair__Relay init_value = MIMOSASTAIR__RELAY__INIT;
+  *message = init_value;
+}
+size_t mimosastair__relay__get_packed_size
+                     (const Mimosastair__Relay *message)
+{
+  assert(message->base.descriptor == &mimosastair__relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__relay__pack
+                     (const Mimosastair__Relay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__relay__pack_to_buffer
+                     (const Mimosastair__Relay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__Relay *
+       mimosastair__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__Relay *)
+     protobuf_c_message_unpack (&mimosastair__relay__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__relay__free_unpacked
+                     (Mimosastair__Relay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mimosastair__relay_item__init
+                     (Mimosastair__RelayItem         *message)
+{
+  static const Mimosastair__RelayItem init_value = MIMOSASTAIR__RELAY_ITEM__INIT;
+  *message = init_value;
+}
+size_t mimosastair__relay_item__get_packed_size
+                     (const Mimosastair__RelayItem *message)
+{
+  assert(message->base.descriptor == &mimosastair__relay_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__relay_item__pack
+                     (const Mimosastair__RelayItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__relay_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__relay_item__pack_to_buffer
+                     (const Mimosastair__RelayItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__relay_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__RelayItem *
+       mimosastair__relay_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__RelayItem *)
+     protobuf_c_message_unpack (&mimosastair__relay_item__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__relay_item__free_unpacked
+                     (Mimosastair__RelayItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__relay_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mimosastair__relay_reply__init
+                     (Mimosastair__RelayReply         *message)
+{
+  static const Mimosastair__RelayReply init_value = MIMOSASTAIR__RELAY_REPLY__INIT;
+  *message = init_value;
+}
+size_t mimosastair__relay_reply__get_packed_size
+                     (const Mimosastair__RelayReply *message)
+{
+  assert(message->base.descriptor == &mimosastair__relay_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__relay_reply__pack
+                     (const Mimosastair__RelayReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__relay_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__relay_reply__pack_to_buffer
+                     (const Mimosastair__RelayReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__relay_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__RelayReply *
+       mimosastair__relay_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__RelayReply *)
+     protobuf_c_message_unpack (&mimosastair__relay_reply__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__relay_reply__free_unpacked
+                     (Mimosastair__RelayReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__relay_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mimosastair__frame__init
                      (Mimosastair__Frame         *message)
 {
@@ -2078,7 +2303,7 @@
   (ProtobufCMessageInit) mimosastair__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__ping__field_descriptors[1] =
+static const ProtobufCFieldDescriptor mimosastair__ping__field_descriptors[2] =
 {
   {
     "sent_us",
@@ -2092,14 +2317,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_ok",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Ping, store_ok),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__ping__field_indices_by_name[] = {
   0,   /* field[0] = sent_us */
+  1,   /* field[1] = store_ok */
 };
 static const ProtobufCIntRange mimosastair__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor mimosastair__ping__descriptor =
 {
@@ -2109,7 +2347,7 @@
   "Mimosastair__Ping",
   "mimosastair",
   sizeof(Mimosastair__Ping),
-  1,
+  2,
   mimosastair__ping__field_descriptors,
   mimosastair__ping__field_indices_by_name,
   1,  mimosastair__ping__number_ranges,
@@ -3002,7 +3240,7 @@
   (ProtobufCMessageInit) mimosastair__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mimosastair__answer__field_descriptors[5] =
 {
   {
     "number",
@@ -3052,17 +3290,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unavailable",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Answer, unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__answer__field_indices_by_name[] = {
   1,   /* field[1] = known */
   0,   /* field[0] = number */
   3,   /* field[3] = pending */
   2,   /* field[2] = state */
+  4,   /* field[4] = unavailable */
 };
 static const ProtobufCIntRange mimosastair__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mimosastair__answer__descriptor =
 {
@@ -3072,14 +3323,360 @@
   "Mimosastair__Answer",
   "mimosastair",
   sizeof(Mimosastair__Answer),
-  4,
+  5,
   mimosastair__answer__field_descriptors,
   mimosastair__answer__field_indices_by_name,
   1,  mimosastair__answer__number_ranges,
   (ProtobufCMessageInit) mimosastair__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__frame__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mimosastair__key_revision__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__KeyRevision, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__KeyRevision, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__key_revision__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange mimosastair__key_revision__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mimosastair__key_revision__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.KeyRevision",
+  "KeyRevision",
+  "Mimosastair__KeyRevision",
+  "mimosastair",
+  sizeof(Mimosastair__KeyRevision),
+  2,
+  mimosastair__key_revision__field_descriptors,
+  mimosastair__key_revision__field_indices_by_name,
+  1,  mimosastair__key_revision__number_ranges,
+  (ProtobufCMessageInit) mimosastair__key_revision__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__key_write__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__KeyWrite, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__KeyWrite, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "delete",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__KeyWrite, delete_),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__key_write__field_indices_by_name[] = {
+  2,   /* field[2] = delete */
+  0,   /* field[0] = key */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange mimosastair__key_write__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mimosastair__key_write__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.KeyWrite",
+  "KeyWrite",
+  "Mimosastair__KeyWrite",
+  "mimosastair",
+  sizeof(Mimosastair__KeyWrite),
+  3,
+  mimosastair__key_write__field_descriptors,
+  mimosastair__key_write__field_indices_by_name,
+  1,  mimosastair__key_write__number_ranges,
+  (ProtobufCMessageInit) mimosastair__key_write__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__relay__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Relay, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "get",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Relay, get),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expect",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__Relay, n_expect),
+    offsetof(Mimosastair__Relay, expect),
+    &mimosastair__key_revision__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "write",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__Relay, n_write),
+    offsetof(Mimosastair__Relay, write),
+    &mimosastair__key_write__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__relay__field_indices_by_name[] = {
+  2,   /* field[2] = expect */
+  1,   /* field[1] = get */
+  0,   /* field[0] = number */
+  3,   /* field[3] = write */
+};
+static const ProtobufCIntRange mimosastair__relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mimosastair__relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.Relay",
+  "Relay",
+  "Mimosastair__Relay",
+  "mimosastair",
+  sizeof(Mimosastair__Relay),
+  4,
+  mimosastair__relay__field_descriptors,
+  mimosastair__relay__field_indices_by_name,
+  1,  mimosastair__relay__number_ranges,
+  (ProtobufCMessageInit) mimosastair__relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__relay_item__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayItem, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayItem, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayItem, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "created",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayItem, created),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__relay_item__field_indices_by_name[] = {
+  3,   /* field[3] = created */
+  0,   /* field[0] = key */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange mimosastair__relay_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mimosastair__relay_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.RelayItem",
+  "RelayItem",
+  "Mimosastair__RelayItem",
+  "mimosastair",
+  sizeof(Mimosastair__RelayItem),
+  4,
+  mimosastair__relay_item__field_descriptors,
+  mimosastair__relay_item__field_indices_by_name,
+  1,  mimosastair__relay_item__number_ranges,
+  (ProtobufCMessageInit) mimosastair__relay_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__relay_reply__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayReply, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__RelayReply, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__RelayReply, n_items),
+    offsetof(Mimosastair__RelayReply, items),
+    &mimosastair__relay_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__relay_reply__field_indices_by_name[] = {
+  3,   /* field[3] = items */
+  0,   /* field[0] = number */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = status */
+};
+static const ProtobufCIntRange mimosastair__relay_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mimosastair__relay_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.RelayReply",
+  "RelayReply",
+  "Mimosastair__RelayReply",
+  "mimosastair",
+  sizeof(Mimosastair__RelayReply),
+  4,
+  mimosastair__relay_reply__field_descriptors,
+  mimosastair__relay_reply__field_indices_by_name,
+  1,  mimosastair__relay_reply__number_ranges,
+  (ProtobufCMessageInit) mimosastair__relay_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -3265,7 +3862,7 @@
     "released",
     16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
     offsetof(Mimosastair__Frame, released),
     NULL,
@@ -3273,6 +3870,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__Frame, n_relay),
+    offsetof(Mimosastair__Frame, relay),
+    &mimosastair__relay__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_reply",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__Frame, n_relay_reply),
+    offsetof(Mimosastair__Frame, relay_reply),
+    &mimosastair__relay_reply__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__frame__field_indices_by_name[] = {
   9,   /* field[9] = advice */
@@ -3286,6 +3907,8 @@
   11,   /* field[11] = job_known */
   1,   /* field[1] = ping */
   2,   /* field[2] = pong */
+  16,   /* field[16] = relay */
+  17,   /* field[17] = relay_reply */
   15,   /* field[15] = released */
   4,   /* field[4] = report */
   7,   /* field[7] = result */
@@ -3295,7 +3918,7 @@
 static const ProtobufCIntRange mimosastair__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor mimosastair__frame__descriptor =
 {
@@ -3305,7 +3928,7 @@
   "Mimosastair__Frame",
   "mimosastair",
   sizeof(Mimosastair__Frame),
-  16,
+  18,
   mimosastair__frame__field_descriptors,
   mimosastair__frame__field_indices_by_name,
   1,  mimosastair__frame__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -38,6 +38,11 @@
 typedef struct Mimosastair__JobKnown Mimosastair__JobKnown;
 typedef struct Mimosastair__Ask Mimosastair__Ask;
 typedef struct Mimosastair__Answer Mimosastair__Answer;
+typedef struct Mimosastair__KeyRevision Mimosastair__KeyRevision;
+typedef struct Mimosastair__KeyWrite Mimosastair__KeyWrite;
+typedef struct Mimosastair__Relay Mimosastair__Relay;
+typedef struct Mimosastair__RelayItem Mimosastair__RelayItem;
+typedef struct Mimosastair__RelayReply Mimosastair__RelayReply;
 typedef struct Mimosastair__Frame Mimosastair__Frame;
 
 
@@ -239,10 +244,14 @@
    * on the VM's clock
    */
   int64_t sent_us;
+  /*
+   * the VM's own calls to the key-value service are answered
+   */
+  protobuf_c_boolean store_ok;
 };
 #define MIMOSASTAIR__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__ping__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Mimosastair__Pong
@@ -435,10 +444,85 @@
   protobuf_c_boolean known;
   uint32_t state;
   uint32_t pending;
+  /*
+   * the decider has not rebuilt its state, or lost its claim
+   */
+  protobuf_c_boolean unavailable;
 };
 #define MIMOSASTAIR__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__answer__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Mimosastair__KeyRevision
+{
+  ProtobufCMessage base;
+  char *key;
+  int64_t revision;
+};
+#define MIMOSASTAIR__KEY_REVISION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__key_revision__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Mimosastair__KeyWrite
+{
+  ProtobufCMessage base;
+  char *key;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean delete_;
+};
+#define MIMOSASTAIR__KEY_WRITE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__key_write__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
+/*
+ * VM to decider: make this call to the key-value service for me.
+ */
+struct  Mimosastair__Relay
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  /*
+   * key; empty: a transaction
+   */
+  char *get;
+  size_t n_expect;
+  Mimosastair__KeyRevision **expect;
+  size_t n_write;
+  Mimosastair__KeyWrite **write;
+};
+#define MIMOSASTAIR__RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__relay__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
+struct  Mimosastair__RelayItem
+{
+  ProtobufCMessage base;
+  char *key;
+  ProtobufCBinaryData value;
+  int64_t revision;
+  int64_t created;
+};
+#define MIMOSASTAIR__RELAY_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__relay_item__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+struct  Mimosastair__RelayReply
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint32_t status;
+  int64_t revision;
+  size_t n_items;
+  Mimosastair__RelayItem **items;
+};
+#define MIMOSASTAIR__RELAY_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__relay_reply__descriptor) \
+    , 0, 0, 0, 0,NULL }
 
 
 struct  Mimosastair__Frame
@@ -472,13 +556,18 @@
   size_t n_answer;
   Mimosastair__Answer **answer;
   /*
-   * decider to VM: the claim is free
+   * Decider to VM: the claim that was written at this revision is given up; the key may
+   * still be there.
    */
-  protobuf_c_boolean released;
+  int64_t released;
+  size_t n_relay;
+  Mimosastair__Relay **relay;
+  size_t n_relay_reply;
+  Mimosastair__RelayReply **relay_reply;
 };
 #define MIMOSASTAIR__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__frame__descriptor) \
-    , NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Mimosastair__Step methods */
@@ -918,6 +1007,101 @@
 void   mimosastair__answer__free_unpacked
                      (Mimosastair__Answer *message,
                       ProtobufCAllocator *allocator);
+/* Mimosastair__KeyRevision methods */
+void   mimosastair__key_revision__init
+                     (Mimosastair__KeyRevision         *message);
+size_t mimosastair__key_revision__get_packed_size
+                     (const Mimosastair__KeyRevision   *message);
+size_t mimosastair__key_revision__pack
+                     (const Mimosastair__KeyRevision   *message,
+                      uint8_t             *out);
+size_t mimosastair__key_revision__pack_to_buffer
+                     (const Mimosastair__KeyRevision   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__KeyRevision *
+       mimosastair__key_revision__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__key_revision__free_unpacked
+                     (Mimosastair__KeyRevision *message,
+                      ProtobufCAllocator *allocator);
+/* Mimosastair__KeyWrite methods */
+void   mimosastair__key_write__init
+                     (Mimosastair__KeyWrite         *message);
+size_t mimosastair__key_write__get_packed_size
+                     (const Mimosastair__KeyWrite   *message);
+size_t mimosastair__key_write__pack
+                     (const Mimosastair__KeyWrite   *message,
+                      uint8_t             *out);
+size_t mimosastair__key_write__pack_to_buffer
+                     (const Mimosastair__KeyWrite   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__KeyWrite *
+       mimosastair__key_write__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__key_write__free_unpacked
+                     (Mimosastair__KeyWrite *message,
+                      ProtobufCAllocator *allocator);
+/* Mimosastair__Relay methods */
+void   mimosastair__relay__init
+                     (Mimosastair__Relay         *message);
+size_t mimosastair__relay__get_packed_size
+                     (const Mimosastair__Relay   *message);
+size_t mimosastair__relay__pack
+                     (const Mimosastair__Relay   *message,
+                      uint8_t             *out);
+size_t mimosastair__relay__pack_to_buffer
+                     (const Mimosastair__Relay   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__Relay *
+       mimosastair__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__relay__free_unpacked
+                     (Mimosastair__Relay *message,
+                      ProtobufCAllocator *allocator);
+/* Mimosastair__RelayItem methods */
+void   mimosastair__relay_item__init
+                     (Mimosastair__RelayItem         *message);
+size_t mimosastair__relay_item__get_packed_size
+                     (const Mimosastair__RelayItem   *message);
+size_t mimosastair__relay_item__pack
+                     (const Mimosastair__RelayItem   *message,
+                      uint8_t             *out);
+size_t mimosastair__relay_item__pack_to_buffer
+                     (const Mimosastair__RelayItem   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__RelayItem *
+       mimosastair__relay_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__relay_item__free_unpacked
+                     (Mimosastair__RelayItem *message,
+                      ProtobufCAllocator *allocator);
+/* Mimosastair__RelayReply methods */
+void   mimosastair__relay_reply__init
+                     (Mimosastair__RelayReply         *message);
+size_t mimosastair__relay_reply__get_packed_size
+                     (const Mimosastair__RelayReply   *message);
+size_t mimosastair__relay_reply__pack
+                     (const Mimosastair__RelayReply   *message,
+                      uint8_t             *out);
+size_t mimosastair__relay_reply__pack_to_buffer
+                     (const Mimosastair__RelayReply   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__RelayReply *
+       mimosastair__relay_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__relay_reply__free_unpacked
+                     (Mimosastair__RelayReply *message,
+                      ProtobufCAllocator *allocator);
 /* Mimosastair__Frame methods */
 void   mimosastair__frame__init
                      (Mimosastair__Frame         *message);
@@ -1008,6 +1192,21 @@
 typedef void (*Mimosastair__Answer_Closure)
                  (const Mimosastair__Answer *message,
                   void *closure_data);
+typedef void (*Mimosastair__KeyRevision_Closure)
+                 (const Mimosastair__KeyRevision *message,
+                  void *closure_data);
+typedef void (*Mimosastair__KeyWrite_Closure)
+                 (const Mimosastair__KeyWrite *message,
+                  void *closure_data);
+typedef void (*Mimosastair__Relay_Closure)
+                 (const Mimosastair__Relay *message,
+                  void *closure_data);
+typedef void (*Mimosastair__RelayItem_Closure)
+                 (const Mimosastair__RelayItem *message,
+                  void *closure_data);
+typedef void (*Mimosastair__RelayReply_Closure)
+                 (const Mimosastair__RelayReply *message,
+                  void *closure_data);
 typedef void (*Mimosastair__Frame_Closure)
                  (const Mimosastair__Frame *message,
                   void *closure_data);
@@ -1040,6 +1239,11 @@
 extern const ProtobufCMessageDescriptor mimosastair__job_known__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__ask__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__answer__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__key_revision__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__key_write__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__relay__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__relay_item__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__relay_reply__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -19,6 +19,36 @@
   return "unknown";
 }
 
+/* Slow answers of a service that is well take less. */
+static const gint64 slow_answer_us = 500 * 1000;
+
+void
+store_note_sent (store_t *store, gint64 now_us)
+{
+  if (store->health.asked_us == 0)
+    store->health.asked_us = now_us;
+}
+
+void
+store_note_result (store_t *store, store_status_t status)
+{
+  if (status == STORE_UNAVAILABLE || status == STORE_LOST)
+    {
+      store->health.failures++;
+      return;
+    }
+  store->health.asked_us = 0;
+  store->health.failures = 0;
+}
+
+bool
+store_is_healthy (const store_t *store, gint64 now_us)
+{
+  if (store->health.failures > 0)
+    return false;
+  return store->health.asked_us == 0 || now_us - store->health.asked_us < slow_answer_us;
+}
+
 void
 store_item_free (store_item_t *item)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -88,16 +88,26 @@
   void (*free) (store_t *store);
 } store_calls_t;
 
+/* Whether the service answers this VM. */
+typedef struct
+{
+  gint64 asked_us; /* the first call sent since the last answer; 0: none */
+  guint failures;  /* calls that failed since the last answer */
+} store_health_t;
+
 struct store
 {
   const store_calls_t *calls;
+  store_health_t health;
 };
 
-typedef struct
-{
-  guint64 calls;
-  guint64 by_status[STORE_LOST + 1];
-} store_counters_t;
+/* An implementation reports each call that it sends, and each result.  Watches wait
+ * long; of these only results are reported. */
+void store_note_sent (store_t *store, gint64 now_us);
+void store_note_result (store_t *store, store_status_t status);
+
+/* False when calls have failed since the last answer, or wait too long for one. */
+bool store_is_healthy (const store_t *store, gint64 now_us);
 
 const char *store_status_name (store_status_t status);
 
