Unwanted runs keep their room, failures are counted by run, a claim is known by its revision

Change: room by the task even when it is not wanted, all of the executor for an unknown job; progress keeps the latest failed run; claims compare the revision of their write.

--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -242,7 +242,9 @@
   if (task == NULL)
     return;
   task->failures = progress->failures;
+  task->last_failed_run = progress->failed_run;
   task->step->gang_failures = MAX (task->step->gang_failures, progress->failures);
+  task->step->gang_failed_run = MAX (task->step->gang_failed_run, progress->failed_run);
   task->was_started = true;
   job->was_started = true;
   if (progress->is_done && !task->is_done)
@@ -506,6 +508,7 @@
             .index = t,
             .is_done = task->is_done,
             .failures = step->spec->gang ? step->gang_failures : task->failures,
+            .failed_run = step->spec->gang ? step->gang_failed_run : task->last_failed_run,
           };
 
           if (progress.is_done || progress.failures > 0)
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -178,6 +178,7 @@
   guint index;
   bool is_done;
   guint failures;
+  guint failed_run; /* the latest run whose failure was counted */
 } task_progress_t;
 
 /* Adds a job, which is taken.  `is_old`: it may have been started under an earlier
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -5,6 +5,22 @@
 /* A stop that got no answer is sent again after this. */
 static const gint64 stop_retry_us = 400 * 1000;
 
+/* What a run takes up, also when its task does not want it.  A run of a job that is not
+ * known may take all there is. */
+static room_t
+room_of_run (const cell_t *cell, const task_ref_t *ref, const executor_t *executor)
+{
+  const task_t *task = cell_find_task (cell, ref);
+  room_t room = executor->capacity;
+
+  if (task == NULL)
+    return room;
+  room = task->step->spec->need;
+  if (task->step->spec->fills)
+    room.cpu_milli = 0;
+  return room;
+}
+
 run_t *
 cell_run_new (cell_t *cell, task_t *task, const task_ref_t *ref, executor_t *executor, guint number)
 {
@@ -14,11 +30,9 @@
   run->ref = *ref;
   run->executor = executor;
   run->number = number;
+  run->room = room_of_run (cell, ref, executor);
   if (task != NULL)
     {
-      run->room = task->step->spec->need;
-      if (task->step->spec->fills)
-        run->room.cpu_milli = 0;
       task->last_run = MAX (task->last_run, number);
       task->was_started = true;
       list_push_back (&task->runs, &run->by_task);
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -194,7 +194,7 @@
   if (message == NULL)
     return false;
   ours = strcmp (message->vm, claim->config.vm) == 0 && message->life == claim->config.life
-         && (claim->fence == 0 || item->created == claim->fence);
+         && (claim->fence == 0 || item->revision == claim->fence);
   mimosastair__claim__free_unpacked (message, NULL);
   return ours;
 }
@@ -211,7 +211,7 @@
   if (reply->status == STORE_DONE && reply->items->len > 0
       && is_ours (claim, g_ptr_array_index (reply->items, 0)))
     {
-      hold (claim, ((store_item_t *) g_ptr_array_index (reply->items, 0))->created);
+      hold (claim, ((store_item_t *) g_ptr_array_index (reply->items, 0))->revision);
       return;
     }
   /* Without its lease a write that is carried out late fails. */
@@ -432,7 +432,7 @@
   store_expect_t expect = { claim->key, item->revision };
   store_write_t write = { claim->key, NULL, 0, 0 };
 
-  LOG_INFO ("claim_of_former_life", "fence=%" G_GINT64_FORMAT, item->created);
+  LOG_INFO ("claim_of_former_life", "fence=%" G_GINT64_FORMAT, item->revision);
   claim->store->calls->txn (claim->store, &expect, 1, &write, 1, ignore_reply, NULL);
 }
 
@@ -457,7 +457,7 @@
   message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
   if (message == NULL)
     return;
-  if (claim->state == CLAIM_HELD && !is_ours (claim, item) && item->created > claim->fence)
+  if (claim->state == CLAIM_HELD && !is_ours (claim, item) && item->revision > claim->fence)
     lose (claim, "taken_over");
   if (claim->state == CLAIM_FOLLOWING && strcmp (message->vm, claim->config.vm) == 0
       && message->life != claim->config.life)
--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -208,6 +208,7 @@
       rows[i].index = task->index;
       rows[i].done = task->is_done;
       rows[i].failures = task->failures;
+      rows[i].failed_run = task->failed_run;
       pointers[i] = &rows[i];
     }
   message.n_tasks = progress->len;
@@ -233,7 +234,8 @@
                                .step = row->step,
                                .index = row->index,
                                .is_done = row->done,
-                               .failures = row->failures };
+                               .failures = row->failures,
+                               .failed_run = row->failed_run };
 
       g_array_append_val (progress, task);
     }
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1726,7 +1726,7 @@
   (ProtobufCMessageInit) mimosastair__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__task_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mimosastair__task_progress__field_descriptors[6] =
 {
   {
     "occurrence",
@@ -1788,9 +1788,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__TaskProgress, failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__task_progress__field_indices_by_name[] = {
   3,   /* field[3] = done */
+  5,   /* field[5] = failed_run */
   4,   /* field[4] = failures */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
@@ -1799,7 +1812,7 @@
 static const ProtobufCIntRange mimosastair__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mimosastair__task_progress__descriptor =
 {
@@ -1809,7 +1822,7 @@
   "Mimosastair__TaskProgress",
   "mimosastair",
   sizeof(Mimosastair__TaskProgress),
-  5,
+  6,
   mimosastair__task_progress__field_descriptors,
   mimosastair__task_progress__field_indices_by_name,
   1,  mimosastair__task_progress__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -122,10 +122,14 @@
   uint32_t index;
   protobuf_c_boolean done;
   uint32_t failures;
+  /*
+   * the latest that was counted
+   */
+  uint32_t failed_run;
 };
 #define MIMOSASTAIR__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
