A claim by one call, parallel loading, begun only when confirmed

Change: each VM keeps a lease ready and follows the epoch record, fleet, progress and jobs are read at once; a job has begun when a run is confirmed; a draining executor without runs leaves the fleet; a restarted VM ends the lease of its former life.

--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -245,7 +245,6 @@
   task->last_failed_run = progress->failed_run;
   task->step->gang_failures = MAX (task->step->gang_failures, progress->failures);
   task->step->gang_failed_run = MAX (task->step->gang_failed_run, progress->failed_run);
-  task->was_started = true;
   job->was_started = true;
   if (progress->is_done && !task->is_done)
     {
--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -177,7 +177,7 @@
       executor->address = g_strdup (entry->address);
       executor->is_held = false;
     }
-  if (!executor->is_in_fleet)
+  if (!executor->is_in_fleet && !executor->is_draining)
     {
       executor->is_in_fleet = true;
       cell->fleet_dirty = true;
@@ -254,6 +254,8 @@
              row->task.job, row->task.occurrence, row->task.step, row->task.index, row->run,
              executor->id, row->number, how_name (row->how), ran_us / 1000);
   judge_executor (cell, executor, row->how, now_us);
+  if (run != NULL)
+    cell_run_began (run, now_us);
   if (task != NULL)
     {
       keep_checkpoint (task, row->checkpoint);
@@ -303,7 +305,7 @@
   run_t *run = cell_run_new (cell, is_wanted ? task : NULL, &row->task, executor, row->run);
 
   run->state = RUN_ALIVE;
-  run->alive_us = now_us;
+  cell_run_began (run, now_us);
   cell_note (cell, "task_adopted", "job=%s task=%u.%u.%u run=%u executor=%s wanted=%d",
              row->task.job, row->task.occurrence, row->task.step, row->task.index, row->run,
              executor->id, (int) is_wanted);
@@ -326,6 +328,7 @@
           adopt (cell, executor, row, now_us);
           continue;
         }
+      cell_run_began (run, now_us);
       if (run->state == RUN_ALIVE && run->task != NULL)
         keep_checkpoint (run->task, row->checkpoint);
     }
@@ -420,13 +423,28 @@
   start_hold (cell, executor);
 }
 
+static void
+leave_fleet (cell_t *cell, executor_t *executor)
+{
+  if (!executor->is_in_fleet)
+    return;
+  executor->is_in_fleet = false;
+  executor->is_fleet_stored = false;
+  cell->fleet_dirty = true;
+}
+
 /* Executors that are unreachable for so long that nothing runs there, or that left. */
 static void
 check_executor (cell_t *cell, executor_t *executor, gint64 now_us)
 {
   if (!executor->is_reached && !list_is_empty (&executor->runs) && executor->lapse_us <= now_us)
     end_all_runs (cell, executor, "lease_lapsed", now_us);
-  if (executor->is_listed || !list_is_empty (&executor->runs))
+  if (!list_is_empty (&executor->runs))
+    return;
+  /* Nothing is started there any more. */
+  if (executor->is_draining && executor->is_fenced)
+    leave_fleet (cell, executor);
+  if (executor->is_listed)
     return;
   if (executor->lapse_us > now_us && executor->is_reached)
     return;
@@ -436,12 +454,8 @@
       executor->is_fenced = false;
       cell->ops->hold (executor->id, NULL, cell->data);
     }
-  if (executor->is_in_fleet && !executor->is_expected && executor->lapse_us <= now_us)
-    {
-      executor->is_in_fleet = false;
-      executor->is_fleet_stored = false;
-      cell->fleet_dirty = true;
-    }
+  if (!executor->is_expected && executor->lapse_us <= now_us)
+    leave_fleet (cell, executor);
 }
 
 static void
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -34,14 +34,8 @@
   if (task != NULL)
     {
       task->last_run = MAX (task->last_run, number);
-      task->was_started = true;
       list_push_back (&task->runs, &run->by_task);
       task->step->job->run_count++;
-      if (!task->step->job->was_started)
-        {
-          task->step->job->was_started = true;
-          task->step->job->queue->pending--;
-        }
       cell_update_wanting (task->step);
     }
   executor->used.cpu_milli += run->room.cpu_milli;
@@ -52,6 +46,23 @@
   return run;
 }
 
+/* The run is known to have begun. */
+void
+cell_run_began (run_t *run, gint64 now_us)
+{
+  job_t *job;
+
+  if (run->alive_us == 0)
+    run->alive_us = now_us;
+  if (run->task == NULL)
+    return;
+  job = run->task->step->job;
+  if (job->was_started)
+    return;
+  job->was_started = true;
+  job->queue->pending--;
+}
+
 guint64
 cell_order_for (cell_t *cell, run_t *run)
 {
@@ -183,7 +194,7 @@
     {
     case ORDER_OK:
       run->state = RUN_ALIVE;
-      run->alive_us = now_us;
+      cell_run_began (run, now_us);
       return;
     case ORDER_LOST:
       run->state = RUN_UNSURE;
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -61,7 +61,6 @@
   step_t *step;
   guint index;
   bool is_done;
-  bool was_started;
   guint failures;
   guint last_run;
   guint last_failed_run;
@@ -217,6 +216,7 @@
 /* cell_runs.c */
 run_t *cell_run_new (
     cell_t *cell, task_t *task, const task_ref_t *ref, executor_t *executor, guint number);
+void cell_run_began (run_t *run, gint64 now_us);
 void cell_run_gone (cell_t *cell, run_t *run, gint64 now_us);
 void cell_run_stop (cell_t *cell, run_t *run, gint64 now_us);
 void cell_stop_gang (cell_t *cell, step_t *step, guint number, gint64 now_us);
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -10,7 +10,7 @@
 
 #include <string.h>
 
-/* Record epoch/DOMAIN: how often the domain was claimed, and the latest claim's lease. */
+/* Record claim/DOMAIN.epoch: how often the domain was claimed, and the latest claim's lease. */
 typedef struct
 {
   guint32 epoch;   /* big-endian */
@@ -50,10 +50,19 @@
   char *holder; /* address last told */
   tenure_t tenure;
   gint64 lease;
+  gint64 standby; /* a lease that is kept ready; 0: none */
+  gint64 standby_sent_us;
+  gint64 standby_asked_us;
+  guint standby_timer;
+  bool is_granting;
+  bool is_wanted; /* an attempt waits for the lease */
   gint64 former_lease; /* of the holder before; 0: not known */
   gint64 lease_sent_us;
   gint64 released_revision; /* of a claim whose holder gave it up; 0: none */
   gint64 fence;
+  /* The epoch record as the mirror shows it, and as the claim was written on it. */
+  epoch_record_t seen_epoch;
+  gint64 seen_revision;
   gint64 epoch_revision;
   guint epoch;
   gint64 abstain_until_us; /* does not claim before */
@@ -66,7 +75,7 @@
 {
   WATCH_MS = 4000,      /* longest wait of one watch on the claim */
   RENEWALS_PER_TTL = 5, /* tries before the claim is over */
-  RETRY_MS = 250,       /* after a failed attempt */
+  RETRY_MS = 100,       /* after a failed attempt */
   SPREAD_MS = 60        /* VMs try at different moments */
 };
 
@@ -74,6 +83,7 @@
 static const gint64 abstain_us = 2 * G_USEC_PER_SEC;
 
 static void try_claim (claim_t *claim);
+static void grant_standby (claim_t *claim);
 static void schedule_renewal (claim_t *claim, guint delay_ms);
 
 static void
@@ -113,6 +123,7 @@
     return;
   claim->released_revision = 0;
   claim->state = CLAIM_FOLLOWING;
+  grant_standby (claim);
   schedule_attempt (claim, RETRY_MS);
 }
 
@@ -181,6 +192,7 @@
   claim->tenure = (tenure_t){ 0 };
   drop_lease (claim);
   claim->events->lost (reason, claim->data);
+  grant_standby (claim);
   schedule_attempt (claim, RETRY_MS);
 }
 
@@ -246,12 +258,13 @@
 static void
 write_claim (claim_t *claim)
 {
+  gint64 seen = claim->is_present ? claim->released_revision : 0;
   Mimosastair__Claim message = MIMOSASTAIR__CLAIM__INIT;
   g_autofree guint8 *packed = NULL;
   gsize bytes;
   epoch_record_t record
       = { .epoch = g_htonl (claim->epoch + 1), .lease = GINT64_TO_BE (claim->lease) };
-  store_expect_t expect[] = { { claim->key, claim->released_revision },
+  store_expect_t expect[] = { { claim->key, seen },
                               { claim->epoch_key, claim->epoch_revision } };
 
   message.vm = (char *) claim->config.vm;
@@ -271,57 +284,95 @@
   }
 }
 
-static void
-epoch_read (const store_reply_t *reply, void *data)
+/* ---- The lease that is kept ready, so that a claim takes one call. */
+
+static gboolean
+keep_standby (gpointer data)
 {
   claim_t *claim = data;
-  epoch_record_t record = { 0 };
 
-  if (claim->state != CLAIM_TRYING)
-    return;
-  if (reply->status != STORE_DONE && reply->status != STORE_MISSING)
-    {
-      stop_trying (claim);
-      return;
-    }
-  claim->epoch_revision = 0;
-  if (reply->items->len > 0)
-    {
-      const store_item_t *item = g_ptr_array_index (reply->items, 0);
+  claim->standby_timer = 0;
+  grant_standby (claim);
+  return G_SOURCE_REMOVE;
+}
 
-      claim->epoch_revision = item->revision;
-      if (item->value_bytes == sizeof record)
-        memcpy (&record, item->value, sizeof record);
-    }
-  claim->epoch = g_ntohl (record.epoch);
-  claim->former_lease = GINT64_FROM_BE (record.lease);
-  write_claim (claim);
+static void
+schedule_standby (claim_t *claim)
+{
+  if (claim->standby_timer == 0)
+    claim->standby_timer = g_timeout_add (claim->config.ttl_ms / 2, keep_standby, claim);
 }
 
 static void
-leased (const store_reply_t *reply, void *data)
+standby_kept (const store_reply_t *reply, void *data)
 {
   claim_t *claim = data;
 
-  if (claim->state != CLAIM_TRYING)
-    return;
-  if (reply->status != STORE_DONE || reply->lease == 0)
+  claim->is_granting = false;
+  if (reply->status == STORE_MISSING)
+    claim->standby = 0;
+  else if (reply->status == STORE_DONE)
+    claim->standby_sent_us = claim->standby_asked_us;
+  schedule_standby (claim);
+}
+
+static void
+standby_granted (const store_reply_t *reply, void *data)
+{
+  claim_t *claim = data;
+
+  claim->is_granting = false;
+  if (reply->status == STORE_DONE)
     {
-      stop_trying (claim);
-      return;
+      claim->standby = reply->lease;
+      claim->standby_sent_us = claim->standby_asked_us;
     }
-  claim->lease = reply->lease;
-  claim->store->calls->get (claim->store, claim->epoch_key, epoch_read, claim);
+  schedule_standby (claim);
+  if (claim->is_wanted && claim->state == CLAIM_FOLLOWING)
+    schedule_attempt (claim, 0);
+}
+
+static void
+grant_standby (claim_t *claim)
+{
+  if (claim->state == CLAIM_HELD || claim->state == CLAIM_RELEASED || claim->is_granting)
+    return;
+  claim->is_granting = true;
+  claim->standby_asked_us = clock_now_us ();
+  if (claim->standby != 0)
+    claim->store->calls->keep (claim->store, claim->standby, standby_kept, claim);
+  else
+    claim->store->calls->lease (claim->store, claim->config.ttl_ms, standby_granted, claim);
+}
+
+static bool
+has_standby (const claim_t *claim)
+{
+  gint64 age_us = clock_now_us () - claim->standby_sent_us;
+
+  return claim->standby != 0 && age_us < (gint64) claim->config.ttl_ms * 1000;
 }
 
 static void
 try_claim (claim_t *claim)
 {
+  if (!has_standby (claim))
+    {
+      claim->is_wanted = true;
+      claim->standby = 0;
+      grant_standby (claim);
+      return;
+    }
+  claim->is_wanted = false;
   claim->state = CLAIM_TRYING;
   claim->fence = 0;
-  claim->lease = 0;
-  claim->lease_sent_us = clock_now_us ();
-  claim->store->calls->lease (claim->store, claim->config.ttl_ms, leased, claim);
+  claim->lease = claim->standby;
+  claim->lease_sent_us = claim->standby_sent_us;
+  claim->standby = 0;
+  claim->epoch = g_ntohl (claim->seen_epoch.epoch);
+  claim->former_lease = GINT64_FROM_BE (claim->seen_epoch.lease);
+  claim->epoch_revision = claim->seen_revision;
+  write_claim (claim);
 }
 
 static bool
@@ -429,11 +480,17 @@
 static void
 drop_former_life (claim_t *claim, const store_item_t *item)
 {
-  store_expect_t expect = { claim->key, item->revision };
-  store_write_t write = { claim->key, NULL, 0, 0 };
-
   LOG_INFO ("claim_of_former_life", "fence=%" G_GINT64_FORMAT, item->revision);
-  claim->store->calls->txn (claim->store, &expect, 1, &write, 1, ignore_reply, NULL);
+  claim->store->calls->lease_end (claim->store, item->lease, ignore_reply, NULL);
+}
+
+static void
+read_epoch (claim_t *claim, const store_item_t *item)
+{
+  claim->seen_revision = item->deleted ? 0 : item->revision;
+  memset (&claim->seen_epoch, 0, sizeof claim->seen_epoch);
+  if (!item->deleted && item->value_bytes == sizeof claim->seen_epoch)
+    memcpy (&claim->seen_epoch, item->value, sizeof claim->seen_epoch);
 }
 
 static void
@@ -442,6 +499,8 @@
   claim_t *claim = data;
   Mimosastair__Claim *message;
 
+  if (strcmp (item->key, claim->epoch_key) == 0)
+    read_epoch (claim, item);
   if (strcmp (item->key, claim->key) != 0)
     return;
   claim->is_present = !item->deleted;
@@ -466,12 +525,20 @@
   mimosastair__claim__free_unpacked (message, NULL);
 }
 
+static void
+grant_standby_soon (claim_t *claim)
+{
+  if (claim->standby_timer == 0 && !claim->is_granting && claim->standby == 0)
+    grant_standby (claim);
+}
+
 static void
 key_synced (void *data)
 {
   claim_t *claim = data;
 
   claim->is_synced = true;
+  grant_standby_soon (claim);
   if (!claim->is_present)
     schedule_attempt (claim, 0);
 }
@@ -498,7 +565,7 @@
   claim->data = data;
   claim->key = g_strdup_printf ("claim/%s", config->domain);
   claim->prefix = g_strdup ("claim/");
-  claim->epoch_key = g_strdup_printf ("epoch/%s", config->domain);
+  claim->epoch_key = g_strdup_printf ("claim/%s.epoch", config->domain);
   claim->mirror = mirror_new (store, claim->prefix, WATCH_MS, &mirror_events, claim);
   return claim;
 }
@@ -509,6 +576,8 @@
   if (claim == NULL)
     return;
   clear_timer (claim);
+  if (claim->standby_timer != 0)
+    g_source_remove (claim->standby_timer);
   mirror_free (claim->mirror);
   g_free (claim->key);
   g_free (claim->prefix);
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -58,8 +58,13 @@
   mirror_t *progress_mirror;
   mirror_t *jobs_mirror;
   mirror_t *registry_mirror;
-  GHashTable *progress; /* id -> GArray of task_progress_t, while loading */
+  /* While loading: all three are read at once, and put together at the end. */
+  GHashTable *progress; /* id -> GArray of task_progress_t */
+  GHashTable *found;    /* id -> job_spec_t */
+  GHashTable *cancels;  /* ids */
   bool is_fleet_read;
+  bool is_progress_read;
+  bool are_jobs_read;
   bool is_loaded;
   bool is_deposed;
   bool is_closing;
@@ -107,10 +112,18 @@
 
 static void schedule_step (decider_t *decider);
 
+static void
+free_spec (gpointer spec)
+{
+  job_spec_free (spec);
+}
+
 static void
 destroy (decider_t *decider)
 {
   g_hash_table_unref (decider->progress);
+  g_hash_table_unref (decider->found);
+  g_hash_table_unref (decider->cancels);
   g_hash_table_unref (decider->assignments);
   g_hash_table_unref (decider->orders);
   g_hash_table_unref (decider->ended);
@@ -1066,45 +1079,67 @@
 static const recorder_events_t recorder_events
     = { job_end_stored, batch_stored, fleet_stored, record_refused };
 
+static job_spec_t *
+job_of_item (const store_item_t *item, const char *id)
+{
+  job_spec_t *spec = codec_unpack_job (item->value, item->value_bytes);
+
+  if (spec != NULL && strcmp (spec->id, id) == 0)
+    return spec;
+  LOG_WARN ("bad_record", "key=%s", item->key);
+  job_spec_free (spec);
+  return NULL;
+}
+
+static void
+cancel_found (decider_t *decider, const char *id)
+{
+  g_autofree char *job = g_strndup (id, strlen (id) - strlen (KEYS_CANCEL_SUFFIX));
+
+  if (decider->is_loaded)
+    (void) cell_cancel (decider->cell, job, clock_now_us ());
+  else
+    (void) g_hash_table_add (decider->cancels, g_steal_pointer (&job));
+}
+
 static void
 job_changed (const store_item_t *item, void *data)
 {
   decider_t *decider = data;
   const char *id = item->key + strlen (KEYS_JOBS);
-  GArray *progress;
   job_spec_t *spec;
 
   if (item->deleted || strlen (id) < JOB_ID_BYTES - 1)
     return;
+  schedule_step (decider);
   if (g_str_has_suffix (id, KEYS_CANCEL_SUFFIX))
     {
-      g_autofree char *job = g_strndup (id, strlen (id) - strlen (KEYS_CANCEL_SUFFIX));
-
-      if (!cell_cancel (decider->cell, job, clock_now_us ()) && !decider->is_loaded)
-        LOG_WARN ("cancel_of_unknown", "job=%s", job);
-      schedule_step (decider);
+      cancel_found (decider, id);
       return;
     }
   if (g_hash_table_lookup (decider->ended, id) != NULL)
     return;
-  spec = codec_unpack_job (item->value, item->value_bytes);
-  if (spec == NULL || strcmp (spec->id, id) != 0)
-    {
-      LOG_WARN ("bad_record", "key=%s", item->key);
-      job_spec_free (spec);
-      return;
-    }
-  progress = g_hash_table_lookup (decider->progress, id);
-  if (progress != NULL && !decider->is_loaded)
-    recorder_has_progress (decider->recorder, id);
-  if (cell_add_job (decider->cell, spec,
-                    progress != NULL ? (const task_progress_t *) (void *) progress->data : NULL,
-                    progress != NULL ? progress->len : 0,
-                    !decider->is_loaded || is_contested (decider), clock_now_us (),
-                    clock_unix_ms ())
-      && decider->is_loaded)
+  spec = job_of_item (item, id);
+  if (spec == NULL)
+    return;
+  if (!decider->is_loaded)
+    g_hash_table_replace (decider->found, g_strdup (id), spec);
+  else if (cell_add_job (decider->cell, spec, NULL, 0, is_contested (decider), clock_now_us (),
+                         clock_unix_ms ()))
     LOG_INFO ("job_found", "job=%s", id);
-  schedule_step (decider);
+}
+
+static void
+load_job (decider_t *decider, job_spec_t *spec)
+{
+  const GArray *progress = g_hash_table_lookup (decider->progress, spec->id);
+
+  if (progress != NULL)
+    recorder_has_progress (decider->recorder, spec->id);
+  (void) cell_add_job (decider->cell, spec,
+                       progress != NULL ? (const task_progress_t *) (void *) progress->data : NULL,
+                       progress != NULL ? progress->len : 0, true, clock_now_us (),
+                       clock_unix_ms ());
 }
 
 static void registry_changed (const store_item_t *item, void *data);
@@ -1113,17 +1148,32 @@
 
 static const mirror_events_t registry_events = { registry_changed, registry_synced, feed_lost };
 
+/* Puts together what was read, once all of it has come. */
 static void
-jobs_synced (void *data)
+finish_loading (decider_t *decider)
 {
-  decider_t *decider = data;
+  GHashTableIter iter;
+  gpointer id;
+  gpointer spec;
   cell_stats_t stats;
 
-  if (decider->is_loaded)
+  if (decider->is_loaded || !decider->is_fleet_read || !decider->is_progress_read
+      || !decider->are_jobs_read)
     return;
+  g_hash_table_iter_init (&iter, decider->found);
+  while (g_hash_table_iter_next (&iter, &id, &spec))
+    {
+      g_hash_table_iter_steal (&iter);
+      load_job (decider, spec);
+      g_free (id);
+    }
   decider->is_loaded = true;
-  mirror_set_pause (decider->jobs_mirror, JOBS_PAUSE_MS);
+  g_hash_table_iter_init (&iter, decider->cancels);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    (void) cell_cancel (decider->cell, id, clock_now_us ());
+  g_hash_table_remove_all (decider->cancels);
   g_hash_table_remove_all (decider->progress);
+  mirror_set_pause (decider->jobs_mirror, JOBS_PAUSE_MS);
   cell_stats (decider->cell, &stats);
   LOG_INFO ("decider_loaded", "jobs=%u after_ms=%" G_GINT64_FORMAT, stats.jobs,
             (clock_now_us () - decider->started_us) / 1000);
@@ -1132,6 +1182,15 @@
   schedule_step (decider);
 }
 
+static void
+jobs_synced (void *data)
+{
+  decider_t *decider = data;
+
+  decider->are_jobs_read = true;
+  finish_loading (decider);
+}
+
 static void
 feed_lost (void *data G_GNUC_UNUSED)
 {
@@ -1198,8 +1257,8 @@
 
   mirror_free (decider->progress_mirror);
   decider->progress_mirror = NULL;
-  decider->jobs_mirror
-      = mirror_new (decider->store, KEYS_JOBS, JOBS_WAIT_MS, &jobs_events, decider);
+  decider->is_progress_read = true;
+  finish_loading (decider);
 }
 
 static const mirror_events_t progress_events = { progress_changed, progress_synced, feed_lost };
@@ -1235,8 +1294,8 @@
             cell_expect_executor (decider->cell, ids[i]);
         }
     }
-  decider->progress_mirror
-      = mirror_new (decider->store, KEYS_PROGRESS, JOBS_WAIT_MS, &progress_events, decider);
+  decider->is_fleet_read = true;
+  finish_loading (decider);
 }
 
 static void
@@ -1272,6 +1331,8 @@
   list_init (&decider->vms);
   decider->progress
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref);
+  decider->found = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_spec);
+  decider->cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   decider->assignments = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, assignment_free);
   decider->orders = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   decider->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -1283,6 +1344,9 @@
                                     &recorder_events, decider);
   decider->sweep_timer = g_timeout_add (SWEEP_MS, sweep, decider);
   read_fleet (decider);
+  decider->progress_mirror
+      = mirror_new (store, KEYS_PROGRESS, JOBS_WAIT_MS, &progress_events, decider);
+  decider->jobs_mirror = mirror_new (store, KEYS_JOBS, JOBS_WAIT_MS, &jobs_events, decider);
   return decider;
 }
 
