--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -170,7 +170,9 @@
   executor->capacity = entry->capacity;
   executor->is_listed = true;
   executor->is_draining = entry->is_draining;
-  begin_life (cell, executor, entry->born, now_us);
+  /* An entry of a life that has been replaced may be read late; reports tell the truth. */
+  if (entry->born > executor->born)
+    begin_life (cell, executor, entry->born, now_us);
   if (has_moved)
     {
       g_free (executor->address);
@@ -397,9 +399,6 @@
   executor->is_reached = report->is_reached;
   if (!report->is_reached)
     return;
-  /* A report of an earlier life may arrive late. */
-  if (report->born != 0 && report->born < executor->born)
-    return;
   begin_life (cell, executor, report->born, now_us);
   executor->is_fenced = true;
   executor->is_expected = false;
