--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -112,6 +112,37 @@
     }
 }
 
+/* A life has ended, and all that ran in it.  Orders that it may not have taken before
+ * that may be taken by the next: ids outlive lives. */
+static bool
+may_outlive (const run_t *run)
+{
+  return run->alive_us == 0 && run->state != RUN_STOPPED;
+}
+
+static void
+end_life (cell_t *cell, executor_t *executor, gint64 now_us)
+{
+  list_node_t *node = executor->runs.next;
+
+  while (node != &executor->runs)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, by_executor);
+
+      node = node->next;
+      if (may_outlive (run))
+        continue;
+      cell_note (cell, "task_lost",
+                 "job=%s task=%u.%u.%u run=%u executor=%s reason=executor_restarted", run->ref.job,
+                 run->ref.occurrence, run->ref.step, run->ref.index, run->number, executor->id);
+      cell_run_gone (cell, run, now_us);
+      /* That may have changed the rest of the list. */
+      node = executor->runs.next;
+    }
+  for (node = executor->runs.next; node != &executor->runs; node = node->next)
+    cell_run_stop_again (cell, LIST_ENTRY (node, run_t, by_executor), now_us);
+}
+
 static void
 begin_life (cell_t *cell, executor_t *executor, gint64 born, gint64 now_us)
 {
@@ -122,7 +153,8 @@
       cell_note (cell, "executor_restarted",
                  "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT, executor->id,
                  born, executor->born);
-      end_all_runs (cell, executor, "executor_restarted", now_us);
+      executor->born = born;
+      end_life (cell, executor, now_us);
     }
   executor->born = born;
   executor->is_fenced = false;
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -164,6 +164,14 @@
     }
 }
 
+/* Stops a run in the life that its executor has now. */
+void
+cell_run_stop_again (cell_t *cell, run_t *run, gint64 now_us)
+{
+  run->state = RUN_STOPPING;
+  send_stop (cell, run, now_us);
+}
+
 /* A gang works only whole: without one member the others end. */
 void
 cell_stop_gang (cell_t *cell, step_t *step, guint number, gint64 now_us)
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -219,6 +219,7 @@
 void cell_run_began (run_t *run, gint64 now_us);
 void cell_run_gone (cell_t *cell, run_t *run, gint64 now_us);
 void cell_run_stop (cell_t *cell, run_t *run, gint64 now_us);
+void cell_run_stop_again (cell_t *cell, run_t *run, gint64 now_us);
 void cell_stop_gang (cell_t *cell, step_t *step, guint number, gint64 now_us);
 run_t *cell_find_run (const executor_t *executor, const task_ref_t *ref, guint number);
 void cell_retry_stops (cell_t *cell, gint64 now_us);
