--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -41,8 +41,11 @@
   cell->runs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
   cell->advice_calls
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, advice_call_free);
+  cell->placements = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  cell->planned = g_array_new (FALSE, FALSE, sizeof (run_t *));
   list_init (&cell->job_list);
   cell->next_order = 1;
+  cell->next_placement = CELL_OWN_PLACEMENTS + 1;
   cell->batch = 1;
   return cell;
 }
@@ -85,6 +88,8 @@
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->queues);
   g_hash_table_unref (cell->advice_calls);
+  g_hash_table_unref (cell->placements);
+  g_array_unref (cell->planned);
   g_free (cell);
 }
 
@@ -288,7 +293,6 @@
   job->queue = queue_of (cell, spec->queue);
   if (job->queue->service == NULL)
     job->queue->service = g_strdup (spec->service);
-  job->is_old = is_old;
   job->accepted_us = now_us - CLAMP (age_us, 0, (gint64) 600 * G_USEC_PER_SEC);
   init_steps (job, now_us, unix_ms);
   list_push_back (&cell->job_list, &job->node);
@@ -554,12 +558,6 @@
   cell->is_closed = true;
 }
 
-bool
-cell_is_accounted (const cell_t *cell)
-{
-  return cell->is_accounted;
-}
-
 void
 cell_stats (const cell_t *cell, cell_stats_t *stats)
 {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -9,7 +9,9 @@
  *  - a run holds its room on its executor until it is known to be gone: its end was
  *    listed, its stop was confirmed and a later report does not show it, its executor
  *    has a new life, or its lease has certainly lapsed;
- *  - an end is acknowledged to its executor only once it is stored.
+ *  - an end is acknowledged to its executor only once it is stored;
+ *  - a start is ordered only once its placement is stored, on condition that the claim
+ *    is held: what is not stored as placed runs nowhere.
  */
 #pragma once
 
@@ -17,6 +19,11 @@
 
 typedef struct cell cell_t;
 
+enum
+{
+  CELL_OWN_PLACEMENTS = 1000000 /* numbers of this claim's placements are above */
+};
+
 /* One task of a job. */
 typedef struct
 {
@@ -132,6 +139,14 @@
   const char *ticket;
 } ticket_t;
 
+/* A run as it is stored before its order is sent. */
+typedef struct
+{
+  task_ref_t task;
+  guint run;
+  const char *executor;
+} placed_run_t;
+
 typedef struct
 {
   void (*start) (const start_order_t *order, void *data);
@@ -145,8 +160,10 @@
   void (*acknowledge) (const char *executor, guint64 acked, guint64 mark, void *data);
   /* Hold this executor; or (address NULL) no longer. */
   void (*hold) (const char *executor, const char *address, void *data);
-  /* The set of executors that may run something has changed: store it before use. */
-  void (*save_fleet) (void *data);
+  /* Store these runs; their orders follow cell_placement_stored(). */
+  void (*place) (guint64 placement, const placed_run_t *runs, guint count, void *data);
+  /* The record of a placement is of no more use; delete it after what was saved so far. */
+  void (*drop_placement) (guint64 placement, void *data);
   /* An executor has seen a later claim: this decider is deposed. */
   void (*deposed) (void *data);
   /* One line of a log: key=value pairs. */
@@ -182,7 +199,8 @@
 } task_progress_t;
 
 /* Adds a job, which is taken.  `is_old`: it may have been started under an earlier
- * claim.  A job that is known already is freed.  True when it was added. */
+ * claim, so that its runs are numbered above those.  A job that is known already is
+ * freed.  True when it was added. */
 bool cell_add_job (cell_t *cell,
                    job_spec_t *spec,
                    const task_progress_t *progress,
@@ -212,13 +230,13 @@
 guint64 cell_batch_begin (cell_t *cell);
 void cell_batch_done (cell_t *cell, guint64 batch);
 
-/* Executors that may run something, as stored.  The list is NULL-terminated, made of
- * borrowed texts, freed with g_free(). */
-const char **cell_fleet (const cell_t *cell);
-void cell_fleet_stored (cell_t *cell);
+/* A placement that an earlier claim left, under a number that the caller chose below
+ * CELL_OWN_PLACEMENTS; after its jobs were added, before the first report. */
+void cell_restore_placement (
+    cell_t *cell, guint64 placement, const placed_run_t *runs, guint count, gint64 now_us);
 
-/* Executors that may run something for earlier claims; before the first report. */
-void cell_expect_executor (cell_t *cell, const char *id);
+/* The placement is stored: its orders are issued. */
+void cell_placement_stored (cell_t *cell, guint64 placement, gint64 now_us);
 
 void cell_executor_listed (cell_t *cell, const executor_entry_t *entry, gint64 now_us);
 void cell_executor_unlisted (cell_t *cell, const char *id, gint64 now_us);
@@ -248,9 +266,6 @@
 /* Stops issuing starts, for good: the claim is about to be given up. */
 void cell_close (cell_t *cell);
 
-/* True when nothing of earlier claims can be running unseen. */
-bool cell_is_accounted (const cell_t *cell);
-
 typedef struct
 {
   guint jobs;
--- a/src/decide/cell_dispatch.c
+++ b/src/decide/cell_dispatch.c
@@ -107,7 +107,7 @@
     {
       job_t *job = LIST_ENTRY (node, job_t, node);
 
-      if (job->is_ended || (job->is_old && !cell->is_accounted))
+      if (job->is_ended)
         continue;
       for (guint i = 0; i < job->step_total; i++)
         {
@@ -218,38 +218,16 @@
 }
 
 static void
-start_task (cell_t *cell, task_t *task, executor_t *executor, guint number, gint64 now_us)
+start_task (cell_t *cell, task_t *task, executor_t *executor, guint number)
 {
-  step_t *step = task->step;
   task_ref_t ref = cell_task_ref (task);
-  const char *ticket = cell_ticket (step, executor, now_us);
-  run_t *run = cell_run_new (cell, task, &ref, executor, number);
-  start_order_t order = {
-    .order = cell_order_for (cell, run),
-    .executor = executor->id,
-    .born = executor->born,
-    .task = ref,
-    .run = number,
-    .spec = step->job->spec->spec,
-    .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
-    .ticket = ticket != NULL ? ticket : "",
-  };
 
-  run->state = RUN_ORDERED;
-  run->ordered_us = now_us;
-  cell_note (cell, "task_start",
-             "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
-             " queue=%s waited_ms=%" G_GINT64_FORMAT " cpu=%u free=%u checkpoint=%d",
-             ref.job, ref.occurrence, ref.step, ref.index, number, executor->id, order.order,
-             step->job->queue->name, (now_us - step->ready_us) / 1000, run->room.cpu_milli,
-             executor->capacity.cpu_milli - executor->used.cpu_milli,
-             (int) (task->checkpoint != NULL));
-  cell->ops->start (&order, cell->data);
+  cell_plan_run (cell, cell_run_new (cell, task, &ref, executor, number));
 }
 
 /* All tasks of a gang at once, or none. */
 static bool
-place_gang (cell_t *cell, step_t *step, GArray *slots, gint64 now_us)
+place_gang (cell_t *cell, step_t *step, GArray *slots)
 {
   g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
   guint number = 0;
@@ -282,7 +260,7 @@
         }
     }
   for (guint i = 0; i < step->spec->count; i++)
-    start_task (cell, &step->tasks[i], g_ptr_array_index (chosen, i), number + 1, now_us);
+    start_task (cell, &step->tasks[i], g_ptr_array_index (chosen, i), number + 1);
   return true;
 }
 
@@ -300,7 +278,7 @@
       if (slot == NULL)
         return false;
       take_slot (step, slot);
-      start_task (cell, task, slot->executor, task->last_run + 1, now_us);
+      start_task (cell, task, slot->executor, task->last_run + 1);
     }
   return true;
 }
@@ -311,7 +289,7 @@
   g_autoptr (GArray) slots = collect_slots (cell, step, now_us);
 
   if (step->spec->gang)
-    return place_gang (cell, step, slots, now_us);
+    return place_gang (cell, step, slots);
   return place_each (cell, step, slots, now_us);
 }
 
@@ -383,5 +361,6 @@
   cell_retry_stops (cell, now_us);
   if (!cell->is_closed)
     is_busy = dispatch (cell, now_us);
+  cell_place_planned (cell);
   return now_us + (is_busy ? busy_step_us : idle_step_us);
 }
--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -13,8 +13,8 @@
   return g_hash_table_lookup (cell->executors, id);
 }
 
-static executor_t *
-executor_of (cell_t *cell, const char *id)
+executor_t *
+cell_executor_of (cell_t *cell, const char *id)
 {
   executor_t *executor = cell_find_executor (cell, id);
 
@@ -94,21 +94,34 @@
 cell_executor_usable (const executor_t *executor, gint64 now_us)
 {
   return executor->is_listed && !executor->is_draining && executor->is_fenced
-         && executor->is_reached && executor->is_fleet_stored && executor->aside_until_us <= now_us;
+         && executor->is_reached && executor->aside_until_us <= now_us;
+}
+
+static bool
+is_planned (const run_t *run)
+{
+  return run->state == RUN_PLANNED || run->state == RUN_CALLED_OFF;
 }
 
-/* Everything that ran there is gone, with what was known of its ends. */
+/* No lease there is valid any more: everything that ran is gone. */
 static void
 end_all_runs (cell_t *cell, executor_t *executor, const char *reason, gint64 now_us)
 {
-  while (!list_is_empty (&executor->runs))
+  list_node_t *node = executor->runs.next;
+
+  while (node != &executor->runs)
     {
-      run_t *run = LIST_ENTRY (executor->runs.next, run_t, by_executor);
+      run_t *run = LIST_ENTRY (node, run_t, by_executor);
 
+      node = node->next;
+      if (is_planned (run))
+        continue;
       cell_note (cell, "task_lost", "job=%s task=%u.%u.%u run=%u executor=%s reason=%s",
                  run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
                  executor->id, reason);
       cell_run_gone (cell, run, now_us);
+      /* That may have changed the rest of the list. */
+      node = executor->runs.next;
     }
 }
 
@@ -117,7 +130,8 @@
 static bool
 may_outlive (const run_t *run)
 {
-  return run->alive_us == 0 && run->state != RUN_STOPPED;
+  return run->alive_us == 0 && run->state != RUN_STOPPED && run->state != RUN_PLANNED
+         && run->state != RUN_CALLED_OFF;
 }
 
 static void
@@ -130,7 +144,7 @@
       run_t *run = LIST_ENTRY (node, run_t, by_executor);
 
       node = node->next;
-      if (may_outlive (run))
+      if (may_outlive (run) || is_planned (run))
         continue;
       cell_note (cell, "task_lost",
                  "job=%s task=%u.%u.%u run=%u executor=%s reason=executor_restarted", run->ref.job,
@@ -140,7 +154,12 @@
       node = executor->runs.next;
     }
   for (node = executor->runs.next; node != &executor->runs; node = node->next)
-    cell_run_stop_again (cell, LIST_ENTRY (node, run_t, by_executor), now_us);
+    {
+      run_t *run = LIST_ENTRY (node, run_t, by_executor);
+
+      if (!is_planned (run))
+        cell_run_stop_again (cell, run, now_us);
+    }
 }
 
 static void
@@ -174,20 +193,10 @@
   cell->ops->hold (executor->id, executor->address, cell->data);
 }
 
-void
-cell_expect_executor (cell_t *cell, const char *id)
-{
-  executor_t *executor = executor_of (cell, id);
-
-  executor->is_expected = true;
-  executor->is_in_fleet = true;
-  executor->is_fleet_stored = true;
-}
-
 void
 cell_executor_listed (cell_t *cell, const executor_entry_t *entry, gint64 now_us)
 {
-  executor_t *executor = executor_of (cell, entry->id);
+  executor_t *executor = cell_executor_of (cell, entry->id);
   bool has_moved = g_strcmp0 (executor->address, entry->address) != 0;
 
   if (!executor->is_listed || executor->is_draining != entry->is_draining)
@@ -211,11 +220,6 @@
       executor->address = g_strdup (entry->address);
       executor->is_held = false;
     }
-  if (!executor->is_in_fleet && !executor->is_draining)
-    {
-      executor->is_in_fleet = true;
-      cell->fleet_dirty = true;
-    }
   start_hold (cell, executor);
 }
 
@@ -363,6 +367,8 @@
           continue;
         }
       cell_run_began (run, now_us);
+      if (run->state == RUN_RESTORED)
+        run->state = RUN_ALIVE;
       if (run->state == RUN_ALIVE && run->task != NULL)
         keep_checkpoint (run->task, row->checkpoint);
     }
@@ -383,6 +389,20 @@
   return false;
 }
 
+/* A run of an earlier claim that the executor does not show may still be started by a
+ * late order: it is stopped. */
+static void
+stop_unseen (cell_t *cell, executor_t *executor, gint64 now_us)
+{
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, by_executor);
+
+      if (run->state == RUN_RESTORED)
+        cell_run_stop (cell, run, now_us);
+    }
+}
+
 /* Runs whose stop was confirmed before this report was asked for. */
 static void
 drop_stopped (cell_t *cell, executor_t *executor, const executor_report_t *report, gint64 now_us)
@@ -403,8 +423,8 @@
     }
 }
 
-static void
-extend_lapse (const cell_t *cell, executor_t *executor, gint64 from_us)
+void
+cell_extend_lapse (const cell_t *cell, executor_t *executor, gint64 from_us)
 {
   gint64 lapse_us = from_us + (gint64) ((double) cell->limits.hold_us * CLOCK_DRIFT);
 
@@ -424,7 +444,7 @@
       return;
     }
   if (report->is_renewed)
-    extend_lapse (cell, executor, now_us);
+    cell_extend_lapse (cell, executor, now_us);
   if (executor->is_reached != report->is_reached)
     cell_note (cell, report->is_reached ? "executor_reached" : "executor_unreached", "executor=%s",
                executor->id);
@@ -433,9 +453,9 @@
     return;
   begin_life (cell, executor, report->born, now_us);
   executor->is_fenced = true;
-  executor->is_expected = false;
   handle_ends (cell, executor, report, now_us);
   handle_running (cell, executor, report, now_us);
+  stop_unseen (cell, executor, now_us);
   drop_stopped (cell, executor, report, now_us);
   if (!g_queue_is_empty (&executor->acks))
     cell_batch_done (cell, cell->batch_done);
@@ -450,20 +470,10 @@
     return;
   executor->is_held = false;
   executor->is_reached = false;
-  extend_lapse (cell, executor, now_us + cell->limits.claim_us);
+  cell_extend_lapse (cell, executor, now_us + cell->limits.claim_us);
   start_hold (cell, executor);
 }
 
-static void
-leave_fleet (cell_t *cell, executor_t *executor)
-{
-  if (!executor->is_in_fleet)
-    return;
-  executor->is_in_fleet = false;
-  executor->is_fleet_stored = false;
-  cell->fleet_dirty = true;
-}
-
 /* Executors that are unreachable for so long that nothing runs there, or that left. */
 static void
 check_executor (cell_t *cell, executor_t *executor, gint64 now_us)
@@ -472,9 +482,6 @@
     end_all_runs (cell, executor, "lease_lapsed", now_us);
   if (!list_is_empty (&executor->runs))
     return;
-  /* Nothing is started there any more. */
-  if (executor->is_draining && executor->is_fenced)
-    leave_fleet (cell, executor);
   if (executor->is_listed)
     return;
   if (executor->lapse_us > now_us && executor->is_reached)
@@ -485,28 +492,6 @@
       executor->is_fenced = false;
       cell->ops->hold (executor->id, NULL, cell->data);
     }
-  if (!executor->is_expected && executor->lapse_us <= now_us)
-    leave_fleet (cell, executor);
-}
-
-static void
-check_accounted (cell_t *cell, gint64 now_us)
-{
-  gint64 all_lapsed_us = cell->started_us + cell->limits.claim_us + lapse_margin_us
-                         + (gint64) ((double) cell->limits.hold_us * CLOCK_DRIFT);
-  guint unseen = 0;
-
-  if (cell->is_accounted)
-    return;
-  for (guint i = 0; i < cell->executor_list->len; i++)
-    unseen += ((executor_t *) g_ptr_array_index (cell->executor_list, i))->is_expected;
-  if (unseen > 0 && now_us < all_lapsed_us)
-    return;
-  cell->is_accounted = true;
-  for (guint i = 0; i < cell->executor_list->len; i++)
-    ((executor_t *) g_ptr_array_index (cell->executor_list, i))->is_expected = false;
-  cell_note (cell, "cell_accounted", "unseen=%u after_ms=%" G_GINT64_FORMAT, unseen,
-             (now_us - cell->started_us) / 1000);
 }
 
 void
@@ -514,38 +499,4 @@
 {
   for (guint i = 0; i < cell->executor_list->len; i++)
     check_executor (cell, g_ptr_array_index (cell->executor_list, i), now_us);
-  check_accounted (cell, now_us);
-  if (!cell->fleet_dirty)
-    return;
-  cell->fleet_dirty = false;
-  cell->ops->save_fleet (cell->data);
-}
-
-const char **
-cell_fleet (const cell_t *cell)
-{
-  GPtrArray *ids = g_ptr_array_new ();
-
-  for (guint i = 0; i < cell->executor_list->len; i++)
-    {
-      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
-
-      if (executor->is_in_fleet)
-        g_ptr_array_add (ids, executor->id);
-    }
-  g_ptr_array_add (ids, NULL);
-  return (const char **) g_ptr_array_free (ids, FALSE);
-}
-
-void
-cell_fleet_stored (cell_t *cell)
-{
-  if (cell->fleet_dirty)
-    return;
-  for (guint i = 0; i < cell->executor_list->len; i++)
-    {
-      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
-
-      executor->is_fleet_stored = executor->is_in_fleet;
-    }
 }
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -81,6 +81,145 @@
   run->order = 0;
 }
 
+/* ---- Placements. */
+
+static void
+leave_placement (cell_t *cell, const run_t *run)
+{
+  placement_t *placement = g_hash_table_lookup (cell->placements, &run->placement);
+
+  if (placement == NULL || --placement->open > 0)
+    return;
+  cell->ops->drop_placement (placement->number, cell->data);
+  g_hash_table_remove (cell->placements, &run->placement);
+}
+
+static placement_t *
+placement_new (cell_t *cell, guint64 number)
+{
+  placement_t *placement = g_new0 (placement_t, 1);
+
+  placement->number = number;
+  g_hash_table_insert (cell->placements, &placement->number, placement);
+  return placement;
+}
+
+/* The run's order is sent once its placement is stored. */
+void
+cell_plan_run (cell_t *cell, run_t *run)
+{
+  run->state = RUN_PLANNED;
+  g_array_append_val (cell->planned, run);
+}
+
+/* Has the runs that were planned in this step stored together. */
+void
+cell_place_planned (cell_t *cell)
+{
+  g_autofree placed_run_t *rows = NULL;
+  placement_t *placement;
+
+  if (cell->planned->len == 0)
+    return;
+  rows = g_new0 (placed_run_t, cell->planned->len);
+  placement = placement_new (cell, cell->next_placement++);
+  for (guint i = 0; i < cell->planned->len; i++)
+    {
+      run_t *run = g_array_index (cell->planned, run_t *, i);
+
+      run->placement = placement->number;
+      placement->open++;
+      rows[i] = (placed_run_t){ run->ref, run->number, run->executor->id };
+    }
+  cell->ops->place (placement->number, rows, cell->planned->len, cell->data);
+  g_array_set_size (cell->planned, 0);
+}
+
+static void
+send_start (cell_t *cell, run_t *run, gint64 now_us)
+{
+  const task_t *task = run->task;
+  const char *ticket = cell_ticket (task->step, run->executor, now_us);
+  start_order_t order = {
+    .order = cell_order_for (cell, run),
+    .executor = run->executor->id,
+    .born = run->executor->born,
+    .task = run->ref,
+    .run = run->number,
+    .spec = task->step->job->spec->spec,
+    .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
+    .ticket = ticket != NULL ? ticket : "",
+  };
+
+  run->state = RUN_ORDERED;
+  run->ordered_us = now_us;
+  cell_note (cell, "task_start",
+             "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
+             " queue=%s waited_ms=%" G_GINT64_FORMAT " cpu=%u free=%u checkpoint=%d",
+             run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
+             run->executor->id, order.order, task->step->job->queue->name,
+             (now_us - task->step->ready_us) / 1000, run->room.cpu_milli,
+             run->executor->capacity.cpu_milli - run->executor->used.cpu_milli,
+             (int) (task->checkpoint != NULL));
+  cell->ops->start (&order, cell->data);
+}
+
+void
+cell_placement_stored (cell_t *cell, guint64 placement, gint64 now_us)
+{
+  for (guint i = 0; i < cell->executor_list->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+
+      list_node_t *node = executor->runs.next;
+
+      while (node != &executor->runs)
+        {
+          run_t *run = LIST_ENTRY (node, run_t, by_executor);
+
+          node = node->next;
+          if (run->placement != placement)
+            continue;
+          if (run->state == RUN_PLANNED)
+            send_start (cell, run, now_us);
+          if (run->state != RUN_CALLED_OFF)
+            continue;
+          cell_run_gone (cell, run, now_us);
+          /* That may have changed the rest of the list. */
+          node = executor->runs.next;
+        }
+    }
+}
+
+void
+cell_restore_placement (
+    cell_t *cell, guint64 placement, const placed_run_t *runs, guint count, gint64 now_us)
+{
+  placement_t *restored = placement_new (cell, placement);
+
+  for (guint i = 0; i < count; i++)
+    {
+      task_t *task = cell_find_task (cell, &runs[i].task);
+      executor_t *executor;
+      run_t *run;
+
+      if (task == NULL || task->is_done || task->step->job->is_ended)
+        continue;
+      executor = cell_executor_of (cell, runs[i].executor);
+      if (cell_find_run (executor, &runs[i].task, runs[i].run) != NULL)
+        continue;
+      run = cell_run_new (cell, task, &runs[i].task, executor, runs[i].run);
+      run->state = RUN_RESTORED;
+      run->placement = placement;
+      restored->open++;
+      cell_extend_lapse (cell, executor, now_us + cell->limits.claim_us);
+    }
+  if (restored->open > 0)
+    return;
+  cell->ops->drop_placement (placement, cell->data);
+  g_hash_table_remove (cell->placements, &placement);
+}
+
 /* Takes a run off the books: nothing of it is or will be alive. */
 void
 cell_run_gone (cell_t *cell, run_t *run, gint64 now_us)
@@ -96,6 +235,7 @@
   list_remove (&run->by_executor);
   list_remove (&run->by_task);
   cell->run_total--;
+  leave_placement (cell, run);
   g_free (run);
   if (task == NULL)
     return;
@@ -147,17 +287,23 @@
 {
   switch (run->state)
     {
+    case RUN_PLANNED:
+      /* No order was sent, and none will be: it goes with the placement's answer. */
+      run->state = RUN_CALLED_OFF;
+      return;
     case RUN_ORDERED:
       /* Its answer decides whether there is anything to stop; a stop that overtakes
        * the start is as good. */
       run->state = RUN_STOPPING;
       send_stop (cell, run, now_us);
       return;
+    case RUN_RESTORED:
     case RUN_UNSURE:
     case RUN_ALIVE:
       run->state = RUN_STOPPING;
       send_stop (cell, run, now_us);
       return;
+    case RUN_CALLED_OFF:
     case RUN_STOPPING:
     case RUN_STOPPED:
       return;
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -29,8 +29,11 @@
 
 typedef enum
 {
-  RUN_ORDERED, /* the order is on its way */
-  RUN_UNSURE,  /* the order got no answer; a stop is on its way */
+  RUN_PLANNED,    /* its placement is being stored; no order was sent */
+  RUN_CALLED_OFF, /* to be given up once its placement is answered */
+  RUN_RESTORED,   /* placed by an earlier claim; no report has come since */
+  RUN_ORDERED,    /* the order is on its way */
+  RUN_UNSURE,     /* the order got no answer; a stop is on its way */
   RUN_ALIVE,
   RUN_STOPPING,
   RUN_STOPPED /* the stop is confirmed; gone when a later report does not show it */
@@ -47,11 +50,12 @@
   room_t room;
   guint64 order; /* the latest start or stop; 0: none on its way */
   gint64 ordered_us;
-  gint64 alive_us; /* 0: not known to have started */
-  gint64 retry_us; /* a lost stop is sent again then; 0: no */
-  guint64 mark;    /* a report with it no longer shows the run */
-  bool wants_stop; /* stop it as soon as its start is answered */
-  bool is_copy;    /* a second run of a speculative step */
+  gint64 alive_us;   /* 0: not known to have started */
+  gint64 retry_us;   /* a lost stop is sent again then; 0: no */
+  guint64 mark;      /* a report with it no longer shows the run */
+  guint64 placement; /* 0: none, it was adopted */
+  bool wants_stop;   /* stop it as soon as its start is answered */
+  bool is_copy;      /* a second run of a speculative step */
   list_node_t by_task;
   list_node_t by_executor;
 };
@@ -109,7 +113,6 @@
   job_spec_t *spec;
   queue_t *queue;
   job_state_t state;
-  bool is_old;   /* may have been started under an earlier claim */
   bool is_ended; /* its end is being stored, or is */
   bool is_stored_end;
   bool was_started;
@@ -142,11 +145,8 @@
   bool is_fenced;  /* a report came under this claim in this life */
   bool is_reached; /* the latest hold was answered */
   bool is_held;    /* an entry VM was told to hold it */
-  bool is_in_fleet;
-  bool is_fleet_stored;
-  bool is_expected; /* may run something for an earlier claim */
-  gint64 lapse_us;  /* no lease that was given is valid after this */
-  guint64 seen;     /* ends processed */
+  gint64 lapse_us; /* no lease that was given is valid after this */
+  guint64 seen;    /* ends processed */
   guint64 acked;
   GQueue acks; /* pending_ack_t */
   guint64 mark;
@@ -165,6 +165,13 @@
   bool is_slow;
 } advice_call_t;
 
+/* A record of runs that may have been started. */
+typedef struct
+{
+  guint64 number;
+  guint open; /* runs of it that are not gone */
+} placement_t;
+
 struct cell
 {
   cell_limits_t limits;
@@ -180,14 +187,15 @@
   GHashTable *runs;         /* order -> run_t */
   GHashTable *advice_calls; /* order -> advice_call_t */
   list_node_t job_list;
+  GHashTable *placements; /* number -> placement_t */
   guint64 next_order;
-  guint64 batch; /* being filled */
+  guint64 next_placement;
+  GArray *planned; /* run_t *, of the present step */
+  guint64 batch;   /* being filled */
   guint64 batch_done;
   guint advice_slots;
   guint slow_slots;
   bool is_closed;
-  bool is_accounted;
-  bool fleet_dirty;
   guint run_total;
 };
 
@@ -224,6 +232,8 @@
 run_t *cell_find_run (const executor_t *executor, const task_ref_t *ref, guint number);
 void cell_retry_stops (cell_t *cell, gint64 now_us);
 guint64 cell_order_for (cell_t *cell, run_t *run);
+void cell_plan_run (cell_t *cell, run_t *run);
+void cell_place_planned (cell_t *cell);
 
 /* cell_fleet.c */
 executor_t *cell_find_executor (const cell_t *cell, const char *id);
@@ -233,6 +243,8 @@
 room_t cell_free_room (const executor_t *executor);
 bool cell_room_fits (room_t need, room_t room);
 void cell_executor_free (gpointer data);
+executor_t *cell_executor_of (cell_t *cell, const char *id);
+void cell_extend_lapse (const cell_t *cell, executor_t *executor, gint64 from_us);
 
 /* cell_advice.c */
 const char *cell_ticket (const step_t *step, const executor_t *executor, gint64 now_us);
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -10,14 +10,6 @@
 
 #include <string.h>
 
-/* Record claim/DOMAIN.epoch: how often the domain was claimed, and the latest claim's lease. */
-typedef struct
-{
-  guint32 epoch;   /* big-endian */
-  guint32 padding; /* 0 */
-  gint64 lease;    /* big-endian */
-} epoch_record_t;
-
 /* One renewal; they may overlap. */
 typedef struct
 {
@@ -56,17 +48,16 @@
   guint standby_timer;
   bool is_granting;
   bool is_wanted; /* an attempt waits for the lease */
-  gint64 former_lease; /* of the holder before; 0: not known */
   gint64 lease_sent_us;
   gint64 released_revision; /* of a claim whose holder gave it up; 0: none */
   gint64 fence;
   /* The epoch record as the mirror shows it, and as the claim was written on it. */
-  epoch_record_t seen_epoch;
+  guint32 seen_epoch; /* big-endian; how often the domain was claimed */
   gint64 seen_revision;
   gint64 epoch_revision;
   guint epoch;
   gint64 abstain_until_us; /* does not claim before */
-  guint timer; /* next attempt or renewal */
+  guint timer;             /* next attempt or renewal */
   void (*released) (void *data);
   void *released_data;
 };
@@ -140,29 +131,6 @@
   claim->lease = 0;
 }
 
-static void
-tell_gained (claim_t *claim, bool former_may_act)
-{
-  LOG_INFO ("claim_effective", "fence=%" G_GINT64_FORMAT " former_may_act=%d", claim->fence,
-            (int) former_may_act);
-  claim->events->gained (claim->fence, claim->epoch, former_may_act, claim->data);
-}
-
-/* A holder reckons its claim by its lease: once that has ended, so has the claim.  Where
- * the key was taken away and the lease runs on, the holder may go on until it looks. */
-static void
-former_checked (const store_reply_t *reply, void *data)
-{
-  claim_t *claim = data;
-
-  if (claim->state != CLAIM_HELD)
-    return;
-  if (reply->status == STORE_DONE)
-    claim->store->calls->lease_end (claim->store, claim->former_lease, ignore_reply, NULL);
-  claim->former_lease = 0;
-  tell_gained (claim, reply->status != STORE_MISSING);
-}
-
 static void
 hold (claim_t *claim, gint64 fence)
 {
@@ -174,10 +142,7 @@
   LOG_INFO ("claim_gained", "domain=%s fence=%" G_GINT64_FORMAT " epoch=%u", claim->config.domain,
             fence, claim->epoch);
   schedule_renewal (claim, claim->config.ttl_ms / RENEWALS_PER_TTL);
-  if (claim->former_lease != 0)
-    claim->store->calls->keep (claim->store, claim->former_lease, former_checked, claim);
-  else
-    tell_gained (claim, claim->epoch > 0);
+  claim->events->gained (fence, claim->epoch, claim->data);
 }
 
 static void
@@ -262,10 +227,8 @@
   Mimosastair__Claim message = MIMOSASTAIR__CLAIM__INIT;
   g_autofree guint8 *packed = NULL;
   gsize bytes;
-  epoch_record_t record
-      = { .epoch = g_htonl (claim->epoch + 1), .lease = GINT64_TO_BE (claim->lease) };
-  store_expect_t expect[] = { { claim->key, seen },
-                              { claim->epoch_key, claim->epoch_revision } };
+  guint32 record = g_htonl (claim->epoch + 1);
+  store_expect_t expect[] = { { claim->key, seen }, { claim->epoch_key, claim->epoch_revision } };
 
   message.vm = (char *) claim->config.vm;
   message.address = (char *) claim->config.address;
@@ -275,9 +238,8 @@
   packed = g_malloc (bytes);
   mimosastair__claim__pack (&message, packed);
   {
-    store_write_t writes[]
-        = { { claim->key, packed, bytes, claim->lease },
-            { claim->epoch_key, (const guint8 *) &record, sizeof record, 0 } };
+    store_write_t writes[] = { { claim->key, packed, bytes, claim->lease },
+                               { claim->epoch_key, (const guint8 *) &record, sizeof record, 0 } };
 
     claim->store->calls->txn (claim->store, expect, G_N_ELEMENTS (expect), writes,
                               G_N_ELEMENTS (writes), claimed, claim);
@@ -369,8 +331,7 @@
   claim->lease = claim->standby;
   claim->lease_sent_us = claim->standby_sent_us;
   claim->standby = 0;
-  claim->epoch = g_ntohl (claim->seen_epoch.epoch);
-  claim->former_lease = GINT64_FROM_BE (claim->seen_epoch.lease);
+  claim->epoch = g_ntohl (claim->seen_epoch);
   claim->epoch_revision = claim->seen_revision;
   write_claim (claim);
 }
@@ -488,7 +449,7 @@
 read_epoch (claim_t *claim, const store_item_t *item)
 {
   claim->seen_revision = item->deleted ? 0 : item->revision;
-  memset (&claim->seen_epoch, 0, sizeof claim->seen_epoch);
+  claim->seen_epoch = 0;
   if (!item->deleted && item->value_bytes == sizeof claim->seen_epoch)
     memcpy (&claim->seen_epoch, item->value, sizeof claim->seen_epoch);
 }
@@ -607,16 +568,15 @@
 void
 claim_give_up (claim_t *claim, void (*done) (void *data), void *data)
 {
-  store_expect_t expect = { claim->key, claim->fence };
-  store_write_t write = { claim->key, NULL, 0, 0 };
   bool was_held = claim->state == CLAIM_HELD;
 
   clear_timer (claim);
   claim->state = CLAIM_RELEASED;
   claim->released = done;
   claim->released_data = data;
+  /* The key goes with its lease. */
   if (was_held)
-    claim->store->calls->txn (claim->store, &expect, 1, &write, 1, released, claim);
+    claim->store->calls->lease_end (claim->store, claim->lease, released, claim);
   else
     done (data);
 }
--- a/src/entry/claim.h
+++ b/src/entry/claim.h
@@ -12,9 +12,8 @@
 
 typedef struct
 {
-  /* This VM decides from now on.  `epoch` counts the claims before this one.
-   * `former_may_act`: the holder before may not know yet that it was deposed. */
-  void (*gained) (gint64 fence, guint epoch, bool former_may_act, void *data);
+  /* This VM decides from now on.  `epoch` counts the claims before this one. */
+  void (*gained) (gint64 fence, guint epoch, void *data);
   /* This VM no longer decides. */
   void (*lost) (const char *reason, void *data);
   /* Another holder, or (address NULL) none. */
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -56,13 +56,16 @@
   cell_t *cell;
   recorder_t *recorder;
   mirror_t *progress_mirror;
+  mirror_t *placements_mirror;
   mirror_t *jobs_mirror;
   mirror_t *registry_mirror;
   /* While loading: all three are read at once, and put together at the end. */
-  GHashTable *progress; /* id -> GArray of task_progress_t */
-  GHashTable *found;    /* id -> job_spec_t */
-  GHashTable *cancels;  /* ids */
-  bool is_fleet_read;
+  GHashTable *progress;         /* id -> GArray of task_progress_t */
+  GHashTable *found;            /* id -> job_spec_t */
+  GHashTable *cancels;          /* ids */
+  GPtrArray *former_placements; /* keys; the index and 1 is the cell's number */
+  GPtrArray *former_values;     /* GBytes, while loading */
+  bool are_placements_read;
   bool is_progress_read;
   bool are_jobs_read;
   bool is_loaded;
@@ -97,6 +100,7 @@
   JOBS_WAIT_MS = 2000,
   JOBS_PAUSE_MS = 400, /* VMs tell of new jobs directly; this finds the rest */
   SWEEP_MS = 100,      /* assignments and silent VMs are looked at */
+  PLACE_RETRY_MS = 40, /* after a placement that was not stored */
   SETTLE_MS = 250,     /* VMs connect before executors are shared out */
   ENDED_MAX = 20000    /* ended jobs remembered; older ones are read from the store */
 };
@@ -123,6 +127,8 @@
 {
   g_hash_table_unref (decider->progress);
   g_hash_table_unref (decider->found);
+  g_ptr_array_unref (decider->former_placements);
+  g_ptr_array_unref (decider->former_values);
   g_hash_table_unref (decider->cancels);
   g_hash_table_unref (decider->assignments);
   g_hash_table_unref (decider->orders);
@@ -400,13 +406,137 @@
   assignment->address = g_strdup (address);
 }
 
+/* ---- Placements: stored before their orders are sent. */
+
+typedef struct
+{
+  decider_t *decider;
+  guint64 placement;
+  char *key;
+  guint8 *value;
+  gsize bytes;
+} placing_t;
+
+static void store_placement (placing_t *placing);
+
+static void
+placing_free (placing_t *placing)
+{
+  g_free (placing->key);
+  g_free (placing->value);
+  g_free (placing);
+}
+
+static char *
+placement_key (const decider_t *decider, guint64 placement)
+{
+  return g_strdup_printf (KEYS_PLACEMENTS "%" G_GINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                          decider->config.fence, placement);
+}
+
+static gboolean
+store_placement_again (gpointer data)
+{
+  placing_t *placing = data;
+  decider_t *decider = placing->decider;
+
+  if (!decider->is_freed)
+    {
+      store_placement (placing);
+      return G_SOURCE_REMOVE;
+    }
+  decider->calls--;
+  placing_free (placing);
+  if (decider->calls == 0)
+    destroy (decider);
+  return G_SOURCE_REMOVE;
+}
+
 static void
-op_save_fleet (void *data)
+placement_stored (const store_reply_t *reply, void *data)
+{
+  placing_t *placing = data;
+  decider_t *decider = placing->decider;
+
+  if (!decider->is_freed && (reply->status == STORE_LOST || reply->status == STORE_UNAVAILABLE))
+    {
+      LOG_WARN ("placement_retry", "placement=%" G_GUINT64_FORMAT " status=%s", placing->placement,
+                store_status_name (reply->status));
+      (void) g_timeout_add (PLACE_RETRY_MS, store_placement_again, placing);
+      return;
+    }
+  decider->calls--;
+  if (!decider->is_freed && reply->status == STORE_DONE)
+    {
+      cell_placement_stored (decider->cell, placing->placement, clock_now_us ());
+      schedule_step (decider);
+    }
+  else if (!decider->is_freed)
+    depose (decider, "placement_refused");
+  placing_free (placing);
+  if (decider->is_freed && decider->calls == 0)
+    destroy (decider);
+}
+
+/* The same record under the same key: carried out twice, or late, it only names runs
+ * that are gone. */
+static void
+store_placement (placing_t *placing)
+{
+  decider_t *decider = placing->decider;
+  store_expect_t expect = { claim_key (decider->claim), decider->config.fence };
+  store_write_t write = { placing->key, placing->value, placing->bytes, 0 };
+
+  decider->store->calls->txn (decider->store, &expect, 1, &write, 1, placement_stored, placing);
+}
+
+static void
+op_place (guint64 placement, const placed_run_t *runs, guint count, void *data)
 {
   decider_t *decider = data;
+  placing_t *placing = g_new0 (placing_t, 1);
+  Mimosastair__Placement message = MIMOSASTAIR__PLACEMENT__INIT;
+  g_autofree Mimosastair__PlacedRun *rows = g_new0 (Mimosastair__PlacedRun, count);
+  g_autofree Mimosastair__PlacedRun **pointers = g_new0 (Mimosastair__PlacedRun *, count);
+  g_autofree Mimosastair__TaskRef *refs = g_new0 (Mimosastair__TaskRef, count);
 
-  if (decider->recorder != NULL)
-    recorder_save_fleet (decider->recorder);
+  for (guint i = 0; i < count; i++)
+    {
+      mimosastair__placed_run__init (&rows[i]);
+      codec_fill_task (&refs[i], (task_ref_t *) &runs[i].task);
+      rows[i].task = &refs[i];
+      rows[i].run = runs[i].run;
+      rows[i].executor = (char *) runs[i].executor;
+      pointers[i] = &rows[i];
+    }
+  message.n_runs = count;
+  message.runs = pointers;
+  placing->decider = decider;
+  placing->placement = placement;
+  placing->key = placement_key (decider, placement);
+  placing->bytes = mimosastair__placement__get_packed_size (&message);
+  placing->value = g_malloc (placing->bytes);
+  mimosastair__placement__pack (&message, placing->value);
+  decider->calls++;
+  store_placement (placing);
+}
+
+static void
+op_drop_placement (guint64 placement, void *data)
+{
+  decider_t *decider = data;
+  g_autofree char *own = NULL;
+
+  if (decider->recorder == NULL)
+    return;
+  if (placement < CELL_OWN_PLACEMENTS)
+    {
+      recorder_delete (decider->recorder,
+                       g_ptr_array_index (decider->former_placements, (guint) placement - 1));
+      return;
+    }
+  own = placement_key (decider, placement);
+  recorder_delete (decider->recorder, own);
 }
 
 static void
@@ -429,7 +559,8 @@
   .finish = op_finish,
   .acknowledge = op_acknowledge,
   .hold = op_hold,
-  .save_fleet = op_save_fleet,
+  .place = op_place,
+  .drop_placement = op_drop_placement,
   .deposed = op_deposed,
   .note = op_note,
 };
@@ -746,13 +877,6 @@
          && g_hash_table_lookup (decider->ended, spec->id) == NULL;
 }
 
-/* True when the holder before may still start a job that came after this claim. */
-static bool
-is_contested (const decider_t *decider)
-{
-  return decider->config.limits.claim_us > 0 && !cell_is_accounted (decider->cell);
-}
-
 static void
 handle_job (vm_t *vm, const Mimosastair__Job *message)
 {
@@ -767,8 +891,7 @@
     return;
   spec = codec_job_from_message (message);
   if (spec != NULL && is_news (decider, spec))
-    (void) cell_add_job (decider->cell, spec, NULL, 0, is_contested (decider), clock_now_us (),
-                         clock_unix_ms ());
+    (void) cell_add_job (decider->cell, spec, NULL, 0, false, clock_now_us (), clock_unix_ms ());
   else
     job_spec_free (spec);
   known.id = message->id;
@@ -920,8 +1043,8 @@
     {
       const Mimosastair__KeyWrite *row = message->write[i];
 
-      writes[i] = (store_write_t){ row->key, row->delete_ ? NULL : row->value.data,
-                                   row->value.len, 0 };
+      writes[i]
+          = (store_write_t){ row->key, row->delete_ ? NULL : row->value.data, row->value.len, 0 };
     }
   decider->store->calls->txn (decider->store, expect, expect_count, writes, write_count, relayed,
                               call);
@@ -1061,23 +1184,13 @@
     }
 }
 
-static void
-fleet_stored (void *data)
-{
-  decider_t *decider = data;
-
-  cell_fleet_stored (decider->cell);
-  schedule_step (decider);
-}
-
 static void
 record_refused (void *data)
 {
   depose (data, "write_refused");
 }
 
-static const recorder_events_t recorder_events
-    = { job_end_stored, batch_stored, fleet_stored, record_refused };
+static const recorder_events_t recorder_events = { job_end_stored, batch_stored, record_refused };
 
 static job_spec_t *
 job_of_item (const store_item_t *item, const char *id)
@@ -1124,8 +1237,7 @@
     return;
   if (!decider->is_loaded)
     g_hash_table_replace (decider->found, g_strdup (id), spec);
-  else if (cell_add_job (decider->cell, spec, NULL, 0, is_contested (decider), clock_now_us (),
-                         clock_unix_ms ()))
+  else if (cell_add_job (decider->cell, spec, NULL, 0, false, clock_now_us (), clock_unix_ms ()))
     LOG_INFO ("job_found", "job=%s", id);
 }
 
@@ -1148,6 +1260,36 @@
 
 static const mirror_events_t registry_events = { registry_changed, registry_synced, feed_lost };
 
+static void
+load_placement (decider_t *decider, guint64 number, GBytes *value)
+{
+  gsize size;
+  const guint8 *bytes = g_bytes_get_data (value, &size);
+  Mimosastair__Placement *message = mimosastair__placement__unpack (NULL, size, bytes);
+  g_autofree placed_run_t *runs = NULL;
+  guint count = 0;
+
+  if (message == NULL)
+    {
+      LOG_WARN ("bad_record", "key=%s",
+                (const char *) g_ptr_array_index (decider->former_placements, (guint) number - 1));
+      return;
+    }
+  runs = g_new0 (placed_run_t, message->n_runs);
+  for (gsize i = 0; i < message->n_runs; i++)
+    {
+      const Mimosastair__PlacedRun *row = message->runs[i];
+
+      if (!codec_read_task (row->task, &runs[count].task))
+        continue;
+      runs[count].run = row->run;
+      runs[count].executor = row->executor;
+      count++;
+    }
+  cell_restore_placement (decider->cell, number, runs, count, clock_now_us ());
+  mimosastair__placement__free_unpacked (message, NULL);
+}
+
 /* Puts together what was read, once all of it has come. */
 static void
 finish_loading (decider_t *decider)
@@ -1157,7 +1299,7 @@
   gpointer spec;
   cell_stats_t stats;
 
-  if (decider->is_loaded || !decider->is_fleet_read || !decider->is_progress_read
+  if (decider->is_loaded || !decider->are_placements_read || !decider->is_progress_read
       || !decider->are_jobs_read)
     return;
   g_hash_table_iter_init (&iter, decider->found);
@@ -1168,6 +1310,9 @@
       g_free (id);
     }
   decider->is_loaded = true;
+  for (guint i = 0; i < decider->former_values->len; i++)
+    load_placement (decider, i + 1, g_ptr_array_index (decider->former_values, i));
+  g_ptr_array_set_size (decider->former_values, 0);
   g_hash_table_iter_init (&iter, decider->cancels);
   while (g_hash_table_iter_next (&iter, &id, NULL))
     (void) cell_cancel (decider->cell, id, clock_now_us ());
@@ -1263,48 +1408,36 @@
 
 static const mirror_events_t progress_events = { progress_changed, progress_synced, feed_lost };
 
-static void read_fleet (decider_t *decider);
-
 static void
-fleet_read (const store_reply_t *reply, void *data)
+placement_changed (const store_item_t *item, void *data)
 {
   decider_t *decider = data;
 
-  decider->calls--;
-  if (decider->is_freed)
-    {
-      if (decider->calls == 0)
-        destroy (decider);
-      return;
-    }
-  if (reply->status != STORE_DONE && reply->status != STORE_MISSING)
-    {
-      read_fleet (decider);
-      return;
-    }
-  if (reply->items->len > 0)
+  if (item->deleted || decider->former_placements->len + 1 >= CELL_OWN_PLACEMENTS)
+    return;
+  /* A read that began anew delivers them again. */
+  for (guint i = 0; i < decider->former_placements->len; i++)
     {
-      const store_item_t *item = g_ptr_array_index (reply->items, 0);
-      g_autofree char *text = g_strndup ((const char *) item->value, item->value_bytes);
-      g_auto (GStrv) ids = g_strsplit (text, "\n", -1);
-
-      for (guint i = 0; ids[i] != NULL; i++)
-        {
-          if (ids[i][0] != '\0')
-            cell_expect_executor (decider->cell, ids[i]);
-        }
+      if (strcmp (g_ptr_array_index (decider->former_placements, i), item->key) == 0)
+        return;
     }
-  decider->is_fleet_read = true;
-  finish_loading (decider);
+  g_ptr_array_add (decider->former_placements, g_strdup (item->key));
+  g_ptr_array_add (decider->former_values, g_bytes_new (item->value, item->value_bytes));
 }
 
 static void
-read_fleet (decider_t *decider)
+placements_synced (void *data)
 {
-  decider->calls++;
-  decider->store->calls->get (decider->store, KEYS_FLEET, fleet_read, decider);
+  decider_t *decider = data;
+
+  mirror_free (decider->placements_mirror);
+  decider->placements_mirror = NULL;
+  decider->are_placements_read = true;
+  finish_loading (decider);
 }
 
+static const mirror_events_t placement_events = { placement_changed, placements_synced, feed_lost };
+
 /* ---- Life. */
 
 decider_t *
@@ -1331,6 +1464,8 @@
   list_init (&decider->vms);
   decider->progress
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref);
+  decider->former_placements = g_ptr_array_new_with_free_func (g_free);
+  decider->former_values = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   decider->found = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_spec);
   decider->cancels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   decider->assignments = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, assignment_free);
@@ -1343,7 +1478,8 @@
   decider->recorder = recorder_new (store, claim_key (claim), config->fence, decider->cell,
                                     &recorder_events, decider);
   decider->sweep_timer = g_timeout_add (SWEEP_MS, sweep, decider);
-  read_fleet (decider);
+  decider->placements_mirror
+      = mirror_new (store, KEYS_PLACEMENTS, JOBS_WAIT_MS, &placement_events, decider);
   decider->progress_mirror
       = mirror_new (store, KEYS_PROGRESS, JOBS_WAIT_MS, &progress_events, decider);
   decider->jobs_mirror = mirror_new (store, KEYS_JOBS, JOBS_WAIT_MS, &jobs_events, decider);
@@ -1360,6 +1496,7 @@
     drop_vm (LIST_ENTRY (decider->vms.next, vm_t, node), "not_decider");
   decider->is_freed = true;
   mirror_free (decider->progress_mirror);
+  mirror_free (decider->placements_mirror);
   mirror_free (decider->jobs_mirror);
   mirror_free (decider->registry_mirror);
   recorder_free (decider->recorder);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -158,7 +158,7 @@
 }
 
 static void
-claim_gained (gint64 fence, guint epoch, bool former_may_act, void *data)
+claim_gained (gint64 fence, guint epoch, void *data)
 {
   entry_t *entry = data;
   decider_config_t config = {
@@ -166,7 +166,7 @@
     .fence = fence,
     .epoch = epoch,
     .limits = { .hold_us = MIN (entry->options.hold_ms, entry->options.hold_max_ms) * 1000,
-                .claim_us = former_may_act ? entry->options.claim_ttl_ms * 1000 : 0,
+                .claim_us = entry->options.claim_ttl_ms * 1000,
                 .gang_wait_us = entry->options.gang_wait_ms * 1000 },
   };
 
@@ -175,7 +175,8 @@
       g_source_remove (entry->free_idle);
       (void) free_decider (entry);
     }
-  entry->decider = decider_new (entry->store, entry->claim, &config, entry->desired, entry->metrics, deposed, abdicate, entry);
+  entry->decider = decider_new (entry->store, entry->claim, &config, entry->desired, entry->metrics,
+                                deposed, abdicate, entry);
 }
 
 static void
--- a/src/entry/keys.h
+++ b/src/entry/keys.h
@@ -3,11 +3,11 @@
 
 #include <glib.h>
 
-#define KEYS_JOBS "job/"     /* job/ID: Job; job/ID.x: it was cancelled */
-#define KEYS_PROGRESS "run/" /* run/ID: Progress */
-#define KEYS_ENDS "end/"     /* end/ID: Ended */
-#define KEYS_FLEET "fleet"   /* ids of executors that may run something */
-#define KEYS_BATCH "batch"   /* counter of the decider's transactions */
+#define KEYS_JOBS "job/"         /* job/ID: Job; job/ID.x: it was cancelled */
+#define KEYS_PROGRESS "run/"     /* run/ID: Progress */
+#define KEYS_ENDS "end/"         /* end/ID: Ended */
+#define KEYS_PLACEMENTS "place/" /* place/FENCE-NUMBER: Placement */
+#define KEYS_BATCH "batch"       /* counter of the decider's transactions */
 #define KEYS_CANCEL_SUFFIX ".x"
 
 /* Free with g_free(). */
--- a/src/entry/recorder.c
+++ b/src/entry/recorder.c
@@ -2,6 +2,7 @@
 
 #include "entry/recorder.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "entry/codec.h"
 #include "entry/keys.h"
@@ -34,14 +35,13 @@
   GHashTable *dirty;    /* ids of jobs whose progress has changed */
   GQueue finished;      /* finished_t, waiting */
   GHashTable *recorded; /* ids with a progress record */
-  bool is_fleet_dirty;
+  GPtrArray *deletions; /* keys */
   /* The batch on its way. */
   bool is_writing;
   GPtrArray *rows; /* row_t */
   guint row_next;  /* first that is not stored */
   guint row_count; /* of the transaction on its way */
   GQueue ending;   /* finished_t of this batch */
-  bool has_fleet;
   guint64 batch;
   /* The counter that serializes transactions. */
   bool is_counter_known;
@@ -49,6 +49,7 @@
   guint64 counter;
   gint64 end_lease; /* ended jobs delete themselves */
   guint timer;
+  gint64 due_us; /* of the timer */
   bool is_closed;
   guint calls;
 };
@@ -56,6 +57,7 @@
 enum
 {
   COALESCE_MS = 12, /* changes that come together share a transaction */
+  DELETE_MS = 300,  /* what is deleted waits for something else to be written */
   RETRY_MS = 100,
   CONDITIONS = 2,
   ROWS_MAX = STORE_TXN_ROWS - CONDITIONS - 1, /* beside the counter */
@@ -91,6 +93,7 @@
   g_hash_table_unref (recorder->recorded);
   g_queue_clear_full (&recorder->finished, finished_free);
   g_queue_clear_full (&recorder->ending, finished_free);
+  g_ptr_array_unref (recorder->deletions);
   g_ptr_array_unref (recorder->rows);
   g_free (recorder->claim_key);
   g_free (recorder);
@@ -157,15 +160,6 @@
     add_row (recorder, keys_progress (finished->id), NULL, 0, 0);
 }
 
-static void
-add_fleet (recorder_t *recorder)
-{
-  g_autofree const char **ids = cell_fleet (recorder->cell);
-  char *text = g_strjoinv ("\n", (char **) ids);
-
-  add_row (recorder, g_strdup (KEYS_FLEET), (guint8 *) text, strlen (text), 0);
-}
-
 /* Takes all that waits into one batch. */
 static bool
 begin_batch (recorder_t *recorder)
@@ -190,10 +184,9 @@
   while (g_hash_table_iter_next (&iter, &id, NULL))
     add_progress (recorder, id);
   g_hash_table_remove_all (recorder->dirty);
-  recorder->has_fleet = recorder->is_fleet_dirty;
-  if (recorder->is_fleet_dirty)
-    add_fleet (recorder);
-  recorder->is_fleet_dirty = false;
+  for (guint i = 0; i < recorder->deletions->len; i++)
+    add_row (recorder, g_strdup (g_ptr_array_index (recorder->deletions, i)), NULL, 0, 0);
+  g_ptr_array_set_size (recorder->deletions, 0);
   return true;
 }
 
@@ -209,8 +202,6 @@
       recorder->events->ended (finished->id, finished->state, recorder->data);
       finished_free (finished);
     }
-  if (recorder->has_fleet)
-    recorder->events->fleet_stored (recorder->data);
   recorder->events->stored (recorder->batch, recorder->data);
   if (!call_ended (recorder) && !recorder_is_idle (recorder))
     schedule (recorder, COALESCE_MS);
@@ -304,6 +295,7 @@
                 recorder->row_count);
       break;
     }
+  recorder->due_us = G_MAXINT64;
   recorder->timer = g_timeout_add (RETRY_MS, write_again, recorder);
 }
 
@@ -368,8 +360,13 @@
 static void
 schedule (recorder_t *recorder, guint delay_ms)
 {
-  if (recorder->is_writing || recorder->timer != 0)
+  gint64 due_us = clock_now_us () + (gint64) delay_ms * 1000;
+
+  if (recorder->is_writing || (recorder->timer != 0 && recorder->due_us <= due_us))
     return;
+  if (recorder->timer != 0)
+    g_source_remove (recorder->timer);
+  recorder->due_us = due_us;
   recorder->timer = g_timeout_add (delay_ms, flush_later, recorder);
 }
 
@@ -380,6 +377,7 @@
     return;
   if (recorder->timer != 0)
     g_source_remove (recorder->timer);
+  recorder->due_us = clock_now_us ();
   recorder->timer = g_timeout_add (0, flush_later, recorder);
 }
 
@@ -408,16 +406,16 @@
 }
 
 void
-recorder_save_fleet (recorder_t *recorder)
+recorder_delete (recorder_t *recorder, const char *key)
 {
-  recorder->is_fleet_dirty = true;
-  schedule (recorder, COALESCE_MS);
+  g_ptr_array_add (recorder->deletions, g_strdup (key));
+  schedule (recorder, DELETE_MS);
 }
 
 bool
 recorder_is_idle (const recorder_t *recorder)
 {
-  return !recorder->is_writing && !recorder->is_fleet_dirty
+  return !recorder->is_writing && recorder->deletions->len == 0
          && g_hash_table_size (recorder->dirty) == 0
          && g_queue_is_empty ((GQueue *) &recorder->finished);
 }
@@ -451,6 +449,7 @@
   recorder->data = data;
   recorder->dirty = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   recorder->recorded = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  recorder->deletions = g_ptr_array_new_with_free_func (g_free);
   recorder->rows = g_ptr_array_new_with_free_func (row_free);
   g_queue_init (&recorder->finished);
   g_queue_init (&recorder->ending);
--- a/src/entry/recorder.h
+++ b/src/entry/recorder.h
@@ -17,8 +17,6 @@
   void (*ended) (const char *id, job_state_t state, void *data);
   /* A batch is stored: its ends may be acknowledged. */
   void (*stored) (guint64 batch, void *data);
-  /* The executors of cell_fleet() are stored. */
-  void (*fleet_stored) (void *data);
   /* The claim is not this VM's any more. */
   void (*deposed) (void *data);
 } recorder_events_t;
@@ -37,7 +35,9 @@
 
 void recorder_save (recorder_t *recorder, const char *id);
 void recorder_finish (recorder_t *recorder, const char *id, job_state_t state);
-void recorder_save_fleet (recorder_t *recorder);
+
+/* Deletes a key after what was saved before. */
+void recorder_delete (recorder_t *recorder, const char *key);
 
 /* True when nothing waits to be written. */
 bool recorder_is_idle (const recorder_t *recorder);
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &mimosastair__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mimosastair__placed_run__init
+                     (Mimosastair__PlacedRun         *message)
+{
+  static const Mimosastair__PlacedRun init_value = MIMOSASTAIR__PLACED_RUN__INIT;
+  *message = init_value;
+}
+size_t mimosastair__placed_run__get_packed_size
+                     (const Mimosastair__PlacedRun *message)
+{
+  assert(message->base.descriptor == &mimosastair__placed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__placed_run__pack
+                     (const Mimosastair__PlacedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__placed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__placed_run__pack_to_buffer
+                     (const Mimosastair__PlacedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__placed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__PlacedRun *
+       mimosastair__placed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__PlacedRun *)
+     protobuf_c_message_unpack (&mimosastair__placed_run__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__placed_run__free_unpacked
+                     (Mimosastair__PlacedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__placed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mimosastair__placement__init
+                     (Mimosastair__Placement         *message)
+{
+  static const Mimosastair__Placement init_value = MIMOSASTAIR__PLACEMENT__INIT;
+  *message = init_value;
+}
+size_t mimosastair__placement__get_packed_size
+                     (const Mimosastair__Placement *message)
+{
+  assert(message->base.descriptor == &mimosastair__placement__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__placement__pack
+                     (const Mimosastair__Placement *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__placement__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__placement__pack_to_buffer
+                     (const Mimosastair__Placement *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__placement__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__Placement *
+       mimosastair__placement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__Placement *)
+     protobuf_c_message_unpack (&mimosastair__placement__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__placement__free_unpacked
+                     (Mimosastair__Placement *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__placement__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mimosastair__ended__init
                      (Mimosastair__Ended         *message)
 {
@@ -1867,6 +1957,108 @@
   (ProtobufCMessageInit) mimosastair__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mimosastair__placed_run__field_descriptors[3] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__PlacedRun, task),
+    &mimosastair__task_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__PlacedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "executor",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__PlacedRun, executor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__placed_run__field_indices_by_name[] = {
+  2,   /* field[2] = executor */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange mimosastair__placed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mimosastair__placed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.PlacedRun",
+  "PlacedRun",
+  "Mimosastair__PlacedRun",
+  "mimosastair",
+  sizeof(Mimosastair__PlacedRun),
+  3,
+  mimosastair__placed_run__field_descriptors,
+  mimosastair__placed_run__field_indices_by_name,
+  1,  mimosastair__placed_run__number_ranges,
+  (ProtobufCMessageInit) mimosastair__placed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__placement__field_descriptors[1] =
+{
+  {
+    "runs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__Placement, n_runs),
+    offsetof(Mimosastair__Placement, runs),
+    &mimosastair__placed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__placement__field_indices_by_name[] = {
+  0,   /* field[0] = runs */
+};
+static const ProtobufCIntRange mimosastair__placement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mimosastair__placement__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.Placement",
+  "Placement",
+  "Mimosastair__Placement",
+  "mimosastair",
+  sizeof(Mimosastair__Placement),
+  1,
+  mimosastair__placement__field_descriptors,
+  mimosastair__placement__field_indices_by_name,
+  1,  mimosastair__placement__number_ranges,
+  (ProtobufCMessageInit) mimosastair__placement__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mimosastair__ended__field_descriptors[1] =
 {
   {
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Mimosastair__Job Mimosastair__Job;
 typedef struct Mimosastair__TaskProgress Mimosastair__TaskProgress;
 typedef struct Mimosastair__Progress Mimosastair__Progress;
+typedef struct Mimosastair__PlacedRun Mimosastair__PlacedRun;
+typedef struct Mimosastair__Placement Mimosastair__Placement;
 typedef struct Mimosastair__Ended Mimosastair__Ended;
 typedef struct Mimosastair__Claim Mimosastair__Claim;
 typedef struct Mimosastair__TaskRef Mimosastair__TaskRef;
@@ -146,6 +148,33 @@
     , 0,NULL }
 
 
+struct  Mimosastair__PlacedRun
+{
+  ProtobufCMessage base;
+  Mimosastair__TaskRef *task;
+  uint32_t run;
+  char *executor;
+};
+#define MIMOSASTAIR__PLACED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__placed_run__descriptor) \
+    , NULL, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Record place/FENCE-NUMBER: runs that may have been started.  Stored before their
+ * orders are sent, deleted once all of them are known to be gone.
+ */
+struct  Mimosastair__Placement
+{
+  ProtobufCMessage base;
+  size_t n_runs;
+  Mimosastair__PlacedRun **runs;
+};
+#define MIMOSASTAIR__PLACEMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__placement__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Record end/ID.
  */
@@ -650,6 +679,44 @@
 void   mimosastair__progress__free_unpacked
                      (Mimosastair__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Mimosastair__PlacedRun methods */
+void   mimosastair__placed_run__init
+                     (Mimosastair__PlacedRun         *message);
+size_t mimosastair__placed_run__get_packed_size
+                     (const Mimosastair__PlacedRun   *message);
+size_t mimosastair__placed_run__pack
+                     (const Mimosastair__PlacedRun   *message,
+                      uint8_t             *out);
+size_t mimosastair__placed_run__pack_to_buffer
+                     (const Mimosastair__PlacedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__PlacedRun *
+       mimosastair__placed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__placed_run__free_unpacked
+                     (Mimosastair__PlacedRun *message,
+                      ProtobufCAllocator *allocator);
+/* Mimosastair__Placement methods */
+void   mimosastair__placement__init
+                     (Mimosastair__Placement         *message);
+size_t mimosastair__placement__get_packed_size
+                     (const Mimosastair__Placement   *message);
+size_t mimosastair__placement__pack
+                     (const Mimosastair__Placement   *message,
+                      uint8_t             *out);
+size_t mimosastair__placement__pack_to_buffer
+                     (const Mimosastair__Placement   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__Placement *
+       mimosastair__placement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__placement__free_unpacked
+                     (Mimosastair__Placement *message,
+                      ProtobufCAllocator *allocator);
 /* Mimosastair__Ended methods */
 void   mimosastair__ended__init
                      (Mimosastair__Ended         *message);
@@ -1139,6 +1206,12 @@
 typedef void (*Mimosastair__Progress_Closure)
                  (const Mimosastair__Progress *message,
                   void *closure_data);
+typedef void (*Mimosastair__PlacedRun_Closure)
+                 (const Mimosastair__PlacedRun *message,
+                  void *closure_data);
+typedef void (*Mimosastair__Placement_Closure)
+                 (const Mimosastair__Placement *message,
+                  void *closure_data);
 typedef void (*Mimosastair__Ended_Closure)
                  (const Mimosastair__Ended *message,
                   void *closure_data);
@@ -1224,6 +1297,8 @@
 extern const ProtobufCMessageDescriptor mimosastair__job__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__progress__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__placed_run__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__placement__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__ended__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__claim__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__task_ref__descriptor;
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -43,6 +43,9 @@
   guint saves;
   job_state_t finished;
   guint finishes;
+  guint64 placement; /* the latest; 0: none waits */
+  guint64 dropped;
+  bool holds_placements;
   bool is_deposed;
   gint64 now_us;
 } fixture_t;
@@ -127,9 +130,20 @@
 {
 }
 
+/* Placements are stored at once, unless a test holds them back. */
 static void
-op_save_fleet (void *data G_GNUC_UNUSED)
+op_place (guint64 placement,
+          const placed_run_t *runs G_GNUC_UNUSED,
+          guint count G_GNUC_UNUSED,
+          void *data)
 {
+  ((fixture_t *) data)->placement = placement;
+}
+
+static void
+op_drop_placement (guint64 placement, void *data)
+{
+  ((fixture_t *) data)->dropped = placement;
 }
 
 static void
@@ -153,7 +167,8 @@
   .finish = op_finish,
   .acknowledge = op_acknowledge,
   .hold = op_hold,
-  .save_fleet = op_save_fleet,
+  .place = op_place,
+  .drop_placement = op_drop_placement,
   .deposed = op_deposed,
   .note = op_note,
 };
@@ -240,9 +255,14 @@
 static void
 step (fixture_t *fixture)
 {
+  guint64 placement;
+
   (void) cell_step (fixture->cell, fixture->now_us, fixture->now_us / MS);
-  cell_fleet_stored (fixture->cell);
-  (void) cell_step (fixture->cell, fixture->now_us, fixture->now_us / MS);
+  placement = fixture->placement;
+  if (placement == 0 || fixture->holds_placements)
+    return;
+  fixture->placement = 0;
+  cell_placement_stored (fixture->cell, placement, fixture->now_us);
 }
 
 /* An executor that can be used at once. */
@@ -544,7 +564,6 @@
   run_row_t running = { .run = 1, .checkpoint = "" };
   const entry_t *stop;
 
-  cell_expect_executor (fixture->cell, "e1");
   CU_ASSERT (cell_add_job (fixture->cell, job_spec (1, 2, 3000), &done, 1, true, fixture->now_us,
                            fixture->now_us / MS));
   list_executor (fixture, "e1", 1, false);
@@ -564,7 +583,6 @@
   fixture_t *fixture = fixture_new (1, 0);
   run_row_t running = { .run = 1, .checkpoint = "" };
 
-  cell_expect_executor (fixture->cell, "e1");
   list_executor (fixture, "e1", 1, false);
   running.task = task_ref (7, 0);
   report (fixture, "e1", 1, 0, &running, 1, NULL, 0);
@@ -582,7 +600,6 @@
   task_progress_t failed = { .index = 0, .failures = 1, .failed_run = 1 };
   end_row_t end = { .number = 1, .run = 1, .how = END_FAILED, .checkpoint = "" };
 
-  cell_expect_executor (fixture->cell, "e1");
   CU_ASSERT (cell_add_job (fixture->cell, job_spec (1, 1, 1000), &failed, 1, true, fixture->now_us,
                            fixture->now_us / MS));
   list_executor (fixture, "e1", 1, false);
@@ -598,19 +615,56 @@
 }
 
 static void
-test_old_jobs_wait (void)
+test_placed_before_started (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+
+  ready_executor (fixture, "e1");
+  add_job (fixture, job_spec (1, 1, 1000), false);
+  fixture->holds_placements = true;
+  step (fixture);
+  CU_ASSERT (fixture->placement > CELL_OWN_PLACEMENTS);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  cell_placement_stored (fixture->cell, fixture->placement, fixture->now_us);
+  CU_ASSERT_PTR_NOT_NULL (next (fixture, 's'));
+  CU_ASSERT_EQUAL (fixture->dropped, 0);
+  fixture_free (fixture);
+}
+
+static void
+test_cancelled_before_placed (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+
+  ready_executor (fixture, "e1");
+  add_job (fixture, job_spec (1, 1, 1000), false);
+  fixture->holds_placements = true;
+  step (fixture);
+  CU_ASSERT (cell_cancel (fixture->cell, "0000000000000001", fixture->now_us));
+  cell_placement_stored (fixture->cell, fixture->placement, fixture->now_us);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  CU_ASSERT_EQUAL (fixture->dropped, fixture->placement);
+  fixture_free (fixture);
+}
+
+static void
+test_restored_placement (void)
 {
   fixture_t *fixture = fixture_new (1, 2000 * MS);
+  placed_run_t placed = { .run = 1, .executor = "e2" };
   const entry_t *start;
 
-  cell_expect_executor (fixture->cell, "e1");
-  cell_expect_executor (fixture->cell, "e2");
-  add_job (fixture, job_spec (1, 1, 1000), true);
-  list_executor (fixture, "e1", 1, false);
-  report (fixture, "e1", 1, 0, NULL, 0, NULL, 0);
+  add_job (fixture, job_spec (1, 2, 1000), true);
+  placed.task = task_ref (1, 0);
+  cell_restore_placement (fixture->cell, 1, &placed, 1, fixture->now_us);
+  ready_executor (fixture, "e1");
   step (fixture);
-  /* It may run on e2, which has not answered. */
-  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  /* Task 1 runs nowhere; task 0 may run on e2, which has not answered. */
+  start = next (fixture, 's');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (start);
+  CU_ASSERT_EQUAL (start->index, 1);
+  /* Above the numbers of every earlier claim. */
+  CU_ASSERT (start->run > 1000);
   fixture->now_us += 7000 * MS;
   step (fixture);
   CU_ASSERT_PTR_NULL (next (fixture, 's'));
@@ -618,23 +672,34 @@
   step (fixture);
   start = next (fixture, 's');
   CU_ASSERT_PTR_NOT_NULL_FATAL (start);
-  /* Above the numbers of every earlier claim. */
-  CU_ASSERT (start->run > 1000);
+  CU_ASSERT_EQUAL (start->index, 0);
+  CU_ASSERT_EQUAL (fixture->dropped, 1);
   fixture_free (fixture);
 }
 
 static void
-test_draining_leaves_fleet (void)
+test_restored_run_not_shown (void)
+{
+  fixture_t *fixture = fixture_new (1, 2000 * MS);
+  placed_run_t placed = { .run = 1, .executor = "e1" };
+
+  add_job (fixture, job_spec (1, 1, 1000), true);
+  placed.task = task_ref (1, 0);
+  cell_restore_placement (fixture->cell, 1, &placed, 1, fixture->now_us);
+  ready_executor (fixture, "e1");
+  /* Its order may still be on the way. */
+  CU_ASSERT_PTR_NOT_NULL (next (fixture, 'x'));
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  fixture_free (fixture);
+}
+
+static void
+test_draining (void)
 {
   fixture_t *fixture = fixture_new (0, 0);
-  const char **fleet;
 
   ready_executor (fixture, "e1");
   list_executor (fixture, "e1", 1, true);
-  step (fixture);
-  fleet = cell_fleet (fixture->cell);
-  CU_ASSERT_PTR_NULL (fleet[0]);
-  g_free (fleet);
   add_job (fixture, job_spec (1, 1, 1000), false);
   step (fixture);
   CU_ASSERT_PTR_NULL (next (fixture, 's'));
@@ -855,8 +920,11 @@
   CU_add_test (suite, "a run to be stopped keeps its room", test_unwanted_run_keeps_room);
   CU_add_test (suite, "a run of an unknown job blocks its executor", test_run_of_unknown_job);
   CU_add_test (suite, "a failure is counted once", test_failure_counted_once);
-  CU_add_test (suite, "jobs of earlier claims wait for all executors", test_old_jobs_wait);
-  CU_add_test (suite, "a draining executor leaves the fleet", test_draining_leaves_fleet);
+  CU_add_test (suite, "a run is placed before it is started", test_placed_before_started);
+  CU_add_test (suite, "a run cancelled before it is placed", test_cancelled_before_placed);
+  CU_add_test (suite, "a placed run waits for its executor only", test_restored_placement);
+  CU_add_test (suite, "a placed run that is not shown is stopped", test_restored_run_not_shown);
+  CU_add_test (suite, "a draining executor gets no start", test_draining);
   CU_add_test (suite, "a later fence deposes", test_deposed_by_fence);
   CU_add_test (suite, "a start carries its ticket", test_advice);
   CU_add_test (suite, "tickets are renewed where allowed", test_advice_renewed);
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -29,6 +29,7 @@
   EVENTS_MAX = 512,
   RUNS_MAX = 8,
   ENDS_MAX = 256,
+  PLACEMENTS_MAX = 256,
   CPU = 4000,
   ATTEMPTS = 2
 };
@@ -97,6 +98,16 @@
 
 typedef struct world world_t;
 
+/* A placement as the store holds it. */
+typedef struct
+{
+  bool is_there;
+  gint64 fence;
+  guint64 number;
+  placed_run_t runs[JOBS * TASKS_MAX];
+  guint count;
+} stored_t;
+
 typedef struct
 {
   world_t *world;
@@ -104,11 +115,11 @@
   gint64 fence;
   guint epoch;
   bool is_holder;
-  bool is_contested;
   gint64 valid_until_us; /* as it believes */
   bool dirty[JOBS];
   int finished[JOBS]; /* job_state_t + 1 */
-  bool fleet_dirty;
+  guint64 drops[PLACEMENTS_MAX]; /* numbers to be deleted */
+  guint drop_count;
   bool is_writing;
   bool is_deposed;
   guint64 acked[EXECUTORS];
@@ -127,6 +138,8 @@
   EVENT_REPORT,   /* arrives at a decider */
   EVENT_HOLD_NEXT,
   EVENT_BATCH,    /* the store carries out a batch */
+  EVENT_PLACE,    /* the store carries out a placement */
+  EVENT_PLACED,   /* and its answer arrives */
   EVENT_STEP,
   EVENT_TAKEOVER,
   EVENT_LOSE_ALL,
@@ -168,8 +181,11 @@
   int finished[JOBS];
   task_progress_t progress[JOBS][TASKS_MAX];
   guint progress_count[JOBS];
-  bool has_fleet;
-  bool fleet[EXECUTORS];
+  guint64 placement;
+  placed_run_t placed[JOBS * TASKS_MAX];
+  guint placed_count;
+  guint64 drops[PLACEMENTS_MAX];
+  guint drop_count;
 } event_t;
 
 struct world
@@ -186,7 +202,7 @@
   guint holder;
   gint64 revision;
   guint epoch;
-  bool fleet[EXECUTORS];
+  stored_t placements[PLACEMENTS_MAX];
   desired_t *desired;
   guint64 seed;
   const char *violation;
@@ -714,12 +730,37 @@
   event->executor = index;
 }
 
+static const char *
+executor_name (const char *id)
+{
+  static const char *const names[EXECUTORS] = { "e0", "e1", "e2" };
+
+  return names[executor_of (id)];
+}
+
 static void
-op_save_fleet (void *data)
+op_place (guint64 placement, const placed_run_t *runs, guint count, void *data)
 {
   decider_t *decider = data;
+  event_t *event = push_for (decider, EVENT_PLACE, (2 + below (decider->world, 20)) * MS);
 
-  decider->fleet_dirty = true;
+  event->placement = placement;
+  event->placed_count = count;
+  for (guint i = 0; i < count; i++)
+    {
+      event->placed[i] = runs[i];
+      event->placed[i].executor = executor_name (runs[i].executor);
+    }
+}
+
+static void
+op_drop_placement (guint64 placement, void *data)
+{
+  decider_t *decider = data;
+
+  if (decider->drop_count == PLACEMENTS_MAX)
+    abort ();
+  decider->drops[decider->drop_count++] = placement;
   write_soon (decider);
 }
 
@@ -749,7 +790,8 @@
   .finish = op_finish,
   .acknowledge = op_acknowledge,
   .hold = op_hold,
-  .save_fleet = op_save_fleet,
+  .place = op_place,
+  .drop_placement = op_drop_placement,
   .deposed = op_deposed,
   .note = op_note,
 };
@@ -933,17 +975,66 @@
       decider->dirty[job] = false;
       decider->finished[job] = 0;
     }
-  if (decider->fleet_dirty)
+  memcpy (event->drops, decider->drops, sizeof event->drops);
+  event->drop_count = decider->drop_count;
+  decider->drop_count = 0;
+}
+
+/* Placements of earlier claims have small numbers: places in the store. */
+static void
+drop_stored (decider_t *decider, guint64 number)
+{
+  world_t *world = decider->world;
+
+  if (number < CELL_OWN_PLACEMENTS)
+    {
+      world->placements[number - 1].is_there = false;
+      return;
+    }
+  for (guint i = 0; i < PLACEMENTS_MAX; i++)
     {
-      g_autofree const char **ids = cell_fleet (decider->cell);
+      stored_t *stored = &world->placements[i];
 
-      event->has_fleet = true;
-      for (guint i = 0; ids[i] != NULL; i++)
-        event->fleet[executor_of (ids[i])] = true;
-      decider->fleet_dirty = false;
+      if (stored->is_there && stored->fence == decider->fence && stored->number == number)
+        stored->is_there = false;
     }
 }
 
+/* Carried out only while the claim is held, perhaps twice. */
+static void
+place_arrives (world_t *world, const event_t *event)
+{
+  decider_t *decider = decider_of (world, event);
+  stored_t *stored = NULL;
+  event_t *answer;
+
+  if (decider == NULL || decider->is_deposed)
+    return;
+  if (!decider->is_holder)
+    {
+      decider->is_deposed = true;
+      return;
+    }
+  for (guint i = 0; i < PLACEMENTS_MAX; i++)
+    {
+      stored_t *other = &world->placements[i];
+
+      if (other->is_there && other->fence == decider->fence && other->number == event->placement)
+        stored = other;
+      if (!other->is_there && stored == NULL)
+        stored = other;
+    }
+  if (stored == NULL)
+    abort ();
+  stored->is_there = true;
+  stored->fence = decider->fence;
+  stored->number = event->placement;
+  stored->count = event->placed_count;
+  memcpy (stored->runs, event->placed, sizeof stored->runs);
+  answer = push_for (decider, EVENT_PLACED, (1 + below (world, 10)) * MS);
+  answer->placement = event->placement;
+}
+
 static void
 store_batch (decider_t *decider, const event_t *event)
 {
@@ -969,11 +1060,8 @@
           cell_forget (decider->cell, id);
         }
     }
-  if (event->has_fleet)
-    {
-      memcpy (world->fleet, event->fleet, sizeof world->fleet);
-      cell_fleet_stored (decider->cell);
-    }
+  for (guint i = 0; i < event->drop_count; i++)
+    drop_stored (decider, event->drops[i]);
   cell_batch_done (decider->cell, event->batch);
 }
 
@@ -985,7 +1073,7 @@
       if (decider->dirty[job] || decider->finished[job] != 0)
         return true;
     }
-  return decider->fleet_dirty;
+  return decider->drop_count > 0;
 }
 
 static void
@@ -1048,8 +1136,7 @@
       if (decider->cell == NULL || decider->is_deposed || model->revision <= decider->fence)
         continue;
       (void) cell_add_job (decider->cell, spec_of (model, event->job), NULL, 0,
-                           decider->is_contested && !cell_is_accounted (decider->cell),
-                           world->now_us, world->now_us / MS);
+                           false, world->now_us, world->now_us / MS);
       step_soon (decider, MS);
     }
 }
@@ -1178,7 +1265,7 @@
 {
   decider_t *former = &world->deciders[world->holder];
   decider_t *decider;
-  cell_limits_t limits = { .hold_us = hold_us, .claim_us = former_may_act ? ttl_us : 0 };
+  cell_limits_t limits = { .hold_us = hold_us, .claim_us = ttl_us };
 
   former->is_holder = false;
   if (!former_may_act)
@@ -1192,16 +1279,17 @@
   decider->fence = ++world->revision;
   decider->epoch = world->epoch++;
   decider->is_holder = true;
-  decider->is_contested = former_may_act;
   decider->valid_until_us = G_MAXINT64;
   decider->cell = cell_new (&limits, decider->epoch, world->now_us, &ops, decider);
   cell_set_desired (decider->cell, world->desired);
-  for (guint i = 0; i < EXECUTORS; i++)
+  load_jobs (decider);
+  for (guint i = 0; i < PLACEMENTS_MAX; i++)
     {
-      if (world->fleet[i])
-        cell_expect_executor (decider->cell, world->executors[i].id);
+      const stored_t *stored = &world->placements[i];
+
+      if (stored->is_there)
+        cell_restore_placement (decider->cell, i + 1, stored->runs, stored->count, world->now_us);
     }
-  load_jobs (decider);
   list_executors (decider);
   step_soon (decider, MS);
 }
@@ -1293,6 +1381,15 @@
     case EVENT_BATCH:
       batch_arrives (world, event);
       return;
+    case EVENT_PLACE:
+      place_arrives (world, event);
+      return;
+    case EVENT_PLACED:
+      if (decider == NULL || decider->is_deposed)
+        return;
+      cell_placement_stored (decider->cell, event->placement, world->now_us);
+      step_soon (decider, MS);
+      return;
     case EVENT_STEP:
       if (decider == NULL || decider->is_deposed || world->now_us >= decider->valid_until_us)
         return;
