--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -61,7 +61,7 @@
 
 enum
 {
-  HOLD_WAIT_MS = 2000,       /* the longest that an executor allows */
+  HOLD_WAIT_MS = 1000,       /* an unanswered hold is noticed well within a lease */
   UNANSWERED_RETRY_MS = 250, /* after a hold that got no answer */
   UNACKED_RETRY_MS = 150     /* while ends wait to be stored, an answer comes at once */
 };
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -789,6 +789,7 @@
   pong.valid_us = decider->is_deposed ? 0 : claim_left_us (decider->claim, clock_now_us ());
   pong.fence = decider->config.fence;
   pong.ready = decider->is_loaded && !decider->is_closing;
+  pong.store_ok = store_is_healthy (decider->store, clock_now_us ());
   frame.pong = &pong;
   (void) link_send (vm->link, &frame);
 }
--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -4,8 +4,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "decide/admission.h"
 #include "entry/codec.h"
 #include "entry/keys.h"
+#include "entry/relay.h"
 
 #include <string.h>
 
@@ -177,7 +179,7 @@
     }
   if (!request->may_be_stored)
     finish (request, ERROR_PLATFORM_UNAVAILABLE);
-  else if (has_time (request))
+  else if (has_time (request) && relay_has_way (request->intake->store))
     (void) g_timeout_add (RETRY_MS, store_job_again, request);
   else
     finish (request, ERROR_ANSWER_LOST);
@@ -193,6 +195,14 @@
                                       1, job_stored, request);
 }
 
+/* Nothing was sent: the job is certainly not stored. */
+static gboolean
+refuse (gpointer data)
+{
+  finish (data, ERROR_PLATFORM_UNAVAILABLE);
+  return G_SOURCE_REMOVE;
+}
+
 void
 intake_submit (
     intake_t *intake, job_spec_t *spec, gint64 deadline_us, intake_done_t done, void *data)
@@ -201,6 +211,11 @@
 
   request->done = done;
   request->spec = spec;
+  if (!relay_has_way (intake->store))
+    {
+      (void) g_idle_add (refuse, request);
+      return;
+    }
   request->record = codec_pack_job (spec, &request->record_bytes);
   store_job (request);
 }
@@ -434,6 +449,12 @@
   g_free (intake);
 }
 
+gint64
+intake_retry_after_ms (const intake_t *intake)
+{
+  return admission_retry_after_ms (relay_outage_us (intake->store));
+}
+
 guint
 intake_open (const intake_t *intake)
 {
--- a/src/entry/intake.h
+++ b/src/entry/intake.h
@@ -13,6 +13,7 @@
 
 typedef struct intake intake_t;
 
+/* `store` is a relay. */
 intake_t *intake_new (store_t *store, uplink_t *uplink, metrics_t *metrics);
 void intake_free (intake_t *intake);
 
@@ -36,5 +37,8 @@
 void intake_pending (
     intake_t *intake, const char *queue, gint64 deadline_us, intake_pending_t done, void *data);
 
+/* When a caller that was refused is to come back. */
+gint64 intake_retry_after_ms (const intake_t *intake);
+
 /* Requests that are not answered yet. */
 guint intake_open (const intake_t *intake);
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "decide/admission.h"
 
 #include <string.h>
 
@@ -127,7 +128,7 @@
   call_t *call = data;
 
   call->hedge = 0;
-  if (!call->is_answered && call->through == WAY_UNUSED && uplink_is_served (call->relay->uplink))
+  if (!call->is_answered && call->through == WAY_UNUSED && uplink_can_relay (call->relay->uplink))
     go_through (call);
   return G_SOURCE_REMOVE;
 }
@@ -204,6 +205,26 @@
   g_free (store);
 }
 
+bool
+relay_has_way (const store_t *store)
+{
+  const relay_store_t *relay = (const relay_store_t *) store;
+  admission_ways_t ways = {
+    .direct_ok = store_is_healthy (relay->direct, clock_now_us ()),
+    .through_ok = uplink_can_relay (relay->uplink),
+  };
+
+  return admission_has_way (&ways);
+}
+
+gint64
+relay_outage_us (const store_t *store)
+{
+  const relay_store_t *relay = (const relay_store_t *) store;
+
+  return store_outage_us (relay->direct, clock_now_us ());
+}
+
 static const store_calls_t calls = { .get = relay_get, .txn = relay_txn, .free = relay_free };
 
 store_t *
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -12,3 +12,9 @@
 
 /* Free with store->calls->free(); `direct` and `uplink` are borrowed. */
 store_t *relay_new (store_t *direct, uplink_t *uplink);
+
+/* False when neither way can carry out a call now. */
+bool relay_has_way (const store_t *relay);
+
+/* Time since the service stopped answering this VM; 0 when it answers. */
+gint64 relay_outage_us (const store_t *relay);
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -18,7 +18,8 @@
   link_t *link;
   bool is_open;
   bool is_leaving;
-  bool is_ready; /* the decider has rebuilt its state */
+  bool is_ready;  /* the decider has rebuilt its state */
+  bool has_store; /* the store answers the decider */
   gint64 opened_us;
   gint64 valid_until_us;
   gint64 fence;
@@ -198,6 +199,7 @@
 {
   uplink->fence = pong->fence;
   uplink->is_ready = pong->ready;
+  uplink->has_store = pong->store_ok;
   uplink->valid_until_us = pong->valid_us > 0 ? pong->sent_us + pong->valid_us : 0;
   agent_permit (uplink->agent, pong->fence, uplink->valid_until_us);
 }
@@ -469,6 +471,12 @@
   return uplink->is_open && uplink->is_ready;
 }
 
+bool
+uplink_can_relay (const uplink_t *uplink)
+{
+  return uplink_is_served (uplink) && uplink->has_store;
+}
+
 guint
 uplink_executors (const uplink_t *uplink)
 {
--- a/src/entry/uplink.h
+++ b/src/entry/uplink.h
@@ -75,4 +75,7 @@
 /* A decider answers and its claim is valid. */
 bool uplink_is_served (const uplink_t *uplink);
 
+/* The decider can make calls to the key-value service for this VM. */
+bool uplink_can_relay (const uplink_t *uplink);
+
 guint uplink_executors (const uplink_t *uplink);
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2559,7 +2559,7 @@
   (ProtobufCMessageInit) mimosastair__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__pong__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mimosastair__pong__field_descriptors[5] =
 {
   {
     "sent_us",
@@ -2609,17 +2609,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_ok",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Pong, store_ok),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__pong__field_indices_by_name[] = {
   2,   /* field[2] = fence */
   3,   /* field[3] = ready */
   0,   /* field[0] = sent_us */
+  4,   /* field[4] = store_ok */
   1,   /* field[1] = valid_us */
 };
 static const ProtobufCIntRange mimosastair__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mimosastair__pong__descriptor =
 {
@@ -2629,7 +2642,7 @@
   "Mimosastair__Pong",
   "mimosastair",
   sizeof(Mimosastair__Pong),
-  4,
+  5,
   mimosastair__pong__field_descriptors,
   mimosastair__pong__field_indices_by_name,
   1,  mimosastair__pong__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -300,10 +300,14 @@
    * the decider has rebuilt its state
    */
   protobuf_c_boolean ready;
+  /*
+   * the decider's calls to the key-value service are answered
+   */
+  protobuf_c_boolean store_ok;
 };
 #define MIMOSASTAIR__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__pong__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -49,6 +49,14 @@
   return store->health.asked_us == 0 || now_us - store->health.asked_us < slow_answer_us;
 }
 
+gint64
+store_outage_us (const store_t *store, gint64 now_us)
+{
+  if (store_is_healthy (store, now_us) || store->health.asked_us == 0)
+    return 0;
+  return now_us - store->health.asked_us;
+}
+
 void
 store_item_free (store_item_t *item)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -109,6 +109,9 @@
 /* False when calls have failed since the last answer, or wait too long for one. */
 bool store_is_healthy (const store_t *store, gint64 now_us);
 
+/* Time since the service stopped answering; 0 when it answers. */
+gint64 store_outage_us (const store_t *store, gint64 now_us);
+
 const char *store_status_name (store_status_t status);
 
 void store_item_free (store_item_t *item);
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1,5 +1,6 @@
 /* Unit tests of the decider: what it orders, and when it believes that something ended. */
 #include "decide/cell.h"
+#include "decide/admission.h"
 #include "decide/order.h"
 #include "decide/plan.h"
 #include "decide/share.h"
@@ -153,9 +154,7 @@
 }
 
 static void
-op_note (const char *event G_GNUC_UNUSED,
-         const char *pairs G_GNUC_UNUSED,
-         void *data G_GNUC_UNUSED)
+op_note (const char *event G_GNUC_UNUSED, const char *pairs G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
 {
 }
 
@@ -295,8 +294,8 @@
 static void
 add_job (fixture_t *fixture, job_spec_t *spec, bool is_old)
 {
-  CU_ASSERT (cell_add_job (fixture->cell, spec, NULL, 0, is_old, fixture->now_us,
-                           fixture->now_us / MS));
+  CU_ASSERT (
+      cell_add_job (fixture->cell, spec, NULL, 0, is_old, fixture->now_us, fixture->now_us / MS));
 }
 
 /* The next order of this kind that was not looked at, or NULL. */
@@ -723,8 +722,9 @@
 static void
 need_advice (fixture_t *fixture)
 {
-  queue_of (fixture)->advice
-      = (advice_terms_t){ .is_needed = true, .call_us = 10 * MS, .each_us = MS, .valid_us = 2000 * MS };
+  queue_of (fixture)->advice = (advice_terms_t){
+    .is_needed = true, .call_us = 10 * MS, .each_us = MS, .valid_us = 2000 * MS
+  };
   cell_set_desired (fixture->cell, fixture->desired);
 }
 
@@ -876,6 +876,19 @@
   CU_ASSERT_EQUAL (tenure_left_us (&tenure, 1700 * MS), 1900 * MS);
 }
 
+static void
+test_admission (void)
+{
+  admission_ways_t none = { false, false };
+  admission_ways_t through = { false, true };
+
+  CU_ASSERT (!admission_has_way (&none));
+  CU_ASSERT (admission_has_way (&through));
+  CU_ASSERT_EQUAL (admission_retry_after_ms (0), 1000);
+  CU_ASSERT_EQUAL (admission_retry_after_ms (2500 * MS), 2500);
+  CU_ASSERT_EQUAL (admission_retry_after_ms (60000 * MS), 3000);
+}
+
 static void
 test_routes (void)
 {
@@ -932,6 +945,7 @@
   CU_add_test (suite, "order of waiting work", test_order);
   CU_add_test (suite, "executors are shared by load", test_share);
   CU_add_test (suite, "a claim is valid while renewed and seen", test_tenure);
+  CU_add_test (suite, "when to come back", test_admission);
   CU_add_test (suite, "the longest prefix routes", test_routes);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -47,7 +47,7 @@
   guint job;
   guint index;
   guint number;
-  gint64 ends_us; /* of a gang that is not whole: G_MAXINT64 */
+  gint64 ends_us;  /* of a gang that is not whole: G_MAXINT64 */
   gint64 alone_us; /* gives up waiting for the rest of its gang then */
   bool will_fail;
 } live_t;
@@ -89,10 +89,10 @@
   bool is_gang;
   bool is_poison;
   gint64 revision;
-  bool is_done[TASKS_MAX];      /* stored */
-  guint failures[TASKS_MAX];    /* stored */
-  guint failed_run[TASKS_MAX];  /* stored */
-  bool acked_done[TASKS_MAX];   /* an end "done" was acknowledged */
+  bool is_done[TASKS_MAX];     /* stored */
+  guint failures[TASKS_MAX];   /* stored */
+  guint failed_run[TASKS_MAX]; /* stored */
+  bool acked_done[TASKS_MAX];  /* an end "done" was acknowledged */
   guint acked_failed[TASKS_MAX];
 } model_job_t;
 
@@ -117,7 +117,7 @@
   bool is_holder;
   gint64 valid_until_us; /* as it believes */
   bool dirty[JOBS];
-  int finished[JOBS]; /* job_state_t + 1 */
+  int finished[JOBS];            /* job_state_t + 1 */
   guint64 drops[PLACEMENTS_MAX]; /* numbers to be deleted */
   guint drop_count;
   bool is_writing;
@@ -131,15 +131,15 @@
 
 typedef enum
 {
-  EVENT_START,    /* arrives at an executor */
+  EVENT_START, /* arrives at an executor */
   EVENT_STOP,
-  EVENT_RESULT,   /* arrives at a decider */
-  EVENT_HOLD,     /* arrives at an executor */
-  EVENT_REPORT,   /* arrives at a decider */
+  EVENT_RESULT, /* arrives at a decider */
+  EVENT_HOLD,   /* arrives at an executor */
+  EVENT_REPORT, /* arrives at a decider */
   EVENT_HOLD_NEXT,
-  EVENT_BATCH,    /* the store carries out a batch */
-  EVENT_PLACE,    /* the store carries out a placement */
-  EVENT_PLACED,   /* and its answer arrives */
+  EVENT_BATCH,  /* the store carries out a batch */
+  EVENT_PLACE,  /* the store carries out a placement */
+  EVENT_PLACED, /* and its answer arrives */
   EVENT_STEP,
   EVENT_TAKEOVER,
   EVENT_LOSE_ALL,
@@ -445,8 +445,7 @@
             }
         }
     }
-  else if (members < job->count
-           && (run->ends_us != G_MAXINT64 || world->now_us >= run->alone_us))
+  else if (members < job->count && (run->ends_us != G_MAXINT64 || world->now_us >= run->alone_us))
     {
       run->is_alive = false;
       list_end (executor, run, run->ends_us != G_MAXINT64 ? END_BROKEN : END_ALONE);
@@ -779,7 +778,8 @@
 
   if (verbose)
     (void) printf ("%8.3f decider %u fence %d %s %s\n", (double) decider->world->now_us / 1e6,
-                   (guint) (decider - decider->world->deciders), (int) decider->fence, event, pairs);
+                   (guint) (decider - decider->world->deciders), (int) decider->fence, event,
+                   pairs);
 }
 
 static const cell_ops_t ops = {
@@ -814,7 +814,8 @@
   event = push_for (decider, EVENT_HOLD, (1 + below (world, 3)) * MS);
   event->executor = index;
   event->fence = decider->fence;
-  event->acked = decider->held_born[index] == world->executors[index].born ? decider->acked[index] : 0;
+  event->acked
+      = decider->held_born[index] == world->executors[index].born ? decider->acked[index] : 0;
   event->born = decider->held_born[index];
   event->mark = decider->mark[index];
   event->renews = decider->answers[index];
@@ -1135,8 +1136,8 @@
       /* A deposed decider may be told of it, too. */
       if (decider->cell == NULL || decider->is_deposed || model->revision <= decider->fence)
         continue;
-      (void) cell_add_job (decider->cell, spec_of (model, event->job), NULL, 0,
-                           false, world->now_us, world->now_us / MS);
+      (void) cell_add_job (decider->cell, spec_of (model, event->job), NULL, 0, false,
+                           world->now_us, world->now_us / MS);
       step_soon (decider, MS);
     }
 }
