Runs that stand still are moved; executors are tried again carefully

Change: two reports 2.5 s apart with the same progress below 99 % stop the run, at most twice a task; an executor that was set aside gets one run until it shows progress.

--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -4,7 +4,6 @@
 
 /* A lease may reach its executor this much later than it is reported. */
 static const gint64 lapse_margin_us = 250 * 1000;
-static const gint64 aside_us = 4 * G_USEC_PER_SEC;
 static const gint64 restart_delay_us = 20 * 1000;
 
 executor_t *
@@ -94,7 +93,8 @@
 cell_executor_usable (const executor_t *executor, gint64 now_us)
 {
   return executor->is_listed && !executor->is_draining && executor->is_fenced
-         && executor->is_reached && executor->aside_until_us <= now_us;
+         && executor->is_reached && (!executor->is_on_trial || list_is_empty (&executor->runs))
+         && executor->aside_until_us <= now_us;
 }
 
 static bool
@@ -180,6 +180,7 @@
   executor->seen = 0;
   executor->acked = 0;
   executor->failures = 0;
+  executor->is_on_trial = false;
   executor->aside_until_us = 0;
   clear_acks (executor);
 }
@@ -269,12 +270,13 @@
 judge_executor (cell_t *cell, executor_t *executor, end_how_t how, gint64 now_us)
 {
   if (how == END_DONE)
-    executor->failures = 0;
+    {
+      executor->failures = 0;
+      executor->is_on_trial = false;
+    }
   if (how != END_FAILED || ++executor->failures < ASIDE_FAILURES)
     return;
-  executor->aside_until_us = now_us + aside_us;
-  cell_note (cell, "executor_aside", "executor=%s failures=%u for_ms=%" G_GINT64_FORMAT,
-             executor->id, executor->failures, aside_us / 1000);
+  cell_set_aside (cell, executor, "failures", now_us);
   /* One more failure after the pause sets it aside again. */
   executor->failures = ASIDE_FAILURES - 1;
 }
@@ -369,6 +371,7 @@
       cell_run_began (run, now_us);
       if (run->state == RUN_RESTORED)
         run->state = RUN_ALIVE;
+      cell_note_progress (executor, run, row->percent, now_us);
       if (run->state == RUN_ALIVE && run->task != NULL)
         keep_checkpoint (run->task, row->checkpoint);
     }
@@ -456,6 +459,7 @@
   handle_ends (cell, executor, report, now_us);
   handle_running (cell, executor, report, now_us);
   stop_unseen (cell, executor, now_us);
+  cell_check_progress (cell, executor, now_us);
   drop_stopped (cell, executor, report, now_us);
   if (!g_queue_is_empty (&executor->acks))
     cell_batch_done (cell, cell->batch_done);
--- /dev/null
+++ b/src/decide/cell_progress.c
@@ -0,0 +1,78 @@
+#include "decide/cell_state.h"
+
+/* What runs report of their progress: stalled runs.
+ *
+ * A run that two reports show at the same point is stopped and started elsewhere, and its executor
+ * is set aside. */
+
+enum
+{
+  MOVES_MAX = 2 /* of one task: progress that stands still everywhere is the job's own */
+};
+
+/* Progress that is the same after this long stands still… */
+static const gint64 stall_us = 2500 * 1000;
+/* …and for long runs, for this part of their expected time. */
+static const double stall_part = 0.04;
+/* The last percent says little: what is left of it is not shown. */
+static const guint nearly_done = 99;
+static const gint64 aside_us = 4 * G_USEC_PER_SEC;
+
+gint64
+cell_expected_us (const task_t *task)
+{
+  return (gint64) ((double) MAX (task->step->spec->est_us, 1000)
+                   * task->step->job->queue->work_ratio);
+}
+
+void
+cell_set_aside (cell_t *cell, executor_t *executor, const char *reason, gint64 now_us)
+{
+  if (executor->aside_until_us > now_us)
+    return;
+  executor->aside_until_us = now_us + aside_us;
+  executor->is_on_trial = true;
+  cell_note (cell, "executor_aside", "executor=%s reason=%s failures=%u for_ms=%" G_GINT64_FORMAT,
+             executor->id, reason, executor->failures, aside_us / 1000);
+}
+
+void
+cell_note_progress (executor_t *executor, run_t *run, guint percent, gint64 now_us)
+{
+  if (run->percent_us > 0 && percent == run->percent)
+    return;
+  if (run->percent_us > 0)
+    executor->is_on_trial = false;
+  run->percent = percent;
+  run->percent_us = now_us;
+}
+
+static bool
+is_stalled (const cell_t *cell, const run_t *run, gint64 now_us)
+{
+  gint64 longest_us = stall_us;
+
+  longest_us = MAX (longest_us, (gint64) (stall_part * (double) cell_expected_us (run->task)));
+  /* A gang waits for its members first. */
+  if (run->task->step->spec->gang && run->percent == 0)
+    longest_us += cell->limits.gang_wait_us;
+  return run->percent < nearly_done && now_us - run->percent_us > longest_us;
+}
+
+void
+cell_check_progress (cell_t *cell, executor_t *executor, gint64 now_us)
+{
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, by_executor);
+
+      if (run->state != RUN_ALIVE || run->task == NULL || run->percent_us == 0
+          || run->task->step->spec->long_running || run->task->moves >= MOVES_MAX)
+        continue;
+      if (!is_stalled (cell, run, now_us))
+        continue;
+      run->task->moves++;
+      cell_set_aside (cell, executor, "stalled", now_us);
+      cell_run_stop (cell, run, now_us);
+    }
+}
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -52,6 +52,8 @@
   gint64 ordered_us;
   gint64 alive_us;   /* 0: not known to have started */
   gint64 retry_us;   /* a lost stop is sent again then; 0: no */
+  guint percent;     /* of its work that is done, as last reported */
+  gint64 percent_us; /* that changed then; 0: not reported */
   guint64 mark;      /* a report with it no longer shows the run */
   guint64 placement; /* 0: none, it was adopted */
   bool wants_stop;   /* stop it as soon as its start is answered */
@@ -69,6 +71,7 @@
   guint last_run;
   guint last_failed_run;
   char *checkpoint; /* NULL: none */
+  guint moves;      /* runs that were stopped for their progress */
   gint64 retry_us;  /* not started before */
   list_node_t runs;
 };
@@ -150,7 +153,8 @@
   guint64 acked;
   GQueue acks; /* pending_ack_t */
   guint64 mark;
-  guint failures; /* runs that failed since one was done */
+  guint failures;   /* runs that failed since one was done */
+  bool is_on_trial; /* was set aside: one run at a time until that makes progress */
   gint64 aside_until_us;
   room_t reserved; /* in the present round, for jobs that go first */
   list_node_t runs;
@@ -246,6 +250,12 @@
 executor_t *cell_executor_of (cell_t *cell, const char *id);
 void cell_extend_lapse (const cell_t *cell, executor_t *executor, gint64 from_us);
 
+/* cell_progress.c */
+void cell_note_progress (executor_t *executor, run_t *run, guint percent, gint64 now_us);
+void cell_check_progress (cell_t *cell, executor_t *executor, gint64 now_us);
+void cell_set_aside (cell_t *cell, executor_t *executor, const char *reason, gint64 now_us);
+gint64 cell_expected_us (const task_t *task);
+
 /* cell_advice.c */
 const char *cell_ticket (const step_t *step, const executor_t *executor, gint64 now_us);
 verdict_t cell_verdict (const step_t *step, const executor_t *executor);
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -553,6 +553,49 @@
   fixture_free (fixture);
 }
 
+static void
+show (fixture_t *fixture, const char *id, guint percent)
+{
+  run_row_t running = { .run = 1, .checkpoint = "", .percent = percent };
+
+  running.task = task_ref (1, 0);
+  report (fixture, id, 1, 0, &running, 1, NULL, 0);
+  step (fixture);
+}
+
+static void
+test_stalled_run (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  const entry_t *start;
+  const entry_t *stop;
+
+  ready_executor (fixture, "e1");
+  add_job (fixture, job_spec (1, 1, 1000), false);
+  step (fixture);
+  start = next (fixture, 's');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (start);
+  cell_order_result (fixture->cell, start->order, ORDER_OK, fixture->now_us);
+  for (guint i = 0; i < 4; i++)
+    {
+      show (fixture, "e1", 10 + 20 * i);
+      fixture->now_us += 1000 * MS;
+    }
+  CU_ASSERT_PTR_NULL (next (fixture, 'x'));
+  for (guint i = 0; i < 3; i++)
+    {
+      show (fixture, "e1", 70);
+      fixture->now_us += 1000 * MS;
+    }
+  stop = next (fixture, 'x');
+  CU_ASSERT_PTR_NOT_NULL (stop);
+  /* Its executor is set aside. */
+  add_job (fixture, job_spec (2, 1, 1000), false);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  fixture_free (fixture);
+}
+
 /* ---- After another decider. */
 
 static void
@@ -930,6 +973,7 @@
   CU_add_test (suite, "a gang starts whole", test_gang_whole);
   CU_add_test (suite, "a gang that lacks a member is stopped", test_gang_member_refused);
   CU_add_test (suite, "a cancel stops and prevents", test_cancel);
+  CU_add_test (suite, "a run that stands still is moved", test_stalled_run);
   CU_add_test (suite, "a run to be stopped keeps its room", test_unwanted_run_keeps_room);
   CU_add_test (suite, "a run of an unknown job blocks its executor", test_run_of_unknown_job);
   CU_add_test (suite, "a failure is counted once", test_failure_counted_once);
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -824,7 +824,7 @@
 }
 
 static void
-fill_report (model_executor_t *executor, event_t *report)
+fill_report (world_t *world, model_executor_t *executor, event_t *report)
 {
   report->is_reached = true;
   report->born = executor->born;
@@ -836,9 +836,11 @@
 
       if (!run->is_alive)
         continue;
-      report->running[report->running_count++] = (run_row_t){
-        .task = task_of (run->job, run->index), .run = run->number, .checkpoint = ""
-      };
+      report->running[report->running_count++]
+          = (run_row_t){ .task = task_of (run->job, run->index),
+                         .run = run->number,
+                         .checkpoint = "",
+                         .percent = below (world, 100) };
     }
   for (guint i = 0; i < executor->end_count; i++)
     {
@@ -902,7 +904,7 @@
   if (event->born == executor->born)
     acknowledge (world, executor, event->acked);
   if (!event->is_lost)
-    fill_report (executor, report);
+    fill_report (world, executor, report);
 }
 
 static void
