--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -332,8 +332,8 @@
       job->steps[i].wanting = 0;
       cell_drop_advice (cell, &job->steps[i]);
     }
-  cell_note (cell, "job_ended", "job=%s queue=%s state=%s age_ms=%" G_GINT64_FORMAT, job->spec->id,
-             job->queue->name, job_state_name (state), (gint64) 0);
+  cell_note (cell, "job_ended", "job=%s queue=%s state=%s", job->spec->id, job->queue->name,
+             job_state_name (state));
   cell->ops->finish (job->spec->id, state, cell->data);
 }
 
@@ -483,6 +483,19 @@
   return true;
 }
 
+bool
+cell_job_times (const cell_t *cell, const char *id, job_times_t *times)
+{
+  const job_t *job = cell_find_job (cell, id);
+
+  if (job == NULL)
+    return false;
+  times->queue = job->queue->name;
+  times->accepted_us = job->accepted_us;
+  times->began_us = job->began_us;
+  return true;
+}
+
 guint
 cell_pending (const cell_t *cell, const char *queue)
 {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -218,6 +218,16 @@
 /* State of a live job; false when it is not known. */
 bool cell_job_state (const cell_t *cell, const char *id, job_state_t *state);
 
+typedef struct
+{
+  const char *queue; /* valid as long as the cell */
+  gint64 accepted_us;
+  gint64 began_us; /* its first task did; 0: none has under this claim */
+} job_times_t;
+
+/* False when the job is not known. */
+bool cell_job_times (const cell_t *cell, const char *id, job_times_t *times);
+
 /* Jobs of a queue none of whose tasks has started. */
 guint cell_pending (const cell_t *cell, const char *queue);
 
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -57,6 +57,8 @@
   if (run->task == NULL)
     return;
   job = run->task->step->job;
+  if (job->began_us == 0)
+    job->began_us = now_us;
   if (job->was_started)
     return;
   job->was_started = true;
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -121,7 +121,8 @@
   bool was_started;
   bool is_dirty;
   gint64 accepted_us; /* on the decider's clock */
-  step_t *steps;      /* of all occurrences */
+  gint64 began_us;
+  step_t *steps; /* of all occurrences */
   guint step_total;
   guint run_count; /* runs that may be alive */
   list_node_t node;
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -1154,6 +1154,23 @@
     }
 }
 
+/* Latencies of a job that has ended, by its queue and outcome. */
+static void
+observe_job (decider_t *decider, const char *id, job_state_t state, gint64 now_us)
+{
+  job_times_t times;
+  latency_set_t *set;
+
+  if (!cell_job_times (decider->cell, id, &times))
+    return;
+  set = metrics_latency (decider->metrics, "jobs", job_state_name (state), times.queue);
+  histogram_add (&set->total, (guint64) MAX (now_us - times.accepted_us, 0));
+  if (times.began_us == 0)
+    return;
+  histogram_add (&set->waiting, (guint64) MAX (times.began_us - times.accepted_us, 0));
+  histogram_add (&set->service, (guint64) MAX (now_us - times.began_us, 0));
+}
+
 static void
 job_end_stored (const char *id, job_state_t state, void *data)
 {
@@ -1166,6 +1183,7 @@
   g_queue_push_tail (&decider->ended_order, g_strdup (id));
   forget_ended (decider, ended->at_us);
   LOG_INFO ("job_end_stored", "job=%s state=%s", id, job_state_name (state));
+  observe_job (decider, id, state, ended->at_us);
   cell_forget (decider->cell, id);
 }
 
