--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -598,16 +598,3 @@
         }
     }
 }
-
-gint64
-cell_backlog_us (const cell_t *cell, const char *queue, gint64 now_us)
-{
-  for (list_node_t *node = cell->job_list.next; node != &cell->job_list; node = node->next)
-    {
-      const job_t *job = LIST_ENTRY (node, job_t, node);
-
-      if (!job->is_ended && !job->was_started && strcmp (job->queue->name, queue) == 0)
-        return MAX (0, now_us - job->accepted_us);
-    }
-  return 0;
-}
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -99,6 +99,7 @@
   const char *zone;
   room_t capacity;
   const char *const *labels; /* NULL-terminated */
+  const char *rack;          /* NULL: not known */
   bool is_draining;
   gint64 born;
 } executor_entry_t;
@@ -131,6 +132,7 @@
   const char *const *executors;
   guint executor_count;
   gint64 expected_us; /* time that the call takes */
+  bool is_slow;       /* it counts against the slow calls allowed */
 } advise_order_t;
 
 typedef struct
@@ -289,6 +291,3 @@
 } cell_stats_t;
 
 void cell_stats (const cell_t *cell, cell_stats_t *stats);
-
-/* Longest wait, in microseconds, that a job of this queue has had so far. */
-gint64 cell_backlog_us (const cell_t *cell, const char *queue, gint64 now_us);
--- a/src/decide/cell_advice.c
+++ b/src/decide/cell_advice.c
@@ -181,6 +181,7 @@
     .executors = (const char *const *) named->pdata,
     .executor_count = named->len,
     .expected_us = expected_us,
+    .is_slow = expected_us > slow_call_us,
   };
 
   memcpy (order.step.job, step->job->spec->id, sizeof order.step.job);
@@ -190,7 +191,7 @@
   call->step = step;
   call->executors = named;
   call->sent_us = now_us;
-  call->is_slow = expected_us > slow_call_us;
+  call->is_slow = order.is_slow;
   step->advice_order = order.order;
   g_hash_table_insert (cell->advice_calls, key, call);
   cell->advice_slots--;
--- a/src/decide/cell_dispatch.c
+++ b/src/decide/cell_dispatch.c
@@ -123,6 +123,25 @@
   return waiting;
 }
 
+/* Tasks that fill unused room disturb tasks that serve users within a response-time goal;
+ * without pacing the two are kept apart. */
+static bool
+is_disturbed (const executor_t *executor, const step_t *step)
+{
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      const run_t *run = LIST_ENTRY (node, run_t, by_executor);
+      const step_spec_t *other = run->task != NULL ? run->task->step->spec : NULL;
+
+      if (other == NULL)
+        continue;
+      if ((step->spec->fills && other->target_ms > 0)
+          || (step->spec->target_ms > 0 && other->fills))
+        return true;
+    }
+  return false;
+}
+
 static guint
 runs_of_step (const executor_t *executor, const step_t *step)
 {
@@ -158,7 +177,7 @@
       slot_t slot = { .executor = executor };
 
       if (!cell_executor_usable (executor, now_us) || !cell_executor_suits (step, executor)
-          || cell_ticket (step, executor, now_us) == NULL)
+          || cell_ticket (step, executor, now_us) == NULL || is_disturbed (executor, step))
         continue;
       slot.room = cell_free_room (executor);
       if (!cell_room_fits (step->spec->need, slot.room))
@@ -225,6 +244,67 @@
   cell_plan_run (cell, cell_run_new (cell, task, &ref, executor, number));
 }
 
+/* Keeps the slots of one rack. */
+static GArray *
+slots_of_rack (const GArray *slots, const char *rack)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (slot_t));
+
+  for (guint i = 0; i < slots->len; i++)
+    {
+      const slot_t *slot = &g_array_index (slots, slot_t, i);
+
+      if (g_strcmp0 (slot->executor->rack, rack) == 0)
+        g_array_append_val (found, *slot);
+    }
+  return found;
+}
+
+static guint
+tasks_that_fit_in (const step_t *step, const GArray *slots)
+{
+  guint fits = 0;
+
+  for (guint i = 0; i < slots->len; i++)
+    {
+      const slot_t *slot = &g_array_index (slots, slot_t, i);
+      guint cpu_fits = step->spec->count;
+
+      if (step->spec->need.cpu_milli > 0)
+        cpu_fits = MIN (cpu_fits, slot->room.cpu_milli / step->spec->need.cpu_milli);
+      if (step->spec->need.mem_mb > 0)
+        cpu_fits = MIN (cpu_fits, slot->room.mem_mb / step->spec->need.mem_mb);
+      fits += cpu_fits;
+    }
+  return fits;
+}
+
+/* The slots of the first rack that holds the whole gang; NULL: none does. */
+static GArray *
+slots_of_one_rack (const step_t *step, const GArray *slots)
+{
+  for (guint i = 0; i < slots->len; i++)
+    {
+      const char *rack = g_array_index (slots, slot_t, i).executor->rack;
+      GArray *found = slots_of_rack (slots, rack);
+
+      if (tasks_that_fit_in (step, found) >= step->spec->count)
+        return found;
+      g_array_unref (found);
+    }
+  return NULL;
+}
+
+/* True when a gang that is to stay in one rack should wait for one rather than be spread:
+ * spread, its work takes longer by the factor for remote racks. */
+static bool
+waits_for_rack (const cell_t *cell, const step_t *step, gint64 now_us)
+{
+  double longer = MAX (cell->limits.remote_factor - 1.0, 0.0);
+
+  return (double) (now_us - step->ready_us) < longer * (double) step->spec->est_us;
+}
+
 /* All tasks of a gang at once, or none. */
 static bool
 place_gang (cell_t *cell, step_t *step, GArray *slots)
@@ -288,6 +368,15 @@
 {
   g_autoptr (GArray) slots = collect_slots (cell, step, now_us);
 
+  if (step->spec->gang && step->spec->same_rack)
+    {
+      g_autoptr (GArray) near = slots_of_one_rack (step, slots);
+
+      if (near != NULL && place_gang (cell, step, near))
+        return true;
+      if (waits_for_rack (cell, step, now_us))
+        return false;
+    }
   if (step->spec->gang)
     return place_gang (cell, step, slots);
   return place_each (cell, step, slots, now_us);
--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -56,6 +56,7 @@
   g_free (executor->service);
   g_free (executor->zone);
   g_strfreev (executor->labels);
+  g_free (executor->rack);
   g_free (executor);
 }
 
@@ -209,6 +210,8 @@
   executor->service = g_strdup (entry->service);
   executor->zone = g_strdup (entry->zone);
   executor->labels = g_strdupv ((char **) entry->labels);
+  g_free (executor->rack);
+  executor->rack = g_strdup (entry->rack);
   executor->capacity = entry->capacity;
   executor->is_listed = true;
   executor->is_draining = entry->is_draining;
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -141,6 +141,7 @@
   char *service;
   char *zone;
   char **labels;
+  char *rack; /* NULL: not known */
   room_t capacity;
   room_t used;
   gint64 born; /* 0: not known */
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -486,20 +486,14 @@
   mimosastair__claim__free_unpacked (message, NULL);
 }
 
-static void
-grant_standby_soon (claim_t *claim)
-{
-  if (claim->standby_timer == 0 && !claim->is_granting && claim->standby == 0)
-    grant_standby (claim);
-}
-
 static void
 key_synced (void *data)
 {
   claim_t *claim = data;
 
   claim->is_synced = true;
-  grant_standby_soon (claim);
+  if (claim->standby_timer == 0 && !claim->is_granting && claim->standby == 0)
+    grant_standby (claim);
   if (!claim->is_present)
     schedule_attempt (claim, 0);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -167,6 +167,8 @@
     .epoch = epoch,
     .limits = { .hold_us = MIN (entry->options.hold_ms, entry->options.hold_max_ms) * 1000,
                 .claim_us = entry->options.claim_ttl_ms * 1000,
+
+                .remote_factor = (double) entry->options.remote_percent / 100.0,
                 .gang_wait_us = entry->options.gang_wait_ms * 1000 },
   };
 
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -178,7 +178,7 @@
 fixture_new (guint epoch, gint64 claim_us)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
-  cell_limits_t limits = { .hold_us = 5000 * MS, .claim_us = claim_us };
+  cell_limits_t limits = { .hold_us = 5000 * MS, .claim_us = claim_us, .remote_factor = 2.0 };
   queue_spec_t *queue = g_new0 (queue_spec_t, 1);
 
   fixture->now_us = 1000000 * MS;
@@ -508,6 +508,85 @@
   fixture_free (fixture);
 }
 
+static void
+rack_executor (fixture_t *fixture, const char *id, const char *rack)
+{
+  executor_entry_t entry = { .id = id,
+                             .address = id,
+                             .service = "s",
+                             .zone = "z",
+                             .capacity = { .cpu_milli = 4000, .mem_mb = 1000 },
+                             .rack = rack,
+                             .born = 1 };
+
+  cell_executor_listed (fixture->cell, &entry, fixture->now_us);
+  report (fixture, id, 1, 0, NULL, 0, NULL, 0);
+}
+
+static void
+test_gang_in_one_rack (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *spec = job_spec (1, 2, 4000);
+  const entry_t *start;
+
+  spec->steps[0].gang = true;
+  spec->steps[0].same_rack = true;
+  rack_executor (fixture, "e1", "r1");
+  rack_executor (fixture, "e2", "r2");
+  add_job (fixture, spec, false);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  rack_executor (fixture, "e3", "r2");
+  step (fixture);
+  while ((start = next (fixture, 's')) != NULL)
+    CU_ASSERT_STRING_NOT_EQUAL (start->executor, "e1");
+  CU_ASSERT (fixture->placement == 0 && fixture->count >= 2);
+  fixture_free (fixture);
+}
+
+static void
+test_gang_spread_at_last (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *spec = job_spec (1, 2, 4000);
+
+  spec->steps[0].gang = true;
+  spec->steps[0].same_rack = true;
+  rack_executor (fixture, "e1", "r1");
+  rack_executor (fixture, "e2", "r2");
+  add_job (fixture, spec, false);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  /* Spread, its second of work takes a second more. */
+  fixture->now_us += 1100 * MS;
+  step (fixture);
+  CU_ASSERT_PTR_NOT_NULL (next (fixture, 's'));
+  fixture_free (fixture);
+}
+
+static void
+test_filling_work_kept_apart (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *serving = job_spec (1, 1, 1000);
+  job_spec_t *filling = job_spec (2, 1, 1000);
+
+  serving->steps[0].long_running = true;
+  serving->steps[0].target_ms = 50;
+  filling->steps[0].fills = true;
+  ready_executor (fixture, "e1");
+  add_job (fixture, serving, false);
+  step (fixture);
+  (void) must (fixture, 's');
+  add_job (fixture, filling, false);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  ready_executor (fixture, "e2");
+  CU_ASSERT_STRING_EQUAL (must (fixture, 's')->executor, "e2");
+  fixture_free (fixture);
+}
+
 static void
 test_gang_member_refused (void)
 {
@@ -962,6 +1041,9 @@
   CU_add_test (suite, "a job has begun when a run is confirmed", test_begun_when_confirmed);
   CU_add_test (suite, "capacity is not exceeded", test_capacity);
   CU_add_test (suite, "a gang starts whole", test_gang_whole);
+  CU_add_test (suite, "a gang stays in one rack", test_gang_in_one_rack);
+  CU_add_test (suite, "a gang is spread at last", test_gang_spread_at_last);
+  CU_add_test (suite, "filling work is kept from serving work", test_filling_work_kept_apart);
   CU_add_test (suite, "a gang that lacks a member is stopped", test_gang_member_refused);
   CU_add_test (suite, "a cancel stops and prevents", test_cancel);
   CU_add_test (suite, "a run that stands still is moved", test_stalled_run);
--- a/tests/man.sh
+++ b/tests/man.sh
@@ -5,9 +5,9 @@
 build=$1
 passed=0
 failed=0
-for page in mimosastaird.8 mimosastair.1; do
+for page in mimosastaird.8 mimosastaird-entry.8 mimosastair.1; do
   program=${page%.*}
-  help=$("$build/src/$program" --help | grep -oE '^  --[a-z-]+' | tr -d ' ' | sort -u)
+  help=$("$build/src/${program%-entry}" $([ "$program" = mimosastaird-entry ] && echo entry) --help | grep -oE '^  --[a-z-]+' | tr -d ' ' | sort -u)
   man=$(grep -oE '^\*--[a-z-]+\*' "docs/man/$page.scd" | tr -d '*' | sort -u)
   if [ "$help" = "$man" ]; then
     passed=$((passed + 1))
