Unused fields removed; an age that is not known is -1

Cause: reading the diff: fields that nothing reads, and the age of a desired state that was never seen shown as the time since boot. Change: those fields and their writes are gone; the metric and the log line say -1. Measured: 31 unit tests; no decision reads what was removed.

--- a/src/decide/cell_progress.c
+++ b/src/decide/cell_progress.c
@@ -18,8 +18,8 @@
 static const guint nearly_done = 99;
 static const gint64 aside_us = 4 * G_USEC_PER_SEC;
 
-gint64
-cell_expected_us (const task_t *task)
+static gint64
+expected_us (const task_t *task)
 {
   return (gint64) ((double) MAX (task->step->spec->est_us, 1000)
                    * task->step->job->queue->work_ratio);
@@ -52,7 +52,7 @@
 {
   gint64 longest_us = stall_us;
 
-  longest_us = MAX (longest_us, (gint64) (stall_part * (double) cell_expected_us (run->task)));
+  longest_us = MAX (longest_us, (gint64) (stall_part * (double) expected_us (run->task)));
   /* A gang waits for its members first. */
   if (run->task->step->spec->gang && run->percent == 0)
     longest_us += cell->limits.gang_wait_us;
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -154,7 +154,6 @@
   };
 
   run->state = RUN_ORDERED;
-  run->ordered_us = now_us;
   cell_note (cell, "task_start",
              "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
              " queue=%s waited_ms=%" G_GINT64_FORMAT " cpu=%u free=%u checkpoint=%d",
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -48,16 +48,13 @@
   guint number;
   run_state_t state;
   room_t room;
-  guint64 order; /* the latest start or stop; 0: none on its way */
-  gint64 ordered_us;
+  guint64 order;     /* the latest start or stop; 0: none on its way */
   gint64 alive_us;   /* 0: not known to have started */
   gint64 retry_us;   /* a lost stop is sent again then; 0: no */
   guint percent;     /* of its work that is done, as last reported */
   gint64 percent_us; /* that changed then; 0: not reported */
   guint64 mark;      /* a report with it no longer shows the run */
   guint64 placement; /* 0: none, it was adopted */
-  bool wants_stop;   /* stop it as soon as its start is answered */
-  bool is_copy;      /* a second run of a speculative step */
   list_node_t by_task;
   list_node_t by_executor;
 };
@@ -108,7 +105,6 @@
   GHashTable *advice;   /* executor id -> advice_t */
   guint64 advice_order; /* 0: none on its way */
   gint64 advice_retry_us;
-  guint advice_needed; /* executors that the call on its way is about */
 };
 
 struct job
@@ -256,7 +252,6 @@
 void cell_note_progress (executor_t *executor, run_t *run, guint percent, gint64 now_us);
 void cell_check_progress (cell_t *cell, executor_t *executor, gint64 now_us);
 void cell_set_aside (cell_t *cell, executor_t *executor, const char *reason, gint64 now_us);
-gint64 cell_expected_us (const task_t *task);
 
 /* cell_advice.c */
 const char *cell_ticket (const step_t *step, const executor_t *executor, gint64 now_us);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -109,13 +109,19 @@
   entry->desired_seen_us = clock_now_us ();
 }
 
+/* Time since the desired state was last confirmed; -1: never. */
+static gint64
+desired_age_ms (const entry_t *entry)
+{
+  return entry->desired_seen_us > 0 ? (clock_now_us () - entry->desired_seen_us) / 1000 : -1;
+}
+
 static void
 operator_lost (void *data)
 {
   entry_t *entry = data;
 
-  LOG_WARN ("store_lost", "of=desired_state age_ms=%" G_GINT64_FORMAT,
-            (clock_now_us () - entry->desired_seen_us) / 1000);
+  LOG_WARN ("store_lost", "of=desired_state age_ms=%" G_GINT64_FORMAT, desired_age_ms (entry));
 }
 
 static const mirror_events_t operator_events = { operator_changed, operator_synced, operator_lost };
@@ -275,7 +281,7 @@
   g_string_append_printf (out, "mimosastair_desired_version %" G_GINT64_FORMAT "\n",
                           entry->desired != NULL ? entry->desired->version : 0);
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
-                          (clock_now_us () - entry->desired_seen_us) / 1000);
+                          desired_age_ms (entry));
   if (entry->decider != NULL)
     decider_print (entry->decider, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -20,9 +20,7 @@
   bool is_leaving;
   bool is_ready;  /* the decider has rebuilt its state */
   bool has_store; /* the store answers the decider */
-  gint64 opened_us;
   gint64 valid_until_us;
-  gint64 fence;
   guint ping_timer;
   guint connect_timer;
   guint64 next_ask;
@@ -187,7 +185,6 @@
   uplink_t *uplink = data;
 
   uplink->is_open = true;
-  uplink->opened_us = clock_now_us ();
   LOG_INFO ("decider_reached", "address=%s", uplink->holder);
   send_hello (uplink);
   send_ping (uplink);
@@ -197,7 +194,6 @@
 static void
 handle_pong (uplink_t *uplink, const Mimosastair__Pong *pong)
 {
-  uplink->fence = pong->fence;
   uplink->is_ready = pong->ready;
   uplink->has_store = pong->store_ok;
   uplink->valid_until_us = pong->valid_us > 0 ? pong->sent_us + pong->valid_us : 0;
@@ -310,7 +306,6 @@
 {
   if (uplink->holder == NULL || uplink->link != NULL)
     return;
-  uplink->opened_us = clock_now_us ();
   uplink->link = link_connect (uplink->holder, &link_events, uplink);
 }
 
