Failures are counted by run in whatever order they are listed

Ruled out: a restart (the executor's life was the same), a count lost in the store (one decider held the claim).

--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -247,9 +247,8 @@
   if (task == NULL)
     return;
   task->failures = progress->failures;
-  task->last_failed_run = progress->failed_run;
-  task->step->gang_failures = MAX (task->step->gang_failures, progress->failures);
-  task->step->gang_failed_run = MAX (task->step->gang_failed_run, progress->failed_run);
+  task->failed_run_count = MIN (progress->failed_run_count, FAILED_RUNS_KEPT);
+  memcpy (task->failed_runs, progress->failed_runs, sizeof task->failed_runs);
   job->was_started = true;
   if (progress->is_done && !task->is_done)
     {
@@ -403,32 +402,41 @@
   finish_if_done (cell, job);
 }
 
+/* Counts a failed run once, in whatever order ends are listed: that of an executor that
+ * could not be reached may come after those of later runs. */
+static bool
+count_failure (task_t *task, guint run)
+{
+  for (guint i = 0; i < task->failed_run_count; i++)
+    {
+      if (task->failed_runs[i] == run)
+        return false;
+    }
+  if (task->failed_run_count == FAILED_RUNS_KEPT)
+    {
+      memmove (task->failed_runs, task->failed_runs + 1,
+               (FAILED_RUNS_KEPT - 1) * sizeof task->failed_runs[0]);
+      task->failed_run_count--;
+    }
+  task->failed_runs[task->failed_run_count++] = run;
+  task->failures++;
+  return true;
+}
+
 void
 cell_task_failed (cell_t *cell, task_t *task, guint run, gint64 now_us)
 {
   step_t *step = task->step;
   job_t *job = step->job;
-  guint failures;
+  /* A gang fails as a whole, once for each run: its first task keeps the count. */
+  task_t *counted = step->spec->gang ? &step->tasks[0] : task;
 
   if (task->is_done || job->is_ended || step->spec->long_running)
     return;
-  if (step->spec->gang)
-    {
-      if (step->gang_failed_run >= run)
-        return;
-      step->gang_failed_run = run;
-      failures = ++step->gang_failures;
-      task->failures = failures;
-    }
-  else
-    {
-      if (task->last_failed_run >= run)
-        return;
-      task->last_failed_run = run;
-      failures = ++task->failures;
-    }
+  if (!count_failure (counted, run))
+    return;
   cell_mark_dirty (cell, job);
-  if (failures < job->queue->attempts)
+  if (counted->failures < job->queue->attempts)
     return;
   end_job (cell, job, JOB_FAILED);
   stop_all (cell, job, now_us);
@@ -523,10 +531,11 @@
             .step = step->index,
             .index = t,
             .is_done = task->is_done,
-            .failures = step->spec->gang ? step->gang_failures : task->failures,
-            .failed_run = step->spec->gang ? step->gang_failed_run : task->last_failed_run,
+            .failures = task->failures,
+            .failed_run_count = task->failed_run_count,
           };
 
+          memcpy (progress.failed_runs, task->failed_runs, sizeof progress.failed_runs);
           if (progress.is_done || progress.failures > 0)
             visit (&progress, data);
         }
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -21,7 +21,8 @@
 
 enum
 {
-  CELL_OWN_PLACEMENTS = 1000000 /* numbers of this claim's placements are above */
+  CELL_OWN_PLACEMENTS = 1000000, /* numbers of this claim's placements are above */
+  FAILED_RUNS_KEPT = 8           /* of a task; an end may be listed long after */
 };
 
 /* One task of a job. */
@@ -197,7 +198,9 @@
   guint index;
   bool is_done;
   guint failures;
-  guint failed_run; /* the latest run whose failure was counted */
+  /* Runs whose failure was counted, the latest ones. */
+  guint failed_runs[FAILED_RUNS_KEPT];
+  guint failed_run_count;
 } task_progress_t;
 
 /* Adds a job, which is taken.  `is_old`: it may have been started under an earlier
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -66,7 +66,8 @@
   bool is_done;
   guint failures;
   guint last_run;
-  guint last_failed_run;
+  guint failed_runs[FAILED_RUNS_KEPT]; /* those counted, the latest ones */
+  guint failed_run_count;
   char *checkpoint; /* NULL: none */
   guint moves;      /* runs that were stopped for their progress */
   gint64 retry_us;  /* not started before */
@@ -97,9 +98,7 @@
   const step_spec_t *spec;
   task_t *tasks;
   guint done_count;
-  guint wanting;         /* tasks that need a start */
-  guint gang_failures;   /* runs of the gang that failed */
-  guint gang_failed_run; /* the latest that was counted */
+  guint wanting; /* tasks that need a start */
   gint64 due_us;
   gint64 ready_us;      /* prerequisites done; 0: not yet */
   GHashTable *advice;   /* executor id -> advice_t */
--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -208,7 +208,8 @@
       rows[i].index = task->index;
       rows[i].done = task->is_done;
       rows[i].failures = task->failures;
-      rows[i].failed_run = task->failed_run;
+      rows[i].n_failed_runs = task->failed_run_count;
+      rows[i].failed_runs = (uint32_t *) task->failed_runs;
       pointers[i] = &rows[i];
     }
   message.n_tasks = progress->len;
@@ -234,8 +235,11 @@
                                .step = row->step,
                                .index = row->index,
                                .is_done = row->done,
-                               .failures = row->failures,
-                               .failed_run = row->failed_run };
+                               .failures = row->failures };
+
+      task.failed_run_count = (guint) MIN (row->n_failed_runs, FAILED_RUNS_KEPT);
+      for (guint f = 0; f < task.failed_run_count; f++)
+        task.failed_runs[f] = row->failed_runs[f];
 
       g_array_append_val (progress, task);
     }
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1879,29 +1879,30 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed_run",
-    6,
-    PROTOBUF_C_LABEL_NONE,
+    "failed_runs",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Mimosastair__TaskProgress, failed_run),
+    offsetof(Mimosastair__TaskProgress, n_failed_runs),
+    offsetof(Mimosastair__TaskProgress, failed_runs),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mimosastair__task_progress__field_indices_by_name[] = {
   3,   /* field[3] = done */
-  5,   /* field[5] = failed_run */
+  5,   /* field[5] = failed_runs */
   4,   /* field[4] = failures */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
   1,   /* field[1] = step */
 };
-static const ProtobufCIntRange mimosastair__task_progress__number_ranges[1 + 1] =
+static const ProtobufCIntRange mimosastair__task_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 7, 5 },
   { 0, 6 }
 };
 const ProtobufCMessageDescriptor mimosastair__task_progress__descriptor =
@@ -1915,7 +1916,7 @@
   6,
   mimosastair__task_progress__field_descriptors,
   mimosastair__task_progress__field_indices_by_name,
-  1,  mimosastair__task_progress__number_ranges,
+  2,  mimosastair__task_progress__number_ranges,
   (ProtobufCMessageInit) mimosastair__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -125,13 +125,14 @@
   protobuf_c_boolean done;
   uint32_t failures;
   /*
-   * the latest that was counted
+   * those that were counted
    */
-  uint32_t failed_run;
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
 };
 #define MIMOSASTAIR__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -508,6 +508,27 @@
   fixture_free (fixture);
 }
 
+static void
+test_failures_out_of_order (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  end_row_t end = { .number = 1, .run = 2, .how = END_FAILED, .checkpoint = "" };
+
+  ready_executor (fixture, "e1");
+  ready_executor (fixture, "e2");
+  add_job (fixture, job_spec (1, 1, 1000), false);
+  step (fixture);
+  end.task = task_ref (1, 0);
+  report (fixture, "e1", 1, 0, NULL, 0, &end, 1);
+  CU_ASSERT_EQUAL (fixture->finishes, 0);
+  /* The first run's end is listed later, by an executor that was cut off. */
+  end.run = 1;
+  report (fixture, "e2", 1, 0, NULL, 0, &end, 1);
+  CU_ASSERT_EQUAL (fixture->finished, JOB_FAILED);
+  CU_ASSERT_EQUAL (fixture->finishes, 1);
+  fixture_free (fixture);
+}
+
 static void
 rack_executor (fixture_t *fixture, const char *id, const char *rack)
 {
@@ -716,7 +737,8 @@
 test_failure_counted_once (void)
 {
   fixture_t *fixture = fixture_new (1, 0);
-  task_progress_t failed = { .index = 0, .failures = 1, .failed_run = 1 };
+  task_progress_t failed
+      = { .index = 0, .failures = 1, .failed_runs = { 1 }, .failed_run_count = 1 };
   end_row_t end = { .number = 1, .run = 1, .how = END_FAILED, .checkpoint = "" };
 
   CU_ASSERT (cell_add_job (fixture->cell, job_spec (1, 1, 1000), &failed, 1, true, fixture->now_us,
@@ -1050,6 +1072,7 @@
   CU_add_test (suite, "a run to be stopped keeps its room", test_unwanted_run_keeps_room);
   CU_add_test (suite, "a run of an unknown job blocks its executor", test_run_of_unknown_job);
   CU_add_test (suite, "a failure is counted once", test_failure_counted_once);
+  CU_add_test (suite, "failures are counted in any order", test_failures_out_of_order);
   CU_add_test (suite, "a run is placed before it is started", test_placed_before_started);
   CU_add_test (suite, "a run cancelled before it is placed", test_cancelled_before_placed);
   CU_add_test (suite, "a placed run waits for its executor only", test_restored_placement);
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -89,10 +89,11 @@
   bool is_gang;
   bool is_poison;
   gint64 revision;
-  bool is_done[TASKS_MAX];     /* stored */
-  guint failures[TASKS_MAX];   /* stored */
-  guint failed_run[TASKS_MAX]; /* stored */
-  bool acked_done[TASKS_MAX];  /* an end "done" was acknowledged */
+  bool is_done[TASKS_MAX];                        /* stored */
+  guint failures[TASKS_MAX];                      /* stored */
+  guint failed_runs[TASKS_MAX][FAILED_RUNS_KEPT]; /* stored */
+  guint failed_run_count[TASKS_MAX];
+  bool acked_done[TASKS_MAX]; /* an end "done" was acknowledged */
   guint acked_failed[TASKS_MAX];
 } model_job_t;
 
@@ -1055,7 +1056,9 @@
 
           model->is_done[progress->index] = progress->is_done;
           model->failures[progress->index] = progress->failures;
-          model->failed_run[progress->index] = progress->failed_run;
+          model->failed_run_count[progress->index] = progress->failed_run_count;
+          memcpy (model->failed_runs[progress->index], progress->failed_runs,
+                  sizeof progress->failed_runs);
         }
       if (event->finished[job] != 0)
         {
@@ -1240,10 +1243,13 @@
       if (!model->is_accepted || model->is_ended)
         continue;
       for (guint i = 0; i < model->count; i++)
-        progress[i] = (task_progress_t){ .index = i,
-                                         .is_done = model->is_done[i],
-                                         .failures = model->failures[i],
-                                         .failed_run = model->failed_run[i] };
+        {
+          progress[i] = (task_progress_t){ .index = i,
+                                           .is_done = model->is_done[i],
+                                           .failures = model->failures[i],
+                                           .failed_run_count = model->failed_run_count[i] };
+          memcpy (progress[i].failed_runs, model->failed_runs[i], sizeof progress[i].failed_runs);
+        }
       (void) cell_add_job (decider->cell, spec_of (model, job), progress, model->count, true,
                            world->now_us, world->now_us / MS);
       job_id (id, job);
