--- a/tests/cell.c
+++ b/tests/cell.c
@@ -399,6 +399,8 @@
   start = must (fixture, 's');
   cell_order_result (fixture->cell, start->order, ORDER_OK, fixture->now_us);
   list_executor (fixture, "e1", 1, false);
+  /* Usable again, it would be given the task a second time. */
+  report (fixture, "e1", 5, 0, NULL, 0, NULL, 0);
   step (fixture);
   CU_ASSERT_PTR_NULL (next (fixture, 's'));
   fixture_free (fixture);
