The VM with the most processor decides

Change: a free claim is left to larger VMs for 400 ms (decide/succession); the largest size known stands in the record of epochs and in each pong; a holder gives way to a VM that is clearly larger.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -59,6 +59,27 @@
   return true;
 }
 
+enum
+{
+  THOUSANDTHS = 1000
+};
+
+static bool
+store_decimal (const setting_t *setting, const char *text, error_info_t *error)
+{
+  char *end = NULL;
+  double number = g_ascii_strtod (text, &end);
+  double thousandths = number * THOUSANDTHS;
+
+  if (end == text || *end != '\0' || !(thousandths >= (double) setting->min)
+      || !(thousandths <= (double) setting->max))
+    return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" is not a number from %g to %g",
+                      setting->flag, text, (double) setting->min / THOUSANDTHS,
+                      (double) setting->max / THOUSANDTHS);
+  *(gint64 *) setting->value = (gint64) (thousandths + 0.5);
+  return true;
+}
+
 static bool
 store_address (const setting_t *setting, const char *text, error_info_t *error)
 {
@@ -109,6 +130,8 @@
       return store_text (setting, text, error);
     case SETTING_NUMBER:
       return store_number (setting, text, error);
+    case SETTING_DECIMAL:
+      return store_decimal (setting, text, error);
     case SETTING_ADDRESS:
       return store_address (setting, text, error);
     case SETTING_SWITCH:
@@ -208,6 +231,9 @@
                   placeholder, setting->help);
   if (setting->kind == SETTING_NUMBER)
     (void) fprintf (out, "; %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, setting->min, setting->max);
+  if (setting->kind == SETTING_DECIMAL)
+    (void) fprintf (out, "; %g to %g", (double) setting->min / THOUSANDTHS,
+                    (double) setting->max / THOUSANDTHS);
   if (setting->fallback == NULL)
     (void) fprintf (out, " (required)");
   else if (setting->fallback[0] != '\0' && setting->kind != SETTING_SWITCH)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -15,6 +15,7 @@
 {
   SETTING_TEXT,    /* char **, g_malloc'd; what it held before is freed */
   SETTING_NUMBER,  /* gint64 *, within min and max */
+  SETTING_DECIMAL, /* gint64 *, thousandths of a decimal number, min and max in these */
   SETTING_ADDRESS, /* char **, "IP:PORT", or "" when it is optional */
   SETTING_SWITCH   /* gboolean * */
 } setting_kind_t;
--- /dev/null
+++ b/src/decide/succession.c
@@ -0,0 +1,33 @@
+#include "decide/succession.h"
+
+enum
+{
+  CORE = 1000,
+  NEAR_PERCENT = 75,    /* of the largest VM's processor: as good as the largest */
+  SMALL_VM_MS = 400,    /* a larger VM that lives has the claim by then */
+  UNKNOWN_STEP_MS = 150 /* for each halving of a core, while no size is known */
+};
+
+static bool
+is_near (guint own, guint most)
+{
+  return (guint64) own * 100 >= (guint64) most * NEAR_PERCENT;
+}
+
+guint
+succession_delay_ms (guint own, guint most)
+{
+  guint halvings = 0;
+
+  if (most != 0)
+    return is_near (own, most) ? 0 : SMALL_VM_MS;
+  for (guint share = MAX (own, 1); share < CORE; share *= 2)
+    halvings++;
+  return halvings * UNKNOWN_STEP_MS;
+}
+
+bool
+succession_should_yield (guint own, guint other)
+{
+  return !is_near (own, other);
+}
--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "decide/succession.h"
 #include "decide/tenure.h"
 #include "peer/peer.pb-c.h"
 #include "store/mirror.h"
@@ -52,10 +53,11 @@
   gint64 released_revision; /* of a claim whose holder gave it up; 0: none */
   gint64 fence;
   /* The epoch record as the mirror shows it, and as the claim was written on it. */
-  guint32 seen_epoch; /* big-endian; how often the domain was claimed */
+  guint seen_epoch; /* how often the domain was claimed */
   gint64 seen_revision;
   gint64 epoch_revision;
   guint epoch;
+  guint cpu_most;          /* processor of the largest VM, thousandths; 0: not known */
   gint64 abstain_until_us; /* does not claim before */
   guint timer;             /* next attempt or renewal */
   void (*released) (void *data);
@@ -67,7 +69,8 @@
   WATCH_MS = 4000,      /* longest wait of one watch on the claim */
   RENEWALS_PER_TTL = 5, /* tries before the claim is over */
   RETRY_MS = 100,       /* after a failed attempt */
-  SPREAD_MS = 60        /* VMs try at different moments */
+  SPREAD_MS = 60,       /* VMs try at different moments */
+  EPOCH_BYTES_MAX = 16  /* of the packed record: two numbers with their tags */
 };
 
 /* A holder that could not reach the service leaves the claim to others for this long. */
@@ -107,6 +110,13 @@
       = g_timeout_add (delay_ms + g_str_hash (claim->config.vm) % SPREAD_MS, attempt, claim);
 }
 
+/* Time that this VM leaves to larger ones. */
+static guint
+turn_ms (const claim_t *claim)
+{
+  return succession_delay_ms (claim->config.cpu_milli, claim->cpu_most);
+}
+
 static void
 stop_trying (claim_t *claim)
 {
@@ -227,19 +237,24 @@
   Mimosastair__Claim message = MIMOSASTAIR__CLAIM__INIT;
   g_autofree guint8 *packed = NULL;
   gsize bytes;
-  guint32 record = g_htonl (claim->epoch + 1);
+  Mimosastair__Epoch epoch = MIMOSASTAIR__EPOCH__INIT;
+  guint8 record[EPOCH_BYTES_MAX];
+  gsize record_bytes;
   store_expect_t expect[] = { { claim->key, seen }, { claim->epoch_key, claim->epoch_revision } };
 
   message.vm = (char *) claim->config.vm;
   message.address = (char *) claim->config.address;
   message.life = claim->config.life;
   message.epoch = claim->epoch;
+  epoch.claims = claim->epoch + 1;
+  epoch.cpu_most_milli = MAX (claim->cpu_most, claim->config.cpu_milli);
+  record_bytes = mimosastair__epoch__pack (&epoch, record);
   bytes = mimosastair__claim__get_packed_size (&message);
   packed = g_malloc (bytes);
   mimosastair__claim__pack (&message, packed);
   {
     store_write_t writes[] = { { claim->key, packed, bytes, claim->lease },
-                               { claim->epoch_key, (const guint8 *) &record, sizeof record, 0 } };
+                               { claim->epoch_key, record, record_bytes, 0 } };
 
     claim->store->calls->txn (claim->store, expect, G_N_ELEMENTS (expect), writes,
                               G_N_ELEMENTS (writes), claimed, claim);
@@ -331,7 +346,7 @@
   claim->lease = claim->standby;
   claim->lease_sent_us = claim->standby_sent_us;
   claim->standby = 0;
-  claim->epoch = g_ntohl (claim->seen_epoch);
+  claim->epoch = claim->seen_epoch;
   claim->epoch_revision = claim->seen_revision;
   write_claim (claim);
 }
@@ -448,10 +463,23 @@
 static void
 read_epoch (claim_t *claim, const store_item_t *item)
 {
+  Mimosastair__Epoch *message;
+
   claim->seen_revision = item->deleted ? 0 : item->revision;
   claim->seen_epoch = 0;
-  if (!item->deleted && item->value_bytes == sizeof claim->seen_epoch)
-    memcpy (&claim->seen_epoch, item->value, sizeof claim->seen_epoch);
+  if (item->deleted)
+    return;
+  message = mimosastair__epoch__unpack (NULL, item->value_bytes, item->value);
+  if (message == NULL)
+    {
+      LOG_WARN ("epoch_malformed", "domain=%s revision=%" G_GINT64_FORMAT, claim->config.domain,
+                item->revision);
+      return;
+    }
+  claim->seen_epoch = message->claims;
+  if (claim->cpu_most == 0)
+    claim->cpu_most = message->cpu_most_milli;
+  mimosastair__epoch__free_unpacked (message, NULL);
 }
 
 static void
@@ -471,7 +499,7 @@
         claim_check (claim);
       else
         tell_holder (claim, NULL, NULL);
-      schedule_attempt (claim, 0);
+      schedule_attempt (claim, turn_ms (claim));
       return;
     }
   message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
@@ -495,7 +523,7 @@
   if (claim->standby_timer == 0 && !claim->is_granting && claim->standby == 0)
     grant_standby (claim);
   if (!claim->is_present)
-    schedule_attempt (claim, 0);
+    schedule_attempt (claim, turn_ms (claim));
 }
 
 static void
@@ -588,7 +616,13 @@
   if (claim->state != CLAIM_FOLLOWING)
     return;
   claim->released_revision = revision;
-  schedule_attempt (claim, 0);
+  schedule_attempt (claim, turn_ms (claim));
+}
+
+void
+claim_set_cpu_most (claim_t *claim, guint cpu_milli)
+{
+  claim->cpu_most = cpu_milli;
 }
 
 void
--- a/src/entry/claim.h
+++ b/src/entry/claim.h
@@ -27,6 +27,7 @@
   const char *address; /* of the peer listener */
   gint64 life;         /* of this process */
   guint ttl_ms;
+  guint cpu_milli; /* processor of this VM; the larger ones try first */
 } claim_config_t;
 
 claim_t *
@@ -51,6 +52,9 @@
  * key may still be there. */
 void claim_abandoned (claim_t *claim, gint64 revision);
 
+/* Processor of the largest VM, as the decider tells it. */
+void claim_set_cpu_most (claim_t *claim, guint cpu_milli);
+
 /* Gives the claim up without a call: the service does not answer this VM.  Others are to
  * be told its revision. */
 void claim_abdicate (claim_t *claim);
--- a/src/entry/decider.h
+++ b/src/entry/decider.h
@@ -15,7 +15,8 @@
 
 typedef struct
 {
-  const char *vm; /* this VM */
+  const char *vm;  /* this VM */
+  guint cpu_milli; /* of this VM */
   gint64 fence;
   guint epoch;
   cell_limits_t limits;
--- a/src/entry/decider_vms.c
+++ b/src/entry/decider_vms.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "decide/share.h"
+#include "decide/succession.h"
 #include "entry/codec.h"
 
 #include <string.h>
@@ -16,6 +17,8 @@
 
 /* Without an answer of the store for this long, while it answers other VMs. */
 static const gint64 store_patience_us = 500 * 1000;
+/* A holder looks for a larger VM only then: VMs connect and tell their size. */
+static const gint64 size_settle_us = G_USEC_PER_SEC;
 static const gint64 vm_silence_us = 1300 * 1000;
 
 /* ---- Which VM holds which executor. */
@@ -165,6 +168,22 @@
     decider_share_out (vm->decider);
 }
 
+/* Processor of the largest VM that could decide. */
+static guint
+largest_vm (const decider_t *decider)
+{
+  guint most = 0;
+
+  for (list_node_t *node = decider->vms.next; node != &decider->vms; node = node->next)
+    {
+      const vm_t *vm = LIST_ENTRY (node, vm_t, node);
+
+      if (vm->name != NULL && !vm->is_leaving && vm->has_store)
+        most = MAX (most, vm->cpu_milli);
+    }
+  return most;
+}
+
 static void
 handle_ping (vm_t *vm, const Mimosastair__Ping *ping)
 {
@@ -178,6 +197,7 @@
   pong.fence = decider->config.fence;
   pong.ready = decider->is_loaded && !decider->is_closing;
   pong.store_ok = store_is_healthy (decider->store, clock_now_us ());
+  pong.cpu_most_milli = MAX (decider->config.cpu_milli, largest_vm (decider));
   frame.pong = &pong;
   (void) link_send (vm->link, &frame);
 }
@@ -479,6 +499,16 @@
   vm->link = link_accept (connection, &link_events, vm);
 }
 
+static void
+abdicate (decider_t *decider, const char *reason)
+{
+  LOG_WARN ("decider_abdicates", "fence=%" G_GINT64_FORMAT " reason=%s", decider->config.fence,
+            reason);
+  decider->is_deposed = true;
+  decider_tell_released (decider);
+  decider->abdicate (decider->deposed_data);
+}
+
 /* Gives the claim up when only other VMs reach the store: one of them can decide. */
 static void
 check_store (decider_t *decider, gint64 now_us)
@@ -496,10 +526,18 @@
     others_have_store |= LIST_ENTRY (node, vm_t, node)->has_store;
   if (!others_have_store || now_us - decider->store_lost_us < store_patience_us)
     return;
-  LOG_WARN ("decider_abdicates", "fence=%" G_GINT64_FORMAT, decider->config.fence);
-  decider->is_deposed = true;
-  decider_tell_released (decider);
-  decider->abdicate (decider->deposed_data);
+  abdicate (decider, "store_unreachable");
+}
+
+/* Gives the claim up to a VM that has clearly more processor. */
+static void
+check_size (decider_t *decider, gint64 now_us)
+{
+  guint largest = largest_vm (decider);
+
+  if (decider_may_act (decider) && now_us - decider->started_us > size_settle_us
+      && succession_should_yield (decider->config.cpu_milli, largest))
+    abdicate (decider, "larger_vm");
 }
 
 gboolean
@@ -518,6 +556,7 @@
         decider_drop_vm (vm, "silent");
     }
   check_store (decider, now_us);
+  check_size (decider, now_us);
   if (decider_may_act (decider) && now_us - decider->started_us > SETTLE_MS * 1000)
     decider_share_out (decider);
   return G_SOURCE_CONTINUE;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -169,12 +169,12 @@
   entry_t *entry = data;
   decider_config_t config = {
     .vm = entry->options.vm,
+    .cpu_milli = (guint) entry->options.cpu_milli,
     .fence = fence,
     .epoch = epoch,
     .limits = { .hold_us = MIN (entry->options.hold_ms, entry->options.hold_max_ms) * 1000,
                 .claim_us = entry->options.claim_ttl_ms * 1000,
-
-                .remote_factor = (double) entry->options.remote_percent / 100.0,
+                .remote_factor = (double) entry->options.remote_milli / 1000.0,
                 .gang_wait_us = entry->options.gang_wait_ms * 1000 },
   };
 
@@ -210,6 +210,15 @@
     claim_abandoned (entry->claim, revision);
 }
 
+static void
+cpu_most_told (guint cpu_milli, void *data)
+{
+  entry_t *entry = data;
+
+  if (entry->claim != NULL)
+    claim_set_cpu_most (entry->claim, cpu_milli);
+}
+
 static const claim_events_t claim_events = { claim_gained, claim_lost, claim_holder };
 
 static void
@@ -221,6 +230,7 @@
     .address = entry->options.peer_listen,
     .life = g_get_real_time (),
     .ttl_ms = (guint) entry->options.claim_ttl_ms,
+    .cpu_milli = (guint) entry->options.cpu_milli,
   };
 
   entry->claim = claim_new (entry->store, &config, &claim_events, entry);
@@ -399,6 +409,7 @@
     .hold_ms = (guint) MIN (options->hold_ms, options->hold_max_ms),
     .advice_address = options->advice,
     .abandoned = claim_was_abandoned,
+    .cpu_most = cpu_most_told,
     .data = entry,
   };
 
--- a/src/entry/options.h
+++ b/src/entry/options.h
@@ -15,11 +15,11 @@
   char *advice;
   char *domain;
   char *log_level;
-  gint64 cpu_milli;
+  gint64 cpu_milli; /* thousandths of a core */
   gint64 hold_ms;
   gint64 hold_max_ms;
   gint64 gang_wait_ms;
-  gint64 remote_percent;
+  gint64 remote_milli; /* thousandths */
   gint64 claim_ttl_ms;
   gint64 max_connections;
   gint64 drain_delay_ms;
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -198,6 +198,7 @@
   uplink->has_store = pong->store_ok;
   uplink->valid_until_us = pong->valid_us > 0 ? pong->sent_us + pong->valid_us : 0;
   agent_permit (uplink->agent, pong->fence, uplink->valid_until_us);
+  uplink->config.cpu_most (pong->cpu_most_milli, uplink->config.data);
 }
 
 static void
--- a/src/entry/uplink.h
+++ b/src/entry/uplink.h
@@ -22,6 +22,8 @@
   const store_t *store; /* its health is told to the decider */
   /* The holder gave up the claim written at `revision`, though its key may be there. */
   void (*abandoned) (gint64 revision, void *data);
+  /* Processor of the largest VM that the decider knows. */
+  void (*cpu_most) (guint cpu_milli, void *data);
   void *data;
 } uplink_config_t;
 
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &mimosastair__ended__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mimosastair__epoch__init
+                     (Mimosastair__Epoch         *message)
+{
+  static const Mimosastair__Epoch init_value = MIMOSASTAIR__EPOCH__INIT;
+  *message = init_value;
+}
+size_t mimosastair__epoch__get_packed_size
+                     (const Mimosastair__Epoch *message)
+{
+  assert(message->base.descriptor == &mimosastair__epoch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__epoch__pack
+                     (const Mimosastair__Epoch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__epoch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__epoch__pack_to_buffer
+                     (const Mimosastair__Epoch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__epoch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__Epoch *
+       mimosastair__epoch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__Epoch *)
+     protobuf_c_message_unpack (&mimosastair__epoch__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__epoch__free_unpacked
+                     (Mimosastair__Epoch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__epoch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mimosastair__claim__init
                      (Mimosastair__Claim         *message)
 {
@@ -2098,6 +2143,57 @@
   (ProtobufCMessageInit) mimosastair__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mimosastair__epoch__field_descriptors[2] =
+{
+  {
+    "claims",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Epoch, claims),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_most_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Epoch, cpu_most_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__epoch__field_indices_by_name[] = {
+  0,   /* field[0] = claims */
+  1,   /* field[1] = cpu_most_milli */
+};
+static const ProtobufCIntRange mimosastair__epoch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mimosastair__epoch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.Epoch",
+  "Epoch",
+  "Mimosastair__Epoch",
+  "mimosastair",
+  sizeof(Mimosastair__Epoch),
+  2,
+  mimosastair__epoch__field_descriptors,
+  mimosastair__epoch__field_indices_by_name,
+  1,  mimosastair__epoch__number_ranges,
+  (ProtobufCMessageInit) mimosastair__epoch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mimosastair__claim__field_descriptors[4] =
 {
   {
@@ -2560,7 +2656,7 @@
   (ProtobufCMessageInit) mimosastair__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__pong__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mimosastair__pong__field_descriptors[6] =
 {
   {
     "sent_us",
@@ -2622,8 +2718,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_most_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Pong, cpu_most_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__pong__field_indices_by_name[] = {
+  5,   /* field[5] = cpu_most_milli */
   2,   /* field[2] = fence */
   3,   /* field[3] = ready */
   0,   /* field[0] = sent_us */
@@ -2633,7 +2742,7 @@
 static const ProtobufCIntRange mimosastair__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mimosastair__pong__descriptor =
 {
@@ -2643,7 +2752,7 @@
   "Mimosastair__Pong",
   "mimosastair",
   sizeof(Mimosastair__Pong),
-  5,
+  6,
   mimosastair__pong__field_descriptors,
   mimosastair__pong__field_indices_by_name,
   1,  mimosastair__pong__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Mimosastair__PlacedRun Mimosastair__PlacedRun;
 typedef struct Mimosastair__Placement Mimosastair__Placement;
 typedef struct Mimosastair__Ended Mimosastair__Ended;
+typedef struct Mimosastair__Epoch Mimosastair__Epoch;
 typedef struct Mimosastair__Claim Mimosastair__Claim;
 typedef struct Mimosastair__TaskRef Mimosastair__TaskRef;
 typedef struct Mimosastair__RunRow Mimosastair__RunRow;
@@ -189,6 +190,26 @@
     , 0 }
 
 
+/*
+ * Record claim/DOMAIN.epoch: outlives the claims.
+ */
+struct  Mimosastair__Epoch
+{
+  ProtobufCMessage base;
+  /*
+   * how often the domain was claimed
+   */
+  uint32_t claims;
+  /*
+   * processor of the largest VM known at the last claim
+   */
+  uint32_t cpu_most_milli;
+};
+#define MIMOSASTAIR__EPOCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__epoch__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Record claim/DOMAIN, under a lease.
  */
@@ -305,10 +326,14 @@
    * the decider's calls to the key-value service are answered
    */
   protobuf_c_boolean store_ok;
+  /*
+   * processor of the largest VM that the decider knows
+   */
+  uint32_t cpu_most_milli;
 };
 #define MIMOSASTAIR__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__pong__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -741,6 +766,25 @@
 void   mimosastair__ended__free_unpacked
                      (Mimosastair__Ended *message,
                       ProtobufCAllocator *allocator);
+/* Mimosastair__Epoch methods */
+void   mimosastair__epoch__init
+                     (Mimosastair__Epoch         *message);
+size_t mimosastair__epoch__get_packed_size
+                     (const Mimosastair__Epoch   *message);
+size_t mimosastair__epoch__pack
+                     (const Mimosastair__Epoch   *message,
+                      uint8_t             *out);
+size_t mimosastair__epoch__pack_to_buffer
+                     (const Mimosastair__Epoch   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__Epoch *
+       mimosastair__epoch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__epoch__free_unpacked
+                     (Mimosastair__Epoch *message,
+                      ProtobufCAllocator *allocator);
 /* Mimosastair__Claim methods */
 void   mimosastair__claim__init
                      (Mimosastair__Claim         *message);
@@ -1220,6 +1264,9 @@
 typedef void (*Mimosastair__Ended_Closure)
                  (const Mimosastair__Ended *message,
                   void *closure_data);
+typedef void (*Mimosastair__Epoch_Closure)
+                 (const Mimosastair__Epoch *message,
+                  void *closure_data);
 typedef void (*Mimosastair__Claim_Closure)
                  (const Mimosastair__Claim *message,
                   void *closure_data);
@@ -1305,6 +1352,7 @@
 extern const ProtobufCMessageDescriptor mimosastair__placed_run__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__placement__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__ended__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__epoch__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__claim__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__task_ref__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__run_row__descriptor;
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -4,6 +4,7 @@
 #include "decide/order.h"
 #include "decide/plan.h"
 #include "decide/share.h"
+#include "decide/succession.h"
 #include "decide/tenure.h"
 
 #include <CUnit/Basic.h>
@@ -996,6 +997,27 @@
   CU_ASSERT (!share_should_move (vms, 4, "a", 1));
 }
 
+/* A fleet of two sizes of VM, all bidding for a free claim: a larger one has it, unless
+ * all of these are gone. */
+static void
+test_succession (void)
+{
+  CU_ASSERT_EQUAL (succession_delay_ms (500, 500), 0);
+  CU_ASSERT (succession_delay_ms (120, 500) > succession_delay_ms (500, 500));
+  /* Less than the time without a decider that a lapsed claim costs anyway. */
+  CU_ASSERT (succession_delay_ms (120, 500) < 1000);
+  /* VMs of one size don't wait for each other. */
+  CU_ASSERT_EQUAL (succession_delay_ms (250, 250), 0);
+  CU_ASSERT_EQUAL (succession_delay_ms (450, 500), 0);
+  /* At the first start no size is known but the own one. */
+  CU_ASSERT (succession_delay_ms (120, 0) > succession_delay_ms (500, 0));
+  CU_ASSERT_EQUAL (succession_delay_ms (1000, 0), 0);
+  CU_ASSERT (succession_should_yield (120, 500));
+  CU_ASSERT_FALSE (succession_should_yield (500, 500));
+  CU_ASSERT_FALSE (succession_should_yield (500, 120));
+  CU_ASSERT_FALSE (succession_should_yield (450, 500));
+}
+
 static void
 test_tenure (void)
 {
@@ -1086,6 +1108,7 @@
   CU_add_test (suite, "slow advice leaves slots", test_slow_advice_leaves_slots);
   CU_add_test (suite, "order of waiting work", test_order);
   CU_add_test (suite, "executors are shared by load", test_share);
+  CU_add_test (suite, "the larger VM takes a free claim", test_succession);
   CU_add_test (suite, "a claim is valid while renewed and seen", test_tenure);
   CU_add_test (suite, "when to come back", test_admission);
   CU_add_test (suite, "the longest prefix routes", test_routes);
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -54,6 +54,7 @@
   gint64 number;
   char *text;
   char *address;
+  gint64 thousandths;
 } values_t;
 
 /* Loads the settings of a small program from one argument. */
@@ -78,7 +79,14 @@
                                    .kind = SETTING_ADDRESS,
                                    .value = &values->address,
                                    .fallback = "127.0.0.1:1",
-                                   .help = "an address" } };
+                                   .help = "an address" },
+                                 { .flag = "share",
+                                   .kind = SETTING_DECIMAL,
+                                   .value = &values->thousandths,
+                                   .fallback = "0.25",
+                                   .min = 10,
+                                   .max = 4000,
+                                   .help = "a share" } };
   char program[] = "test";
   g_autofree char *copy = g_strdup (argument);
   char *argv[] = { program, copy, NULL };
@@ -94,7 +102,8 @@
   static const char *const bad[]
       = { "--count=0",    "--count=10",      "--count=two",        "--name=",
           "--name=abcde", "--listen=nohost", "--listen=host.x:80", "--listen=1.2.3.4:99999",
-          "--unknown=1" };
+          "--unknown=1",  "--share=0.009",   "--share=4.1",        "--share=1,5",
+          "--share=nan",  "--share=" };
   values_t values = { 0 };
   error_info_t error;
 
@@ -102,6 +111,9 @@
   CU_ASSERT_EQUAL (values.number, 3);
   CU_ASSERT (load (&values, "--count=7", &error));
   CU_ASSERT_EQUAL (values.number, 7);
+  CU_ASSERT_EQUAL (values.thousandths, 250);
+  CU_ASSERT (load (&values, "--share=1.5", &error));
+  CU_ASSERT_EQUAL (values.thousandths, 1500);
   g_setenv ("MIMOSASTAIR_COUNT", "5", TRUE);
   CU_ASSERT (load (&values, NULL, &error));
   CU_ASSERT_EQUAL (values.number, 5);
