A claim is back soon after an outage of the store

The store was away from 17.9 s to 22.4 s and the decider gave its claim up at 19.1 s; the claim's key outlived the outage, so that no VM decided until its lease had run out at 24.3 s, 1.9 s after jobs were taken again. A VM that had been told of the claim given up forgot it when its first attempt failed. Change: a VM that finds a claim of its own which it no longer holds ends its lease; that a claim is given up is remembered until the key changes; an attempt follows each read of the key; a lease that is needed is asked for again after 100 ms; connecting again waits up to 320 ms.

--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -88,14 +88,20 @@
   claim->timer = 0;
 }
 
+/* No VM decides, as far as is known. */
+static bool
+is_free (const claim_t *claim)
+{
+  return !claim->is_present || claim->released_revision != 0;
+}
+
 static gboolean
 attempt (gpointer data)
 {
   claim_t *claim = data;
 
   claim->timer = 0;
-  if (claim->state == CLAIM_FOLLOWING && claim->is_synced
-      && (!claim->is_present || claim->released_revision != 0)
+  if (claim->state == CLAIM_FOLLOWING && claim->is_synced && is_free (claim)
       && clock_now_us () >= claim->abstain_until_us)
     try_claim (claim);
   return G_SOURCE_REMOVE;
@@ -122,7 +128,6 @@
 {
   if (claim->state != CLAIM_TRYING)
     return;
-  claim->released_revision = 0;
   claim->state = CLAIM_FOLLOWING;
   grant_standby (claim);
   schedule_attempt (claim, RETRY_MS);
@@ -222,6 +227,11 @@
       claim->store->calls->get (claim->store, claim->key, read_back, claim);
       return;
     case STORE_REFUSED:
+      /* Another VM has written the key. */
+      claim->released_revision = 0;
+      drop_lease (claim);
+      stop_trying (claim);
+      return;
     case STORE_MISSING:
     case STORE_UNAVAILABLE:
       drop_lease (claim);
@@ -276,8 +286,10 @@
 static void
 schedule_standby (claim_t *claim)
 {
+  guint delay_ms = claim->is_wanted ? RETRY_MS : claim->config.ttl_ms / 2;
+
   if (claim->standby_timer == 0)
-    claim->standby_timer = g_timeout_add (claim->config.ttl_ms / 2, keep_standby, claim);
+    claim->standby_timer = g_timeout_add (delay_ms, keep_standby, claim);
 }
 
 static void
@@ -304,9 +316,12 @@
       claim->standby = reply->lease;
       claim->standby_sent_us = claim->standby_asked_us;
     }
+  if (claim->is_wanted && claim->standby != 0 && claim->state == CLAIM_FOLLOWING)
+    {
+      claim->is_wanted = false;
+      schedule_attempt (claim, 0);
+    }
   schedule_standby (claim);
-  if (claim->is_wanted && claim->state == CLAIM_FOLLOWING)
-    schedule_attempt (claim, 0);
 }
 
 static void
@@ -452,11 +467,12 @@
   claim->released = NULL;
 }
 
-/* This VM's process before this one is dead: what it claimed is free. */
+/* A claim that this VM gave up while the service did not answer, or that its process
+ * before this one held: it is free. */
 static void
-drop_former_life (claim_t *claim, const store_item_t *item)
+drop_former_claim (claim_t *claim, const store_item_t *item)
 {
-  LOG_INFO ("claim_of_former_life", "fence=%" G_GINT64_FORMAT, item->revision);
+  LOG_INFO ("claim_of_ours_ended", "fence=%" G_GINT64_FORMAT, item->revision);
   claim->store->calls->lease_end (claim->store, item->lease, ignore_reply, NULL);
 }
 
@@ -505,11 +521,12 @@
   message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
   if (message == NULL)
     return;
+  if (item->revision != claim->released_revision)
+    claim->released_revision = 0;
   if (claim->state == CLAIM_HELD && !is_ours (claim, item) && item->revision > claim->fence)
     lose (claim, "taken_over");
-  if (claim->state == CLAIM_FOLLOWING && strcmp (message->vm, claim->config.vm) == 0
-      && message->life != claim->config.life)
-    drop_former_life (claim, item);
+  if (claim->state == CLAIM_FOLLOWING && strcmp (message->vm, claim->config.vm) == 0)
+    drop_former_claim (claim, item);
   tell_holder (claim, message->vm, message->address);
   mimosastair__claim__free_unpacked (message, NULL);
 }
@@ -522,7 +539,7 @@
   claim->is_synced = true;
   if (claim->standby_timer == 0 && !claim->is_granting && claim->standby == 0)
     grant_standby (claim);
-  if (!claim->is_present)
+  if (is_free (claim))
     schedule_attempt (claim, turn_ms (claim));
 }
 
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -23,6 +23,7 @@
   gint64 valid_until_us;
   guint ping_timer;
   guint connect_timer;
+  guint reconnect_ms; /* next pause; doubled until a decider answers */
   guint64 next_ask;
   GHashTable *asks;    /* number -> ask_t */
   GHashTable *relays;  /* number -> relay_t */
@@ -53,6 +54,7 @@
 {
   PING_MS = 250,
   RECONNECT_MS = 40,
+  RECONNECT_MOST_MS = 320,
   UNKNOWN_MAX
   = 5000, /* jobs kept for a decider that does not confirm; it finds the others itself */
   JOBS_PER_FRAME = 50
@@ -107,7 +109,8 @@
   if (uplink->is_open)
     LOG_WARN ("decider_lost", "address=%s reason=%s", uplink->holder, reason);
   close_link (uplink);
-  schedule_connect (uplink, RECONNECT_MS);
+  schedule_connect (uplink, uplink->reconnect_ms);
+  uplink->reconnect_ms = MIN (uplink->reconnect_ms * 2, RECONNECT_MOST_MS);
 }
 
 static void
@@ -195,6 +198,7 @@
 handle_pong (uplink_t *uplink, const Mimosastair__Pong *pong)
 {
   uplink->is_ready = pong->ready;
+  uplink->reconnect_ms = RECONNECT_MS;
   uplink->has_store = pong->store_ok;
   uplink->valid_until_us = pong->valid_us > 0 ? pong->sent_us + pong->valid_us : 0;
   agent_permit (uplink->agent, pong->fence, uplink->valid_until_us);
@@ -330,6 +334,7 @@
     return;
   g_free (uplink->holder);
   uplink->holder = g_strdup (address);
+  uplink->reconnect_ms = RECONNECT_MS;
   close_link (uplink);
   if (address != NULL && uplink->connect_timer == 0)
     connect_now (uplink);
--- /dev/null
+++ b/tests/claim.c
@@ -0,0 +1,238 @@
+/* The claim on a domain against a service within this process: who holds it, and how
+ * long a domain is without a holder. */
+#include "entry/claim.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "fake_store.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+
+enum
+{
+  TTL_MS = 1000,
+  MOMENT_MS = 300 /* for calls and the spread of attempts */
+};
+
+typedef struct
+{
+  store_t *store;
+  claim_t *claim;
+  gint64 fence; /* 0: not the holder */
+  guint epoch;
+  guint gains;
+} bidder_t;
+
+static fake_service_t *service;
+
+static void
+gained (gint64 fence, guint epoch, void *data)
+{
+  bidder_t *bidder = data;
+
+  bidder->fence = fence;
+  bidder->epoch = epoch;
+  bidder->gains++;
+}
+
+static void
+lost (const char *reason G_GNUC_UNUSED, void *data)
+{
+  ((bidder_t *) data)->fence = 0;
+}
+
+static void
+holder_told (const char *vm G_GNUC_UNUSED,
+             const char *address G_GNUC_UNUSED,
+             void *data G_GNUC_UNUSED)
+{
+}
+
+static const claim_events_t events = { gained, lost, holder_told };
+
+static void
+start (bidder_t *bidder, const char *vm, guint cpu_milli)
+{
+  claim_config_t config = {
+    .domain = "d",
+    .vm = vm,
+    .address = vm,
+    .life = 1,
+    .ttl_ms = TTL_MS,
+    .cpu_milli = cpu_milli,
+  };
+
+  *bidder = (bidder_t){ .store = fake_store_new (service) };
+  bidder->claim = claim_new (bidder->store, &config, &events, bidder);
+}
+
+static gboolean
+stop_waiting (gpointer data)
+{
+  *(bool *) data = true;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_ms (guint ms)
+{
+  bool is_over = false;
+
+  g_timeout_add (ms, stop_waiting, &is_over);
+  while (!is_over)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Waits until one of two bidders holds the claim; NULL after `ms`. */
+static bidder_t *
+wait_for_holder (bidder_t *first, bidder_t *second, guint ms)
+{
+  gint64 end_us = clock_now_us () + (gint64) ms * 1000;
+
+  while (clock_now_us () < end_us)
+    {
+      if (first->fence != 0)
+        return first;
+      if (second->fence != 0)
+        return second;
+      wait_ms (5);
+    }
+  return NULL;
+}
+
+static void
+given_up (void *data G_GNUC_UNUSED)
+{
+}
+
+/* The calls of the claims are answered before their owners go. */
+static void
+finish (bidder_t *first, bidder_t *second)
+{
+  fake_service_set_down (service, false);
+  claim_give_up (first->claim, given_up, NULL);
+  claim_give_up (second->claim, given_up, NULL);
+  wait_ms (MOMENT_MS);
+  /* Ends the watches. */
+  fake_service_set_down (service, true);
+  wait_ms (MOMENT_MS);
+  claim_free (first->claim);
+  claim_free (second->claim);
+  wait_ms (MOMENT_MS);
+  first->store->calls->free (first->store);
+  second->store->calls->free (second->store);
+  fake_service_free (service);
+}
+
+static void
+test_one_holder (void)
+{
+  bidder_t a;
+  bidder_t b;
+  bidder_t *holder;
+  bidder_t *other;
+  gint64 fence;
+
+  service = fake_service_new ();
+  start (&a, "a", 1000);
+  start (&b, "b", 1000);
+  holder = wait_for_holder (&a, &b, 2 * MOMENT_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (holder);
+  other = holder == &a ? &b : &a;
+  wait_ms (MOMENT_MS);
+  CU_ASSERT_EQUAL (other->fence, 0);
+  fence = holder->fence;
+  /* The key is taken away, while the holder's lease is renewed. */
+  fake_service_revoke (service, "claim/d");
+  wait_ms (TTL_MS);
+  CU_ASSERT ((a.fence == 0) != (b.fence == 0));
+  CU_ASSERT (MAX (a.fence, b.fence) > fence);
+  CU_ASSERT_EQUAL (MAX (a.epoch, b.epoch), 1);
+  finish (&a, &b);
+}
+
+/* The service was down for longer than the claim is valid. */
+static void
+test_back_after_outage (void)
+{
+  bidder_t a;
+  bidder_t b;
+  bidder_t *holder;
+  gint64 fence;
+
+  service = fake_service_new ();
+  start (&a, "a", 1000);
+  start (&b, "b", 1000);
+  holder = wait_for_holder (&a, &b, 2 * MOMENT_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (holder);
+  fence = holder->fence;
+  wait_ms (MOMENT_MS);
+  fake_service_set_down (service, true);
+  wait_ms (2 * TTL_MS);
+  claim_abdicate (holder->claim);
+  wait_ms (2 * TTL_MS);
+  fake_service_set_down (service, false);
+  /* The former claim's key is there for TTL_MS yet: its owner takes it away. */
+  holder = wait_for_holder (&a, &b, TTL_MS - MOMENT_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (holder);
+  CU_ASSERT (holder->fence > fence);
+  finish (&a, &b);
+}
+
+/* Told that a claim is given up while the service is down, a VM remembers it. */
+static void
+test_abandoned_in_outage (void)
+{
+  bidder_t a;
+  bidder_t b;
+  bidder_t *holder;
+  bidder_t *other;
+
+  service = fake_service_new ();
+  start (&a, "a", 1000);
+  start (&b, "b", 1000);
+  holder = wait_for_holder (&a, &b, 2 * MOMENT_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (holder);
+  other = holder == &a ? &b : &a;
+  wait_ms (MOMENT_MS);
+  fake_service_set_down (service, true);
+  claim_abandoned (other->claim, holder->fence);
+  wait_ms (2 * MOMENT_MS);
+  fake_service_set_down (service, false);
+  wait_ms (2 * MOMENT_MS);
+  CU_ASSERT (other->fence != 0);
+  finish (&a, &b);
+}
+
+static void
+test_larger_first (void)
+{
+  bidder_t small;
+  bidder_t large;
+
+  service = fake_service_new ();
+  start (&small, "a", 120);
+  start (&large, "b", 500);
+  CU_ASSERT_PTR_EQUAL (wait_for_holder (&small, &large, 4 * MOMENT_MS), &large);
+  finish (&small, &large);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  if (CU_initialize_registry () != CUE_SUCCESS || !log_init ("error"))
+    return EXIT_FAILURE;
+  suite = CU_add_suite ("claim", NULL, NULL);
+  CU_add_test (suite, "one VM holds the claim", test_one_holder);
+  CU_add_test (suite, "a claim is back soon after an outage", test_back_after_outage);
+  CU_add_test (suite, "a claim given up in an outage", test_abandoned_in_outage);
+  CU_add_test (suite, "the larger VM is first", test_larger_first);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/fake_store.c
@@ -0,0 +1,517 @@
+#include "fake_store.h"
+
+#include <string.h>
+
+enum
+{
+  CALL_TIMEOUT_MS = 100, /* a call to a service that is down is given up */
+  SWEEP_MS = 10          /* leases and watches are looked at */
+};
+
+typedef struct
+{
+  char *key;
+  GBytes *value;
+  gint64 revision;
+  gint64 created;
+  gint64 lease;
+} row_t;
+
+typedef struct
+{
+  gint64 id;
+  gint64 ttl_ms;
+  gint64 end_us;
+} lease_t;
+
+typedef struct
+{
+  char *key;
+  gint64 revision;
+  bool deleted;
+} event_t;
+
+typedef struct
+{
+  char *prefix;
+  gint64 after;
+  gint64 end_us;
+  store_done_t done;
+  void *data;
+} watch_t;
+
+struct fake_service
+{
+  GHashTable *rows;   /* key -> row_t */
+  GHashTable *leases; /* id -> lease_t */
+  GPtrArray *events;
+  GPtrArray *watches;
+  gint64 revision;
+  gint64 next_lease;
+  bool is_down;
+  guint sweep_timer;
+};
+
+typedef struct
+{
+  store_t base;
+  fake_service_t *service;
+} fake_store_t;
+
+/* An answer on its way. */
+typedef struct
+{
+  store_reply_t reply;
+  store_done_t done;
+  void *data;
+} answer_t;
+
+static void
+free_row (gpointer data)
+{
+  row_t *row = data;
+
+  g_free (row->key);
+  g_bytes_unref (row->value);
+  g_free (row);
+}
+
+static void
+free_event (gpointer data)
+{
+  event_t *event = data;
+
+  g_free (event->key);
+  g_free (event);
+}
+
+static void
+free_watch (gpointer data)
+{
+  watch_t *watch = data;
+
+  g_free (watch->prefix);
+  g_free (watch);
+}
+
+static gboolean
+deliver (gpointer data)
+{
+  answer_t *answer = data;
+
+  answer->done (&answer->reply, answer->data);
+  g_ptr_array_unref (answer->reply.items);
+  g_free (answer);
+  return G_SOURCE_REMOVE;
+}
+
+static answer_t *
+answer_new (const fake_service_t *service, store_status_t status, store_done_t done, void *data)
+{
+  answer_t *answer = g_new0 (answer_t, 1);
+
+  answer->reply.status = status;
+  answer->reply.revision = service->revision;
+  answer->reply.items = g_ptr_array_new_with_free_func ((GDestroyNotify) store_item_free);
+  answer->done = done;
+  answer->data = data;
+  return answer;
+}
+
+static void
+send (answer_t *answer)
+{
+  g_idle_add (deliver, answer);
+}
+
+/* True when the service is down; the call is then told as lost. */
+static bool
+lose (const fake_service_t *service, store_done_t done, void *data)
+{
+  if (!service->is_down)
+    return false;
+  g_timeout_add (CALL_TIMEOUT_MS, deliver, answer_new (service, STORE_LOST, done, data));
+  return true;
+}
+
+static fake_service_t *
+service_of (store_t *store)
+{
+  return ((fake_store_t *) store)->service;
+}
+
+static store_item_t *
+item_of (const row_t *row)
+{
+  store_item_t *item = g_new0 (store_item_t, 1);
+
+  item->key = g_strdup (row->key);
+  item->value_bytes = g_bytes_get_size (row->value);
+  item->value = g_memdup2 (g_bytes_get_data (row->value, NULL), item->value_bytes);
+  item->revision = row->revision;
+  item->created = row->created;
+  item->lease = row->lease;
+  return item;
+}
+
+static void
+note_event (fake_service_t *service, const char *key, bool deleted)
+{
+  event_t *event = g_new0 (event_t, 1);
+
+  event->key = g_strdup (key);
+  event->revision = service->revision;
+  event->deleted = deleted;
+  g_ptr_array_add (service->events, event);
+}
+
+static void
+remove_key (fake_service_t *service, const char *key)
+{
+  g_autofree char *copy = g_strdup (key);
+
+  if (!g_hash_table_remove (service->rows, copy))
+    return;
+  service->revision++;
+  note_event (service, copy, true);
+}
+
+static void
+remove_keys_of (fake_service_t *service, gint64 lease)
+{
+  g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, service->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const row_t *row = value;
+
+      if (row->lease == lease)
+        g_ptr_array_add (keys, g_strdup (row->key));
+    }
+  for (guint i = 0; i < keys->len; i++)
+    remove_key (service, g_ptr_array_index (keys, i));
+}
+
+/* ---- Watches and leases, looked at by time. */
+
+/* Answers a watch with what happened since; false: nothing yet. */
+static bool
+serve_watch (fake_service_t *service, const watch_t *watch, gint64 now_us)
+{
+  answer_t *answer = answer_new (service, STORE_DONE, watch->done, watch->data);
+
+  for (guint i = 0; i < service->events->len; i++)
+    {
+      const event_t *event = g_ptr_array_index (service->events, i);
+      const row_t *row = g_hash_table_lookup (service->rows, event->key);
+      store_item_t *item;
+
+      if (event->revision <= watch->after || !g_str_has_prefix (event->key, watch->prefix))
+        continue;
+      /* Only the last state of a key is told. */
+      if (event->deleted ? row != NULL : row == NULL || row->revision != event->revision)
+        continue;
+      item = event->deleted ? g_new0 (store_item_t, 1) : item_of (row);
+      if (event->deleted)
+        item->key = g_strdup (event->key);
+      item->deleted = event->deleted;
+      item->revision = event->revision;
+      g_ptr_array_add (answer->reply.items, item);
+    }
+  if (answer->reply.items->len == 0 && now_us < watch->end_us)
+    {
+      g_ptr_array_unref (answer->reply.items);
+      g_free (answer);
+      return false;
+    }
+  send (answer);
+  return true;
+}
+
+static gboolean
+sweep (gpointer data)
+{
+  fake_service_t *service = data;
+  gint64 now_us = g_get_monotonic_time ();
+  g_autoptr (GArray) ended = g_array_new (FALSE, FALSE, sizeof (gint64));
+  GHashTableIter iter;
+  gpointer value;
+
+  if (service->is_down)
+    return G_SOURCE_CONTINUE;
+  g_hash_table_iter_init (&iter, service->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const lease_t *lease = value;
+
+      if (lease->end_us <= now_us)
+        g_array_append_val (ended, lease->id);
+    }
+  for (guint i = 0; i < ended->len; i++)
+    {
+      gint64 id = g_array_index (ended, gint64, i);
+
+      g_hash_table_remove (service->leases, &id);
+      remove_keys_of (service, id);
+    }
+  for (guint i = 0; i < service->watches->len;)
+    {
+      if (serve_watch (service, g_ptr_array_index (service->watches, i), now_us))
+        g_ptr_array_remove_index (service->watches, i);
+      else
+        i++;
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+/* ---- Calls. */
+
+static void
+get (store_t *store, const char *key, store_done_t done, void *data)
+{
+  fake_service_t *service = service_of (store);
+  const row_t *row = g_hash_table_lookup (service->rows, key);
+  answer_t *answer;
+
+  if (lose (service, done, data))
+    return;
+  answer = answer_new (service, row != NULL ? STORE_DONE : STORE_MISSING, done, data);
+  if (row != NULL)
+    g_ptr_array_add (answer->reply.items, item_of (row));
+  send (answer);
+}
+
+static gint
+compare_items (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(store_item_t *const *) a)->key, (*(store_item_t *const *) b)->key);
+}
+
+static void
+range (store_t *store, const char *prefix, const char *after, store_done_t done, void *data)
+{
+  fake_service_t *service = service_of (store);
+  answer_t *answer;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (lose (service, done, data))
+    return;
+  answer = answer_new (service, STORE_DONE, done, data);
+  g_hash_table_iter_init (&iter, service->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const row_t *row = value;
+
+      if (g_str_has_prefix (row->key, prefix) && (after == NULL || strcmp (row->key, after) > 0))
+        g_ptr_array_add (answer->reply.items, item_of (row));
+    }
+  g_ptr_array_sort (answer->reply.items, compare_items);
+  send (answer);
+}
+
+static void
+watch (
+    store_t *store, const char *prefix, gint64 after, guint wait_ms, store_done_t done, void *data)
+{
+  fake_service_t *service = service_of (store);
+  watch_t *watch;
+
+  if (lose (service, done, data))
+    return;
+  watch = g_new0 (watch_t, 1);
+  watch->prefix = g_strdup (prefix);
+  watch->after = after;
+  watch->end_us = g_get_monotonic_time () + (gint64) wait_ms * 1000;
+  watch->done = done;
+  watch->data = data;
+  g_ptr_array_add (service->watches, watch);
+}
+
+static bool
+holds (const fake_service_t *service, const store_expect_t *expect)
+{
+  return fake_service_revision (service, expect->key) == expect->revision;
+}
+
+static void
+put (fake_service_t *service, const store_write_t *write)
+{
+  const row_t *former = g_hash_table_lookup (service->rows, write->key);
+  row_t *row = g_new0 (row_t, 1);
+
+  row->key = g_strdup (write->key);
+  row->value = g_bytes_new (write->value, write->value_bytes);
+  row->revision = service->revision;
+  row->created = former != NULL ? former->created : service->revision;
+  row->lease = write->lease;
+  g_hash_table_replace (service->rows, row->key, row);
+  note_event (service, row->key, false);
+}
+
+static void
+txn (store_t *store,
+     const store_expect_t *expect,
+     gsize expect_count,
+     const store_write_t *writes,
+     gsize write_count,
+     store_done_t done,
+     void *data)
+{
+  fake_service_t *service = service_of (store);
+  bool is_refused = false;
+
+  if (lose (service, done, data))
+    return;
+  for (gsize i = 0; i < expect_count; i++)
+    is_refused |= !holds (service, &expect[i]);
+  for (gsize i = 0; i < write_count; i++)
+    is_refused
+        |= writes[i].lease != 0 && g_hash_table_lookup (service->leases, &writes[i].lease) == NULL;
+  if (is_refused)
+    {
+      send (answer_new (service, STORE_REFUSED, done, data));
+      return;
+    }
+  service->revision++;
+  for (gsize i = 0; i < write_count; i++)
+    {
+      if (writes[i].value != NULL)
+        put (service, &writes[i]);
+      else if (g_hash_table_remove (service->rows, writes[i].key))
+        note_event (service, writes[i].key, true);
+    }
+  send (answer_new (service, STORE_DONE, done, data));
+}
+
+static void
+grant (store_t *store, gint64 ttl_ms, store_done_t done, void *data)
+{
+  fake_service_t *service = service_of (store);
+  lease_t *lease;
+  answer_t *answer;
+
+  if (lose (service, done, data))
+    return;
+  lease = g_new0 (lease_t, 1);
+  lease->id = ++service->next_lease;
+  lease->ttl_ms = ttl_ms;
+  lease->end_us = g_get_monotonic_time () + ttl_ms * 1000;
+  g_hash_table_insert (service->leases, &lease->id, lease);
+  answer = answer_new (service, STORE_DONE, done, data);
+  answer->reply.lease = lease->id;
+  answer->reply.ttl_ms = ttl_ms;
+  send (answer);
+}
+
+static void
+keep (store_t *store, gint64 id, store_done_t done, void *data)
+{
+  fake_service_t *service = service_of (store);
+  lease_t *lease = g_hash_table_lookup (service->leases, &id);
+
+  if (lose (service, done, data))
+    return;
+  if (lease != NULL)
+    lease->end_us = g_get_monotonic_time () + lease->ttl_ms * 1000;
+  send (answer_new (service, lease != NULL ? STORE_DONE : STORE_MISSING, done, data));
+}
+
+static void
+lease_end (store_t *store, gint64 id, store_done_t done, void *data)
+{
+  fake_service_t *service = service_of (store);
+
+  if (lose (service, done, data))
+    return;
+  g_hash_table_remove (service->leases, &id);
+  remove_keys_of (service, id);
+  send (answer_new (service, STORE_DONE, done, data));
+}
+
+static void
+free_store (store_t *store)
+{
+  g_free (store);
+}
+
+static const store_calls_t calls = { get, range, watch, txn, grant, keep, lease_end, free_store };
+
+store_t *
+fake_store_new (fake_service_t *service)
+{
+  fake_store_t *store = g_new0 (fake_store_t, 1);
+
+  store->base.calls = &calls;
+  store->service = service;
+  return &store->base;
+}
+
+fake_service_t *
+fake_service_new (void)
+{
+  fake_service_t *service = g_new0 (fake_service_t, 1);
+
+  service->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
+  service->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  service->events = g_ptr_array_new_with_free_func (free_event);
+  service->watches = g_ptr_array_new_with_free_func (free_watch);
+  service->sweep_timer = g_timeout_add (SWEEP_MS, sweep, service);
+  return service;
+}
+
+void
+fake_service_free (fake_service_t *service)
+{
+  g_source_remove (service->sweep_timer);
+  g_hash_table_unref (service->rows);
+  g_hash_table_unref (service->leases);
+  g_ptr_array_unref (service->events);
+  g_ptr_array_unref (service->watches);
+  g_free (service);
+}
+
+void
+fake_service_set_down (fake_service_t *service, bool is_down)
+{
+  gint64 now_us = g_get_monotonic_time ();
+  GHashTableIter iter;
+  gpointer value;
+
+  service->is_down = is_down;
+  if (is_down)
+    {
+      for (guint i = 0; i < service->watches->len; i++)
+        {
+          const watch_t *watch = g_ptr_array_index (service->watches, i);
+
+          (void) lose (service, watch->done, watch->data);
+        }
+      g_ptr_array_set_size (service->watches, 0);
+      return;
+    }
+  g_hash_table_iter_init (&iter, service->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      lease_t *lease = value;
+
+      lease->end_us = now_us + lease->ttl_ms * 1000;
+    }
+}
+
+void
+fake_service_revoke (fake_service_t *service, const char *key)
+{
+  remove_key (service, key);
+}
+
+gint64
+fake_service_revision (const fake_service_t *service, const char *key)
+{
+  const row_t *row = g_hash_table_lookup (service->rows, key);
+
+  return row != NULL ? row->revision : 0;
+}
