Gangs start by a plan of openings, with advice asked ahead

A gang asked for advice only on executors that had room at that moment, so that its 700 ms call began when the room was there, its tickets had often lapsed by the time the last member fitted, and room was kept on the first executors of the list rather than on those that would be free first. Change: decide/cell_gang.c. Each executor that may run the step gives openings with the time at which it is expected to have room (progress, else the estimate) and a ticket; the first of them make the plan, keep their room from later work, and have their tickets asked for in time. Verdicts are asked about until twice the gang could run. One rack or a spread gang is decided by when each would be done. Allowed executors are read from the step's verdicts, not by a look at the whole fleet.

--- a/src/decide/cell_advice.c
+++ b/src/decide/cell_advice.c
@@ -140,7 +140,7 @@
 choose_named (const step_t *step, const GArray *found)
 {
   GPtrArray *named = g_ptr_array_new_with_free_func (g_free);
-  double share = CLAMP (step->job->queue->allowed_share, 0.1, 1.0);
+  double share = cell_allowed_share (step);
   double expected = 0.0;
 
   for (guint i = 0; i < found->len && named->len < NAMED_MAX; i++)
@@ -159,11 +159,12 @@
 static guint
 tasks_covered (const cell_t *cell, const step_t *step, gint64 now_us)
 {
+  g_autoptr (GPtrArray) allowed = cell_allowed_executors (cell, step);
   guint covered = 0;
 
-  for (guint i = 0; i < cell->executor_list->len; i++)
+  for (guint i = 0; i < allowed->len; i++)
     {
-      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+      executor_t *executor = g_ptr_array_index (allowed, i);
 
       if (cell_ticket (step, executor, now_us) != NULL && cell_executor_usable (executor, now_us))
         covered += tasks_that_fit (step, executor);
@@ -171,9 +172,54 @@
   return covered;
 }
 
-static void
-send_call (cell_t *cell, step_t *step, GPtrArray *named, gint64 expected_us, gint64 now_us)
+GPtrArray *
+cell_allowed_executors (const cell_t *cell, const step_t *step)
+{
+  GPtrArray *allowed;
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+
+  if (!step->job->queue->advice.is_needed)
+    return g_ptr_array_ref (cell->executor_list);
+  allowed = g_ptr_array_new ();
+  if (step->advice == NULL)
+    return allowed;
+  g_hash_table_iter_init (&iter, step->advice);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      executor_t *executor = cell_find_executor (cell, id);
+
+      if (((const advice_t *) value)->verdict == VERDICT_ALLOWED && executor != NULL)
+        g_ptr_array_add (allowed, executor);
+    }
+  return allowed;
+}
+
+bool
+cell_has_ticket_at (const step_t *step, const executor_t *executor, gint64 at_us)
+{
+  return cell_ticket (step, executor, at_us) != NULL;
+}
+
+double
+cell_allowed_share (const step_t *step)
 {
+  return CLAMP (step->job->queue->allowed_share, 0.1, 1.0);
+}
+
+gint64
+cell_advice_us (const step_t *step, guint count)
+{
+  const advice_terms_t *terms = &step->job->queue->advice;
+
+  return terms->is_needed ? terms->call_us + count * terms->each_us : 0;
+}
+
+void
+cell_send_advice (cell_t *cell, step_t *step, GPtrArray *named, gint64 now_us)
+{
+  gint64 expected_us = cell_advice_us (step, named->len);
   advice_call_t *call = g_new0 (advice_call_t, 1);
   guint64 *key = g_new (guint64, 1);
   advise_order_t order = {
@@ -205,19 +251,22 @@
   cell->ops->advise (&order, cell->data);
 }
 
+bool
+cell_may_ask (const cell_t *cell, const step_t *step, gint64 now_us)
+{
+  return step->advice_order == 0 && step->advice_retry_us <= now_us && cell->advice_slots > 0
+         && (step->job->queue->advice.call_us <= slow_call_us || cell->slow_slots > 0);
+}
+
 /* Asks for tickets when those in hand do not cover the step.  False when no call can be
  * made now. */
 bool
 cell_ask_advice (cell_t *cell, step_t *step, gint64 now_us)
 {
-  const advice_terms_t *terms = &step->job->queue->advice;
   g_autoptr (GArray) found = NULL;
   GPtrArray *named;
-  gint64 expected_us;
 
-  if (step->advice_order != 0 || step->advice_retry_us > now_us || cell->advice_slots == 0)
-    return false;
-  if (terms->call_us > slow_call_us && cell->slow_slots == 0)
+  if (!cell_may_ask (cell, step, now_us))
     return false;
   if (tasks_covered (cell, step, now_us) >= step->wanting)
     return false;
@@ -228,8 +277,7 @@
       g_ptr_array_unref (named);
       return false;
     }
-  expected_us = terms->call_us + named->len * terms->each_us;
-  send_call (cell, step, named, expected_us, now_us);
+  cell_send_advice (cell, step, named, now_us);
   return true;
 }
 
--- a/src/decide/cell_dispatch.c
+++ b/src/decide/cell_dispatch.c
@@ -125,8 +125,8 @@
 
 /* Tasks that fill unused room disturb tasks that serve users within a response-time goal;
  * without pacing the two are kept apart. */
-static bool
-is_disturbed (const executor_t *executor, const step_t *step)
+bool
+cell_executor_disturbed (const executor_t *executor, const step_t *step)
 {
   for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
     {
@@ -169,15 +169,17 @@
 static GArray *
 collect_slots (const cell_t *cell, const step_t *step, gint64 now_us)
 {
+  g_autoptr (GPtrArray) allowed = cell_allowed_executors (cell, step);
   GArray *slots = g_array_new (FALSE, FALSE, sizeof (slot_t));
 
-  for (guint i = 0; i < cell->executor_list->len; i++)
+  for (guint i = 0; i < allowed->len; i++)
     {
-      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+      executor_t *executor = g_ptr_array_index (allowed, i);
       slot_t slot = { .executor = executor };
 
       if (!cell_executor_usable (executor, now_us) || !cell_executor_suits (step, executor)
-          || cell_ticket (step, executor, now_us) == NULL || is_disturbed (executor, step))
+          || cell_ticket (step, executor, now_us) == NULL
+          || cell_executor_disturbed (executor, step))
         continue;
       slot.room = cell_free_room (executor);
       if (!cell_room_fits (step->spec->need, slot.room))
@@ -236,114 +238,14 @@
   slot->taken++;
 }
 
-static void
-start_task (cell_t *cell, task_t *task, executor_t *executor, guint number)
+void
+cell_start_task (cell_t *cell, task_t *task, executor_t *executor, guint number)
 {
   task_ref_t ref = cell_task_ref (task);
 
   cell_plan_run (cell, cell_run_new (cell, task, &ref, executor, number));
 }
 
-/* Keeps the slots of one rack. */
-static GArray *
-slots_of_rack (const GArray *slots, const char *rack)
-{
-  GArray *found = g_array_new (FALSE, FALSE, sizeof (slot_t));
-
-  for (guint i = 0; i < slots->len; i++)
-    {
-      const slot_t *slot = &g_array_index (slots, slot_t, i);
-
-      if (g_strcmp0 (slot->executor->rack, rack) == 0)
-        g_array_append_val (found, *slot);
-    }
-  return found;
-}
-
-static guint
-tasks_that_fit_in (const step_t *step, const GArray *slots)
-{
-  guint fits = 0;
-
-  for (guint i = 0; i < slots->len; i++)
-    {
-      const slot_t *slot = &g_array_index (slots, slot_t, i);
-      guint cpu_fits = step->spec->count;
-
-      if (step->spec->need.cpu_milli > 0)
-        cpu_fits = MIN (cpu_fits, slot->room.cpu_milli / step->spec->need.cpu_milli);
-      if (step->spec->need.mem_mb > 0)
-        cpu_fits = MIN (cpu_fits, slot->room.mem_mb / step->spec->need.mem_mb);
-      fits += cpu_fits;
-    }
-  return fits;
-}
-
-/* The slots of the first rack that holds the whole gang; NULL: none does. */
-static GArray *
-slots_of_one_rack (const step_t *step, const GArray *slots)
-{
-  for (guint i = 0; i < slots->len; i++)
-    {
-      const char *rack = g_array_index (slots, slot_t, i).executor->rack;
-      GArray *found = slots_of_rack (slots, rack);
-
-      if (tasks_that_fit_in (step, found) >= step->spec->count)
-        return found;
-      g_array_unref (found);
-    }
-  return NULL;
-}
-
-/* True when a gang that is to stay in one rack should wait for one rather than be spread:
- * spread, its work takes longer by the factor for remote racks. */
-static bool
-waits_for_rack (const cell_t *cell, const step_t *step, gint64 now_us)
-{
-  double longer = MAX (cell->limits.remote_factor - 1.0, 0.0);
-
-  return (double) (now_us - step->ready_us) < longer * (double) step->spec->est_us;
-}
-
-/* All tasks of a gang at once, or none. */
-static bool
-place_gang (cell_t *cell, step_t *step, GArray *slots)
-{
-  g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
-  guint number = 0;
-  const char *checkpoint = NULL;
-
-  if (step->wanting < step->spec->count)
-    return true; /* members of an earlier run are still there */
-  for (guint i = 0; i < step->spec->count; i++)
-    {
-      slot_t *slot = best_slot (step, slots);
-
-      if (slot == NULL)
-        return false;
-      take_slot (step, slot);
-      g_ptr_array_add (chosen, slot->executor);
-      number = MAX (number, step->tasks[i].last_run);
-      if (step->tasks[i].checkpoint != NULL
-          && (checkpoint == NULL || strcmp (step->tasks[i].checkpoint, checkpoint) > 0))
-        checkpoint = step->tasks[i].checkpoint;
-    }
-  if (checkpoint != NULL)
-    {
-      /* All members carry the same one. */
-      g_autofree char *shared = g_strdup (checkpoint);
-
-      for (guint i = 0; i < step->spec->count; i++)
-        {
-          g_free (step->tasks[i].checkpoint);
-          step->tasks[i].checkpoint = g_strdup (shared);
-        }
-    }
-  for (guint i = 0; i < step->spec->count; i++)
-    start_task (cell, &step->tasks[i], g_ptr_array_index (chosen, i), number + 1);
-  return true;
-}
-
 static bool
 place_each (cell_t *cell, step_t *step, GArray *slots, gint64 now_us)
 {
@@ -358,7 +260,7 @@
       if (slot == NULL)
         return false;
       take_slot (step, slot);
-      start_task (cell, task, slot->executor, task->last_run + 1);
+      cell_start_task (cell, task, slot->executor, task->last_run + 1);
     }
   return true;
 }
@@ -368,45 +270,9 @@
 {
   g_autoptr (GArray) slots = collect_slots (cell, step, now_us);
 
-  if (step->spec->gang && step->spec->same_rack)
-    {
-      g_autoptr (GArray) near = slots_of_one_rack (step, slots);
-
-      if (near != NULL && place_gang (cell, step, near))
-        return true;
-      if (waits_for_rack (cell, step, now_us))
-        return false;
-    }
-  if (step->spec->gang)
-    return place_gang (cell, step, slots);
   return place_each (cell, step, slots, now_us);
 }
 
-/* Keeps room free for a gang on the executors that it may use, so that smaller work
- * does not take each core that becomes free. */
-static void
-reserve_for (cell_t *cell, const step_t *step, gint64 now_us)
-{
-  guint open = step->spec->count;
-
-  for (guint i = 0; i < cell->executor_list->len && open > 0; i++)
-    {
-      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
-      room_t need = step->spec->need;
-      guint fits;
-
-      if (!cell_executor_usable (executor, now_us) || !cell_executor_suits (step, executor)
-          || cell_ticket (step, executor, now_us) == NULL)
-        continue;
-      fits = need.cpu_milli > 0 ? executor->capacity.cpu_milli / need.cpu_milli : open;
-      fits = MIN (fits, open);
-      executor->reserved.cpu_milli += fits * need.cpu_milli;
-      executor->reserved.mem_mb += fits * need.mem_mb;
-      executor->reserved.gpu += fits * need.gpu;
-      open -= fits;
-    }
-}
-
 static void
 clear_reservations (cell_t *cell)
 {
@@ -425,17 +291,14 @@
   for (guint i = 0; i < waiting->len; i++)
     {
       step_t *step = g_array_index (waiting, waiting_t, i).step;
-      bool is_placed = place_step (cell, step, now_us);
 
-      if (is_placed)
-        continue;
-      if (step->job->queue->advice.is_needed)
-        (void) cell_ask_advice (cell, step, now_us);
-      if (step->spec->gang && reservations < RESERVATIONS_MAX)
+      if (step->spec->gang)
         {
-          reservations++;
-          reserve_for (cell, step, now_us);
+          if (!cell_place_gang (cell, step, reservations < RESERVATIONS_MAX, now_us))
+            reservations++;
         }
+      else if (!place_step (cell, step, now_us) && step->job->queue->advice.is_needed)
+        (void) cell_ask_advice (cell, step, now_us);
     }
   clear_reservations (cell);
   return waiting->len > 0;
--- /dev/null
+++ b/src/decide/cell_gang.c
@@ -0,0 +1,420 @@
+#include "decide/cell_state.h"
+
+#include <string.h>
+
+/* Placing gangs: all tasks of a step at once, or none.
+ *
+ * A gang's start is planned on the room that is free and on that which is expected to
+ * become free: each executor that may run it gives openings, one for each task that fits,
+ * with the time at which it has room for it and a ticket.  The earliest openings make up the
+ * plan.  Until its time has come the plan keeps their room from work that comes later in the
+ * order, and tickets are asked for so early that they are there by then.
+ */
+
+/* A call is made this much before its tickets are needed, beside its own time. */
+static const gint64 ask_margin_us = 100 * 1000;
+
+enum
+{
+  KNOWN_FACTOR = 2, /* executors are asked about until that many gangs could run on them */
+  NAMED_MAX = 100,  /* executors of one call */
+  SPARE_MAX = 2     /* named beyond the plan: an expected end may come late */
+};
+
+/* Room on an executor for one task of the gang. */
+typedef struct
+{
+  executor_t *executor;
+  gint64 at_us;    /* there is room then, as expected */
+  gint64 ready_us; /* and a ticket */
+  gint64 cost;     /* among those of one time */
+} opening_t;
+
+typedef struct
+{
+  gint64 at_us;
+  room_t room;
+} release_t;
+
+static int
+by_release (const void *a, const void *b)
+{
+  const release_t *left = a;
+  const release_t *right = b;
+
+  return left->at_us < right->at_us ? -1 : left->at_us > right->at_us;
+}
+
+static int
+by_ready (const void *a, const void *b)
+{
+  const opening_t *left = a;
+  const opening_t *right = b;
+
+  if (left->ready_us != right->ready_us)
+    return left->ready_us < right->ready_us ? -1 : 1;
+  if (left->cost != right->cost)
+    return left->cost < right->cost ? -1 : 1;
+  return strcmp (left->executor->id, right->executor->id);
+}
+
+/* Room that is free, less what is kept for others; below 0 where that is still taken. */
+typedef struct
+{
+  gint64 cpu_milli;
+  gint64 mem_mb;
+  gint64 gpu;
+} balance_t;
+
+static balance_t
+balance_of (const executor_t *executor)
+{
+  const room_t *all = &executor->capacity;
+  const room_t *used = &executor->used;
+  const room_t *kept = &executor->reserved;
+
+  return (balance_t){
+    .cpu_milli = (gint64) all->cpu_milli - used->cpu_milli - kept->cpu_milli,
+    .mem_mb = (gint64) all->mem_mb - used->mem_mb - kept->mem_mb,
+    .gpu = (gint64) all->gpu - used->gpu - kept->gpu,
+  };
+}
+
+static void
+add_room (balance_t *balance, const room_t *room, gint64 factor)
+{
+  balance->cpu_milli += factor * room->cpu_milli;
+  balance->mem_mb += factor * room->mem_mb;
+  balance->gpu += factor * room->gpu;
+}
+
+static bool
+has_room (const balance_t *balance, const room_t *need)
+{
+  return balance->cpu_milli >= need->cpu_milli && balance->mem_mb >= need->mem_mb
+         && balance->gpu >= need->gpu;
+}
+
+static GArray *
+releases_of (const executor_t *executor, gint64 now_us)
+{
+  GArray *releases = g_array_new (FALSE, FALSE, sizeof (release_t));
+
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      const run_t *run = LIST_ENTRY (node, run_t, by_executor);
+      release_t release = { now_us + cell_run_left_us (run, now_us), run->room };
+
+      g_array_append_val (releases, release);
+    }
+  g_array_sort (releases, by_release);
+  return releases;
+}
+
+/* Sound executors first, then the fullest, so that whole executors stay free. */
+static gint64
+cost_of (const step_t *step, const executor_t *executor)
+{
+  gint64 cost = (gint64) executor->capacity.cpu_milli - executor->used.cpu_milli;
+
+  if (step->spec->data_rack != NULL && !cell_has_label (executor, step->spec->data_rack))
+    cost += 1000000;
+  return cost + (gint64) executor->failures * 10000000;
+}
+
+static gint64
+ready_at (const step_t *step, const executor_t *executor, gint64 at_us, gint64 now_us)
+{
+  if (cell_has_ticket_at (step, executor, at_us))
+    return at_us;
+  return MAX (at_us, now_us + cell_advice_us (step, step->spec->count));
+}
+
+static void
+add_openings (GArray *openings, const step_t *step, executor_t *executor, gint64 now_us)
+{
+  g_autoptr (GArray) releases = releases_of (executor, now_us);
+  const room_t *need = &step->spec->need;
+  balance_t balance = balance_of (executor);
+  opening_t opening = { .executor = executor, .at_us = now_us, .cost = cost_of (step, executor) };
+  guint most = step->spec->count;
+  guint found = 0;
+  guint next = 0;
+
+  if (step->spec->max_per_executor > 0)
+    most = MIN (most, step->spec->max_per_executor);
+  while (found < most)
+    {
+      if (has_room (&balance, need))
+        {
+          add_room (&balance, need, -1);
+          opening.ready_us = ready_at (step, executor, opening.at_us, now_us);
+          g_array_append_val (openings, opening);
+          found++;
+          continue;
+        }
+      if (next == releases->len)
+        return;
+      opening.at_us = g_array_index (releases, release_t, next).at_us;
+      add_room (&balance, &g_array_index (releases, release_t, next).room, 1);
+      next++;
+    }
+}
+
+static bool
+is_candidate (const step_t *step, const executor_t *executor, gint64 now_us)
+{
+  return cell_executor_usable (executor, now_us) && cell_executor_suits (step, executor)
+         && !cell_executor_disturbed (executor, step);
+}
+
+/* Executors that advice has not been asked about. */
+static GPtrArray *
+unknown_executors (const cell_t *cell, const step_t *step)
+{
+  GPtrArray *unknown = g_ptr_array_new ();
+
+  for (guint i = 0; i < cell->executor_list->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (cell->executor_list, i);
+
+      if (cell_verdict (step, executor) == VERDICT_UNKNOWN)
+        g_ptr_array_add (unknown, executor);
+    }
+  return unknown;
+}
+
+static GArray *
+collect_openings (const GPtrArray *executors, const step_t *step, gint64 now_us)
+{
+  GArray *openings = g_array_new (FALSE, FALSE, sizeof (opening_t));
+
+  for (guint i = 0; i < executors->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (executors, i);
+
+      if (is_candidate (step, executor, now_us))
+        add_openings (openings, step, executor, now_us);
+    }
+  g_array_sort (openings, by_ready);
+  return openings;
+}
+
+/* ---- The plan: the first `count` openings. */
+
+static bool
+is_whole (const GArray *plan, const step_t *step)
+{
+  return plan != NULL && plan->len >= step->spec->count;
+}
+
+/* Time at which all members can start. */
+static gint64
+start_of (const GArray *plan, const step_t *step)
+{
+  return is_whole (plan, step) ? g_array_index (plan, opening_t, step->spec->count - 1).ready_us
+                               : G_MAXINT64;
+}
+
+static GArray *
+openings_in_rack (const GArray *openings, const char *rack)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (opening_t));
+
+  for (guint i = 0; i < openings->len; i++)
+    {
+      const opening_t *opening = &g_array_index (openings, opening_t, i);
+
+      if (g_strcmp0 (opening->executor->rack, rack) == 0)
+        g_array_append_val (found, *opening);
+    }
+  return found;
+}
+
+/* The plan within one rack that starts first; NULL: no rack holds the gang. */
+static GArray *
+plan_in_one_rack (const step_t *step, const GArray *openings)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  GArray *best = NULL;
+
+  for (guint i = 0; i < openings->len; i++)
+    {
+      const char *rack = g_array_index (openings, opening_t, i).executor->rack;
+      GArray *plan;
+
+      if (rack == NULL || !g_hash_table_add (seen, (char *) rack))
+        continue;
+      plan = openings_in_rack (openings, rack);
+      if (is_whole (plan, step) && start_of (plan, step) < start_of (best, step))
+        {
+          g_clear_pointer (&best, g_array_unref);
+          best = plan;
+        }
+      else
+        g_array_unref (plan);
+    }
+  return best;
+}
+
+/* Time that a gang which is to stay in one rack takes longer when it is spread. */
+static gint64
+spread_cost_us (const cell_t *cell, const step_t *step)
+{
+  return (gint64) (MAX (cell->limits.remote_factor - 1.0, 0.0) * (double) step->spec->est_us);
+}
+
+/* The openings that the gang is to take; NULL: it waits for a rack. */
+static GArray *
+choose_plan (const cell_t *cell, const step_t *step, const GArray *openings, gint64 now_us)
+{
+  g_autoptr (GArray) near = NULL;
+  gint64 longer_us = spread_cost_us (cell, step);
+
+  if (!step->spec->same_rack)
+    return g_array_ref ((GArray *) openings);
+  near = plan_in_one_rack (step, openings);
+  if (near != NULL && start_of (near, step) - longer_us <= start_of (openings, step))
+    return g_steal_pointer (&near);
+  if (now_us - step->ready_us < longer_us)
+    return NULL;
+  return g_array_ref ((GArray *) openings);
+}
+
+/* ---- Advice. */
+
+static void
+name_executor (GPtrArray *named, const char *id)
+{
+  if (named->len < NAMED_MAX && !g_ptr_array_find_with_equal_func (named, id, g_str_equal, NULL))
+    g_ptr_array_add (named, g_strdup (id));
+}
+
+/* Names the executors of the plan whose tickets would not be good at its start. */
+static void
+name_planned (GPtrArray *named, const GArray *plan, const step_t *step, gint64 now_us)
+{
+  guint wanted = MIN (plan->len, step->spec->count + SPARE_MAX);
+  gint64 start_us = start_of (plan, step);
+
+  if (is_whole (plan, step)
+      && start_us > now_us + cell_advice_us (step, step->spec->count) + ask_margin_us)
+    return;
+  for (guint i = 0; i < wanted; i++)
+    {
+      const opening_t *opening = &g_array_index (plan, opening_t, i);
+
+      if (!cell_has_ticket_at (step, opening->executor, MAX (opening->at_us, now_us)))
+        name_executor (named, opening->executor->id);
+    }
+}
+
+/* Names executors of which nothing is known, until the gang has a choice. */
+static void
+name_unknown (const cell_t *cell, GPtrArray *named, const step_t *step, guint known, gint64 now_us)
+{
+  g_autoptr (GPtrArray) unknown = NULL;
+  g_autoptr (GArray) openings = NULL;
+  double share = cell_allowed_share (step);
+  double expected = known;
+
+  if (known >= KNOWN_FACTOR * step->spec->count)
+    return;
+  unknown = unknown_executors (cell, step);
+  openings = collect_openings (unknown, step, now_us);
+  for (guint i = 0; i < openings->len && expected < KNOWN_FACTOR * step->spec->count; i++)
+    {
+      name_executor (named, g_array_index (openings, opening_t, i).executor->id);
+      expected += share;
+    }
+}
+
+static void
+ask (cell_t *cell, step_t *step, const GArray *plan, guint known, gint64 now_us)
+{
+  g_autoptr (GPtrArray) named = NULL;
+
+  if (!step->job->queue->advice.is_needed || !cell_may_ask (cell, step, now_us))
+    return;
+  named = g_ptr_array_new_with_free_func (g_free);
+  if (plan != NULL)
+    name_planned (named, plan, step, now_us);
+  name_unknown (cell, named, step, known, now_us);
+  if (named->len > 0)
+    cell_send_advice (cell, step, g_steal_pointer (&named), now_us);
+}
+
+/* ---- Starting. */
+
+/* All members carry the latest checkpoint. */
+static void
+share_checkpoint (step_t *step)
+{
+  g_autofree char *latest = NULL;
+
+  for (guint i = 0; i < step->spec->count; i++)
+    {
+      const char *checkpoint = step->tasks[i].checkpoint;
+
+      if (checkpoint == NULL || (latest != NULL && strcmp (checkpoint, latest) <= 0))
+        continue;
+      g_free (latest);
+      latest = g_strdup (checkpoint);
+    }
+  if (latest == NULL)
+    return;
+  for (guint i = 0; i < step->spec->count; i++)
+    {
+      g_free (step->tasks[i].checkpoint);
+      step->tasks[i].checkpoint = g_strdup (latest);
+    }
+}
+
+static void
+start_gang (cell_t *cell, step_t *step, const GArray *plan)
+{
+  guint number = 0;
+
+  for (guint i = 0; i < step->spec->count; i++)
+    number = MAX (number, step->tasks[i].last_run);
+  share_checkpoint (step);
+  for (guint i = 0; i < step->spec->count; i++)
+    cell_start_task (cell, &step->tasks[i], g_array_index (plan, opening_t, i).executor,
+                     number + 1);
+}
+
+static void
+reserve (const GArray *plan, const step_t *step)
+{
+  for (guint i = 0; i < MIN (plan->len, step->spec->count); i++)
+    {
+      room_t *kept = &g_array_index (plan, opening_t, i).executor->reserved;
+
+      kept->cpu_milli += step->spec->need.cpu_milli;
+      kept->mem_mb += step->spec->need.mem_mb;
+      kept->gpu += step->spec->need.gpu;
+    }
+}
+
+bool
+cell_place_gang (cell_t *cell, step_t *step, bool may_reserve, gint64 now_us)
+{
+  g_autoptr (GPtrArray) allowed = NULL;
+  g_autoptr (GArray) openings = NULL;
+  g_autoptr (GArray) plan = NULL;
+
+  if (step->wanting < step->spec->count)
+    return true; /* members of an earlier run are still there */
+  allowed = cell_allowed_executors (cell, step);
+  openings = collect_openings (allowed, step, now_us);
+  plan = choose_plan (cell, step, openings, now_us);
+  if (start_of (plan, step) <= now_us)
+    {
+      start_gang (cell, step, plan);
+      return true;
+    }
+  ask (cell, step, plan, openings->len, now_us);
+  if (may_reserve && plan != NULL)
+    reserve (plan, step);
+  return false;
+}
--- a/src/decide/cell_progress.c
+++ b/src/decide/cell_progress.c
@@ -25,6 +25,26 @@
                    * task->step->job->queue->work_ratio);
 }
 
+/* Least time that a run is taken to last still. */
+static const gint64 least_left_us = 100 * 1000;
+
+gint64
+cell_run_left_us (const run_t *run, gint64 now_us)
+{
+  gint64 ran_us = run->alive_us > 0 ? now_us - run->alive_us : 0;
+  gint64 left_us = least_left_us;
+
+  if (run->task == NULL || run->state == RUN_STOPPING || run->state == RUN_STOPPED)
+    return least_left_us;
+  if (run->percent > 0 && run->percent_us > run->alive_us)
+    left_us
+        = (run->percent_us - run->alive_us) * (100 - (gint64) run->percent) / (gint64) run->percent
+          - (now_us - run->percent_us);
+  else
+    left_us = expected_us (run->task) - ran_us;
+  return MAX (left_us, least_left_us);
+}
+
 void
 cell_set_aside (cell_t *cell, executor_t *executor, const char *reason, gint64 now_us)
 {
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -252,12 +252,33 @@
 void cell_check_progress (cell_t *cell, executor_t *executor, gint64 now_us);
 void cell_set_aside (cell_t *cell, executor_t *executor, const char *reason, gint64 now_us);
 
+/* Expected time until the run ends, by its progress or its estimate; above 0. */
+gint64 cell_run_left_us (const run_t *run, gint64 now_us);
+
+/* cell_gang.c */
+bool cell_place_gang (cell_t *cell, step_t *step, bool may_reserve, gint64 now_us);
+
 /* cell_advice.c */
 const char *cell_ticket (const step_t *step, const executor_t *executor, gint64 now_us);
 verdict_t cell_verdict (const step_t *step, const executor_t *executor);
 bool cell_ask_advice (cell_t *cell, step_t *step, gint64 now_us);
+/* True when a call for the step can be made now. */
+bool cell_may_ask (const cell_t *cell, const step_t *step, gint64 now_us);
+/* Time that a call that names `count` executors takes. */
+gint64 cell_advice_us (const step_t *step, guint count);
+/* Calls for advice on the executors `named` (ids, taken over). */
+void cell_send_advice (cell_t *cell, step_t *step, GPtrArray *named, gint64 now_us);
+/* The step has a ticket for the executor that is still good at `at_us`. */
+bool cell_has_ticket_at (const step_t *step, const executor_t *executor, gint64 at_us);
+/* Executors that the step may start on, as far as advice has said (those of it that are
+ * known to the cell); all of them when the queue needs none.  Free with g_ptr_array_unref(). */
+GPtrArray *cell_allowed_executors (const cell_t *cell, const step_t *step);
+/* Part of a queue's executors that advice is likely to allow. */
+double cell_allowed_share (const step_t *step);
 void cell_drop_advice (cell_t *cell, step_t *step);
 void cell_forget_ticket (step_t *step, const executor_t *executor);
 
 /* cell_dispatch.c */
+bool cell_executor_disturbed (const executor_t *executor, const step_t *step);
+void cell_start_task (cell_t *cell, task_t *task, executor_t *executor, guint number);
 bool cell_executor_suits (const step_t *step, const executor_t *executor);
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -997,6 +997,123 @@
   CU_ASSERT (!share_should_move (vms, 4, "a", 1));
 }
 
+/* A second queue, whose starts need no advice. */
+static void
+add_plain_queue (fixture_t *fixture)
+{
+  queue_spec_t *queue = g_new0 (queue_spec_t, 1);
+
+  queue->name = g_strdup ("plain");
+  queue->host = g_strdup ("h");
+  queue->prefix = g_strdup ("/plain");
+  queue->service = g_strdup ("s");
+  queue->attempts = 2;
+  queue->stretch = 2.0;
+  g_ptr_array_add (fixture->desired->queues, queue);
+  cell_set_desired (fixture->cell, fixture->desired);
+}
+
+/* Starts a task that runs for about `est_ms`. */
+static void
+occupy_in (fixture_t *fixture, const char *queue, guint number, guint cpu_milli, gint64 est_ms)
+{
+  job_spec_t *spec = job_spec (number, 1, cpu_milli);
+  const entry_t *start;
+
+  g_free (spec->queue);
+  spec->queue = g_strdup (queue);
+  spec->steps[0].est_us = est_ms * MS;
+  add_job (fixture, spec, false);
+  step (fixture);
+  start = must (fixture, 's');
+  cell_order_result (fixture->cell, start->order, ORDER_OK, fixture->now_us);
+}
+
+static void
+finish_run (fixture_t *fixture, const char *id, guint number)
+{
+  end_row_t end = { .number = 1, .task = task_ref (number, 0), .run = 1, .how = END_DONE };
+
+  report (fixture, id, 1, fixture->mark, NULL, 0, &end, 1);
+}
+
+/* The load at which a gang met no free room in the bench: both executors are busy, and a
+ * call for advice takes 700 ms.  The calls are made while the room is still taken, so
+ * that the gang starts when it becomes free. */
+static void
+test_gang_asks_ahead (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  ticket_t tickets[] = { { "e1", "t-1" }, { "e2", "t-2" } };
+  job_spec_t *gang = job_spec (9, 2, 4000);
+  const entry_t *call;
+  guint starts = 0;
+
+  add_plain_queue (fixture);
+  need_advice (fixture);
+  queue_of (fixture)->advice.call_us = 700 * MS;
+  queue_of (fixture)->advice.valid_us = 1500 * MS;
+  cell_set_desired (fixture->cell, fixture->desired);
+  ready_executor (fixture, "e1");
+  ready_executor (fixture, "e2");
+  occupy_in (fixture, "plain", 1, 4000, 3000);
+  occupy_in (fixture, "plain", 2, 4000, 3000);
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  cell_set_advice_slots (fixture->cell, 2, 2);
+  step (fixture);
+  call = must (fixture, 'a');
+  CU_ASSERT_EQUAL (call->named, 2);
+  fixture->now_us += 700 * MS;
+  cell_advice_result (fixture->cell, call->order, true, tickets, 2, fixture->now_us);
+  /* The tickets would expire before the room is free: no call yet. */
+  cell_set_advice_slots (fixture->cell, 2, 2);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 'a'));
+  fixture->now_us += 1600 * MS;
+  step (fixture);
+  call = must (fixture, 'a');
+  CU_ASSERT_EQUAL (call->named, 2);
+  fixture->now_us += 600 * MS;
+  cell_advice_result (fixture->cell, call->order, true, tickets, 2, fixture->now_us);
+  fixture->now_us += 100 * MS;
+  finish_run (fixture, "e1", 1);
+  finish_run (fixture, "e2", 2);
+  step (fixture);
+  while (next (fixture, 's') != NULL)
+    starts++;
+  CU_ASSERT_EQUAL (starts, 2);
+  fixture_free (fixture);
+}
+
+/* Room is kept for a gang where it becomes free first, and only there. */
+static void
+test_gang_reserves_soonest (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *gang = job_spec (9, 2, 4000);
+  const entry_t *start;
+
+  ready_executor (fixture, "e1");
+  occupy_in (fixture, "q", 1, 4000, 9000);
+  ready_executor (fixture, "e2");
+  occupy_in (fixture, "q", 2, 3000, 1000);
+  ready_executor (fixture, "e3");
+  occupy_in (fixture, "q", 3, 3000, 2000);
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  step (fixture);
+  /* A small task finds no room: what is free on e2 and e3 is the gang's. */
+  add_job (fixture, job_spec (4, 1, 1000), false);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  ready_executor (fixture, "e4");
+  start = must (fixture, 's');
+  /* The gang takes e4 at once in its plan, and no longer waits for e3. */
+  CU_ASSERT_STRING_EQUAL (start->executor, "e3");
+  fixture_free (fixture);
+}
+
 /* A fleet of two sizes of VM, all bidding for a free claim: a larger one has it, unless
  * all of these are gone. */
 static void
@@ -1090,6 +1207,8 @@
   CU_add_test (suite, "a gang stays in one rack", test_gang_in_one_rack);
   CU_add_test (suite, "a gang is spread at last", test_gang_spread_at_last);
   CU_add_test (suite, "filling work is kept from serving work", test_filling_work_kept_apart);
+  CU_add_test (suite, "a gang asks for advice ahead", test_gang_asks_ahead);
+  CU_add_test (suite, "a gang has room where it is free soonest", test_gang_reserves_soonest);
   CU_add_test (suite, "a gang that lacks a member is stopped", test_gang_member_refused);
   CU_add_test (suite, "a cancel stops and prevents", test_cancel);
   CU_add_test (suite, "a run that stands still is moved", test_stalled_run);
