Few store calls on a slow store: batches in parallel parts, placements together

The recorder wrote 29 rows for each answer, one transaction at a time; every round's placement was a transaction of its own, up to 24 at a time with the others waiting for a connection, until placements and the claim's renewals ran into their 800 ms and the decider gave up its claim. Measured: tests/recorder.c: 300 ends at 60 ms an answer not done in 600 ms before, done now; 50 placements in at most 8 transactions; deletions after the ends; lost answers; a claim that is gone.

--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -189,6 +189,32 @@
   return true;
 }
 
+guint8 *
+codec_pack_placement (const placed_run_t *runs, guint count, gsize *bytes)
+{
+  Mimosastair__Placement message = MIMOSASTAIR__PLACEMENT__INIT;
+  g_autofree Mimosastair__PlacedRun *rows = g_new0 (Mimosastair__PlacedRun, count);
+  g_autofree Mimosastair__PlacedRun **pointers = g_new0 (Mimosastair__PlacedRun *, count);
+  g_autofree Mimosastair__TaskRef *refs = g_new0 (Mimosastair__TaskRef, count);
+  guint8 *packed;
+
+  for (guint i = 0; i < count; i++)
+    {
+      mimosastair__placed_run__init (&rows[i]);
+      codec_fill_task (&refs[i], (task_ref_t *) &runs[i].task);
+      rows[i].task = &refs[i];
+      rows[i].run = runs[i].run;
+      rows[i].executor = (char *) runs[i].executor;
+      pointers[i] = &rows[i];
+    }
+  message.n_runs = count;
+  message.runs = pointers;
+  *bytes = mimosastair__placement__get_packed_size (&message);
+  packed = g_malloc (*bytes + 1);
+  mimosastair__placement__pack (&message, packed);
+  return packed;
+}
+
 guint8 *
 codec_pack_progress (const GArray *progress, gsize *bytes)
 {
--- a/src/entry/codec.h
+++ b/src/entry/codec.h
@@ -22,5 +22,8 @@
 /* Rows of task_progress_t as a record; free with g_free(). */
 guint8 *codec_pack_progress (const GArray *progress, gsize *bytes);
 
+/* Record place/FENCE-N. */
+guint8 *codec_pack_placement (const placed_run_t *runs, guint count, gsize *bytes);
+
 /* Returns task_progress_t rows, empty when the bytes are no record. */
 GArray *codec_unpack_progress (const guint8 *bytes, gsize size);
--- a/src/entry/decider.c
+++ b/src/entry/decider.c
@@ -155,6 +155,8 @@
   cell_set_desired (decider->cell, desired);
   decider->recorder = recorder_new (store, claim_key (claim), config->fence, decider->cell,
                                     &decider_recorder_events, decider);
+  decider->placements = placements_new (store, claim_key (claim), config->fence,
+                                        &decider_placements_events, decider);
   decider->sweep_timer = g_timeout_add (SWEEP_MS, decider_sweep, decider);
   decider->placements_mirror
       = mirror_new (store, KEYS_PLACEMENTS, JOBS_WAIT_MS, &decider_placement_events, decider);
@@ -179,6 +181,8 @@
   mirror_free (decider->registry_mirror);
   recorder_free (decider->recorder);
   decider->recorder = NULL;
+  placements_free (decider->placements);
+  decider->placements = NULL;
   if (decider->step_idle != 0)
     g_source_remove (decider->step_idle);
   if (decider->step_timer != 0)
--- a/src/entry/decider_orders.c
+++ b/src/entry/decider_orders.c
@@ -9,11 +9,6 @@
 
 #include <string.h>
 
-enum
-{
-  PLACE_RETRY_MS = 40 /* after a placement that was not stored */
-};
-
 /* A call for advice may take this much longer than its terms say. */
 static const guint advice_slack_ms = 1200;
 
@@ -269,117 +264,27 @@
 
 /* ---- Placements: stored before their orders are sent. */
 
-typedef struct
-{
-  decider_t *decider;
-  guint64 placement;
-  char *key;
-  guint8 *value;
-  gsize bytes;
-} placing_t;
-
-static void store_placement (placing_t *placing);
-
 static void
-placing_free (placing_t *placing)
-{
-  g_free (placing->key);
-  g_free (placing->value);
-  g_free (placing);
-}
-
-static char *
-placement_key (const decider_t *decider, guint64 placement)
-{
-  return g_strdup_printf (KEYS_PLACEMENTS "%" G_GINT64_FORMAT "-%" G_GUINT64_FORMAT,
-                          decider->config.fence, placement);
-}
-
-static gboolean
-store_placement_again (gpointer data)
+placement_stored (guint64 placement, void *data)
 {
-  placing_t *placing = data;
-  decider_t *decider = placing->decider;
+  decider_t *decider = data;
 
-  if (!decider->is_freed)
-    {
-      store_placement (placing);
-      return G_SOURCE_REMOVE;
-    }
-  decider->calls--;
-  placing_free (placing);
-  if (decider->calls == 0)
-    decider_destroy (decider);
-  return G_SOURCE_REMOVE;
+  cell_placement_stored (decider->cell, placement, clock_now_us ());
+  decider_schedule_step (decider);
 }
 
 static void
-placement_stored (const store_reply_t *reply, void *data)
+placement_refused (void *data)
 {
-  placing_t *placing = data;
-  decider_t *decider = placing->decider;
-
-  if (!decider->is_freed && (reply->status == STORE_LOST || reply->status == STORE_UNAVAILABLE))
-    {
-      LOG_WARN ("placement_retry", "placement=%" G_GUINT64_FORMAT " status=%s", placing->placement,
-                store_status_name (reply->status));
-      (void) g_timeout_add (PLACE_RETRY_MS, store_placement_again, placing);
-      return;
-    }
-  decider->calls--;
-  if (!decider->is_freed && reply->status == STORE_DONE)
-    {
-      cell_placement_stored (decider->cell, placing->placement, clock_now_us ());
-      decider_schedule_step (decider);
-    }
-  else if (!decider->is_freed)
-    decider_depose (decider, "placement_refused");
-  placing_free (placing);
-  if (decider->is_freed && decider->calls == 0)
-    decider_destroy (decider);
+  decider_depose (data, "placement_refused");
 }
 
-/* The same record under the same key: carried out twice, or late, it only names runs
- * that are gone. */
-static void
-store_placement (placing_t *placing)
-{
-  decider_t *decider = placing->decider;
-  store_expect_t expect = { claim_key (decider->claim), decider->config.fence };
-  store_write_t write = { placing->key, placing->value, placing->bytes, 0 };
-
-  decider->store->calls->txn (decider->store, &expect, 1, &write, 1, placement_stored, placing);
-}
+const placements_events_t decider_placements_events = { placement_stored, placement_refused };
 
 static void
 op_place (guint64 placement, const placed_run_t *runs, guint count, void *data)
 {
-  decider_t *decider = data;
-  placing_t *placing = g_new0 (placing_t, 1);
-  Mimosastair__Placement message = MIMOSASTAIR__PLACEMENT__INIT;
-  g_autofree Mimosastair__PlacedRun *rows = g_new0 (Mimosastair__PlacedRun, count);
-  g_autofree Mimosastair__PlacedRun **pointers = g_new0 (Mimosastair__PlacedRun *, count);
-  g_autofree Mimosastair__TaskRef *refs = g_new0 (Mimosastair__TaskRef, count);
-
-  for (guint i = 0; i < count; i++)
-    {
-      mimosastair__placed_run__init (&rows[i]);
-      codec_fill_task (&refs[i], (task_ref_t *) &runs[i].task);
-      rows[i].task = &refs[i];
-      rows[i].run = runs[i].run;
-      rows[i].executor = (char *) runs[i].executor;
-      pointers[i] = &rows[i];
-    }
-  message.n_runs = count;
-  message.runs = pointers;
-  placing->decider = decider;
-  placing->placement = placement;
-  placing->key = placement_key (decider, placement);
-  placing->bytes = mimosastair__placement__get_packed_size (&message);
-  placing->value = g_malloc (placing->bytes);
-  mimosastair__placement__pack (&message, placing->value);
-  decider->calls++;
-  store_placement (placing);
+  placements_store (((decider_t *) data)->placements, placement, runs, count);
 }
 
 static void
@@ -396,7 +301,7 @@
                        g_ptr_array_index (decider->former_placements, (guint) placement - 1));
       return;
     }
-  own = placement_key (decider, placement);
+  own = placements_key (decider->placements, placement);
   recorder_delete (decider->recorder, own);
 }
 
--- a/src/entry/decider_state.h
+++ b/src/entry/decider_state.h
@@ -3,6 +3,7 @@
 
 #include "base/list.h"
 #include "entry/decider.h"
+#include "entry/placements.h"
 #include "entry/recorder.h"
 #include "peer/link.h"
 #include "store/mirror.h"
@@ -47,6 +48,7 @@
   void *deposed_data;
   cell_t *cell;
   recorder_t *recorder;
+  placements_t *placements;
   mirror_t *progress_mirror;
   mirror_t *placements_mirror;
   mirror_t *jobs_mirror;
@@ -101,6 +103,7 @@
 
 /* decider_orders.c: what the cell orders. */
 extern const cell_ops_t decider_cell_ops;
+extern const placements_events_t decider_placements_events;
 void decider_send_assign (const assignment_t *assignment, vm_t *vm, bool drop);
 void decider_unassign (assignment_t *assignment);
 void decider_assignment_free (gpointer data);
--- a/src/entry/recorder.c
+++ b/src/entry/recorder.c
@@ -16,8 +16,17 @@
   guint8 *value; /* NULL: delete */
   gsize bytes;
   gint64 lease;
+  bool is_first; /* of rows that are written together */
 } row_t;
 
+/* A transaction of a batch that is too large for one. */
+typedef struct
+{
+  recorder_t *recorder;
+  guint first; /* row */
+  guint count;
+} part_t;
+
 typedef struct
 {
   char *id;
@@ -38,10 +47,12 @@
   GPtrArray *deletions; /* keys */
   /* The batch on its way. */
   bool is_writing;
-  GPtrArray *rows; /* row_t */
-  guint row_next;  /* first that is not stored */
-  guint row_count; /* of the transaction on its way */
-  GQueue ending;   /* finished_t of this batch */
+  GPtrArray *rows;    /* row_t */
+  GPtrArray *parts;   /* part_t to be written before the closing transaction */
+  guint part_next;    /* first that was not sent */
+  guint parts_open;   /* sent or to be sent again */
+  guint closing_from; /* first row of the closing transaction */
+  GQueue ending;      /* finished_t of this batch */
   guint64 batch;
   /* The counter that serializes transactions. */
   bool is_counter_known;
@@ -61,10 +72,12 @@
   RETRY_MS = 100,
   CONDITIONS = 2,
   ROWS_MAX = STORE_TXN_ROWS - CONDITIONS - 1, /* beside the counter */
-  END_LEASE_MS = 600 * 1000                   /* the longest that the service grants */
+  PARTS_AT_ONCE = 8,
+  END_LEASE_MS = 600 * 1000 /* the longest that the service grants */
 };
 
-static void write_next (recorder_t *recorder);
+static void write_parts (recorder_t *recorder);
+static void write_closing (recorder_t *recorder);
 static void schedule (recorder_t *recorder, guint delay_ms);
 
 static void
@@ -95,6 +108,7 @@
   g_queue_clear_full (&recorder->ending, finished_free);
   g_ptr_array_unref (recorder->deletions);
   g_ptr_array_unref (recorder->rows);
+  g_ptr_array_unref (recorder->parts);
   g_free (recorder->claim_key);
   g_free (recorder);
 }
@@ -110,7 +124,7 @@
   return true;
 }
 
-static void
+static row_t *
 add_row (recorder_t *recorder, char *key, guint8 *value, gsize bytes, gint64 lease)
 {
   row_t *row = g_new0 (row_t, 1);
@@ -120,6 +134,7 @@
   row->bytes = bytes;
   row->lease = lease;
   g_ptr_array_add (recorder->rows, row);
+  return row;
 }
 
 static void
@@ -137,7 +152,7 @@
 
   cell_progress (recorder->cell, id, collect_progress, progress);
   packed = codec_pack_progress (progress, &bytes);
-  add_row (recorder, keys_progress (id), packed, bytes, 0);
+  add_row (recorder, keys_progress (id), packed, bytes, 0)->is_first = true;
   (void) g_hash_table_add (recorder->recorded, g_strdup (id));
 }
 
@@ -152,12 +167,61 @@
   bytes = mimosastair__ended__get_packed_size (&message);
   packed = g_malloc (bytes + 1);
   mimosastair__ended__pack (&message, packed);
-  add_row (recorder, keys_end (finished->id), packed, bytes, recorder->end_lease);
-  add_row (recorder, keys_job (finished->id), NULL, 0, 0);
+  /* A job is never without one of its records. */
+  add_row (recorder, keys_end (finished->id), packed, bytes, recorder->end_lease)->is_first = true;
+  (void) add_row (recorder, keys_job (finished->id), NULL, 0, 0);
   if (finished->state == JOB_CANCELLED)
-    add_row (recorder, keys_cancel (finished->id), NULL, 0, 0);
+    (void) add_row (recorder, keys_cancel (finished->id), NULL, 0, 0);
   if (g_hash_table_remove (recorder->recorded, finished->id))
-    add_row (recorder, keys_progress (finished->id), NULL, 0, 0);
+    (void) add_row (recorder, keys_progress (finished->id), NULL, 0, 0);
+}
+
+/* Number of rows from `first` on that one transaction takes. */
+static guint
+part_length (const GPtrArray *rows, guint first)
+{
+  guint end = MIN (first + ROWS_MAX, rows->len);
+
+  while (end < rows->len && !((const row_t *) g_ptr_array_index (rows, end))->is_first)
+    end--;
+  return end - first;
+}
+
+static void
+add_deletions (recorder_t *recorder)
+{
+  guint count = MIN (recorder->deletions->len, ROWS_MAX);
+
+  for (guint i = 0; i < count; i++)
+    (void) add_row (recorder, g_strdup (g_ptr_array_index (recorder->deletions, i)), NULL, 0, 0);
+  g_ptr_array_remove_range (recorder->deletions, 0, count);
+}
+
+/* A small batch is one transaction, the closing one.  Of a larger one the rows are written
+ * in parts, and what is to be deleted after them by the closing one. */
+static void
+split_batch (recorder_t *recorder)
+{
+  guint count = recorder->rows->len;
+
+  g_ptr_array_set_size (recorder->parts, 0);
+  recorder->part_next = 0;
+  recorder->closing_from = 0;
+  if (count + MIN (recorder->deletions->len, ROWS_MAX) > ROWS_MAX)
+    {
+      for (guint first = 0; first < count;)
+        {
+          part_t *part = g_new0 (part_t, 1);
+
+          part->recorder = recorder;
+          part->first = first;
+          part->count = part_length (recorder->rows, first);
+          first += part->count;
+          g_ptr_array_add (recorder->parts, part);
+        }
+      recorder->closing_from = count;
+    }
+  add_deletions (recorder);
 }
 
 /* Takes all that waits into one batch. */
@@ -172,7 +236,6 @@
     return false;
   recorder->is_writing = true;
   g_ptr_array_set_size (recorder->rows, 0);
-  recorder->row_next = 0;
   recorder->batch = cell_batch_begin (recorder->cell);
   while ((finished = g_queue_pop_head (&recorder->finished)) != NULL)
     {
@@ -184,9 +247,7 @@
   while (g_hash_table_iter_next (&iter, &id, NULL))
     add_progress (recorder, id);
   g_hash_table_remove_all (recorder->dirty);
-  for (guint i = 0; i < recorder->deletions->len; i++)
-    add_row (recorder, g_strdup (g_ptr_array_index (recorder->deletions, i)), NULL, 0, 0);
-  g_ptr_array_set_size (recorder->deletions, 0);
+  split_batch (recorder);
   return true;
 }
 
@@ -208,14 +269,10 @@
 }
 
 static void
-transaction_stored (recorder_t *recorder, gint64 revision)
+batch_closed (recorder_t *recorder, gint64 revision)
 {
   recorder->counter_revision = revision;
-  recorder->row_next += recorder->row_count;
-  if (recorder->row_next < recorder->rows->len)
-    write_next (recorder);
-  else
-    end_batch (recorder);
+  end_batch (recorder);
 }
 
 static guint64
@@ -228,7 +285,7 @@
   return value;
 }
 
-/* A condition did not hold: the claim is gone, or this very transaction was carried out
+/* A condition did not hold: the claim is gone, or the closing transaction was carried out
  * although its answer was lost. */
 static void
 refused (recorder_t *recorder, const store_reply_t *reply)
@@ -250,7 +307,7 @@
         continue;
       if (counter_value (item) == recorder->counter)
         {
-          transaction_stored (recorder, item->revision);
+          batch_closed (recorder, item->revision);
           return;
         }
     }
@@ -258,18 +315,51 @@
   recorder->events->deposed (recorder->data);
 }
 
+/* The lease of ended jobs is over: records are kept without one. */
+static void
+drop_end_lease (recorder_t *recorder)
+{
+  recorder->end_lease = 0;
+  for (guint i = 0; i < recorder->rows->len; i++)
+    ((row_t *) g_ptr_array_index (recorder->rows, i))->lease = 0;
+}
+
+/* Sends rows under the conditions that the claim holds and that no batch after this one
+ * was closed, so that a part that is carried out late changes nothing. */
+static void
+send_rows (
+    recorder_t *recorder, guint first, guint count, bool is_closing, store_done_t done, void *data)
+{
+  store_expect_t expect[CONDITIONS] = { { recorder->claim_key, recorder->claim_revision },
+                                        { KEYS_BATCH, recorder->counter_revision } };
+  store_write_t writes[ROWS_MAX + 1];
+  gsize written = 0;
+
+  if (is_closing)
+    writes[written++] = (store_write_t){ KEYS_BATCH, (const guint8 *) &recorder->counter,
+                                         sizeof recorder->counter, 0 };
+  for (guint i = 0; i < count; i++)
+    {
+      const row_t *row = g_ptr_array_index (recorder->rows, first + i);
+
+      writes[written++] = (store_write_t){ row->key, row->value, row->bytes, row->lease };
+    }
+  recorder->calls++;
+  recorder->store->calls->txn (recorder->store, expect, CONDITIONS, writes, written, done, data);
+}
+
 static gboolean
-write_again (gpointer data)
+close_again (gpointer data)
 {
   recorder_t *recorder = data;
 
   recorder->timer = 0;
-  write_next (recorder);
+  write_closing (recorder);
   return G_SOURCE_REMOVE;
 }
 
 static void
-written (const store_reply_t *reply, void *data)
+closed (const store_reply_t *reply, void *data)
 {
   recorder_t *recorder = data;
 
@@ -278,49 +368,93 @@
   switch (reply->status)
     {
     case STORE_DONE:
-      transaction_stored (recorder, reply->revision);
+      batch_closed (recorder, reply->revision);
       return;
     case STORE_REFUSED:
       refused (recorder, reply);
       return;
     case STORE_MISSING:
-      /* The lease of ended jobs is over: records are kept without one. */
-      recorder->end_lease = 0;
-      for (guint i = recorder->row_next; i < recorder->rows->len; i++)
-        ((row_t *) g_ptr_array_index (recorder->rows, i))->lease = 0;
+      drop_end_lease (recorder);
       break;
     case STORE_UNAVAILABLE:
     case STORE_LOST:
       LOG_WARN ("batch_retry", "status=%s rows=%u", store_status_name (reply->status),
-                recorder->row_count);
+                recorder->rows->len - recorder->closing_from);
       break;
     }
   recorder->due_us = G_MAXINT64;
-  recorder->timer = g_timeout_add (RETRY_MS, write_again, recorder);
+  recorder->timer = g_timeout_add (RETRY_MS, close_again, recorder);
 }
 
 static void
-write_next (recorder_t *recorder)
+write_closing (recorder_t *recorder)
 {
-  store_expect_t expect[CONDITIONS] = { { recorder->claim_key, recorder->claim_revision },
-                                        { KEYS_BATCH, recorder->counter_revision } };
-  store_write_t writes[ROWS_MAX + 1];
-  guint64 counter
-      = recorder->claim_revision * 1000000 + recorder->batch * 1000 + recorder->row_next;
-  gsize count = 0;
-
-  recorder->counter = counter;
-  recorder->row_count = MIN (recorder->rows->len - recorder->row_next, ROWS_MAX);
-  writes[count++] = (store_write_t){ KEYS_BATCH, (const guint8 *) &counter, sizeof counter, 0 };
-  for (guint i = 0; i < recorder->row_count; i++)
-    {
-      const row_t *row = g_ptr_array_index (recorder->rows, recorder->row_next + i);
+  recorder->counter = (guint64) recorder->claim_revision * 1000000 + recorder->batch;
+  send_rows (recorder, recorder->closing_from, recorder->rows->len - recorder->closing_from, true,
+             closed, recorder);
+}
+
+/* ---- Parts; written anew until they are answered, which changes nothing the second time. */
+
+static void part_written (const store_reply_t *reply, void *data);
+
+static void
+send_part (part_t *part)
+{
+  send_rows (part->recorder, part->first, part->count, false, part_written, part);
+}
+
+static gboolean
+send_part_again (gpointer data)
+{
+  part_t *part = data;
+
+  if (!call_ended (part->recorder))
+    send_part (part);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+part_written (const store_reply_t *reply, void *data)
+{
+  part_t *part = data;
+  recorder_t *recorder = part->recorder;
 
-      writes[count++] = (store_write_t){ row->key, row->value, row->bytes, row->lease };
+  if (call_ended (recorder))
+    return;
+  switch (reply->status)
+    {
+    case STORE_DONE:
+      recorder->parts_open--;
+      write_parts (recorder);
+      return;
+    case STORE_REFUSED:
+      LOG_WARN ("batch_refused", "part_from=%u rows=%u", part->first, part->count);
+      recorder->events->deposed (recorder->data);
+      return;
+    case STORE_MISSING:
+      drop_end_lease (recorder);
+      break;
+    case STORE_UNAVAILABLE:
+    case STORE_LOST:
+      LOG_WARN ("batch_retry", "status=%s rows=%u", store_status_name (reply->status), part->count);
+      break;
     }
+  /* The pause counts as a call, so that the part is not freed before its end. */
   recorder->calls++;
-  recorder->store->calls->txn (recorder->store, expect, CONDITIONS, writes, count, written,
-                               recorder);
+  (void) g_timeout_add (RETRY_MS, send_part_again, part);
+}
+
+static void
+write_parts (recorder_t *recorder)
+{
+  while (recorder->part_next < recorder->parts->len && recorder->parts_open < PARTS_AT_ONCE)
+    {
+      recorder->parts_open++;
+      send_part (g_ptr_array_index (recorder->parts, recorder->part_next++));
+    }
+  if (recorder->parts_open == 0)
+    write_closing (recorder);
 }
 
 static void
@@ -353,7 +487,7 @@
       recorder->store->calls->get (recorder->store, KEYS_BATCH, counter_read, recorder);
     }
   else if (!recorder->is_writing && begin_batch (recorder))
-    write_next (recorder);
+    write_parts (recorder);
   return G_SOURCE_REMOVE;
 }
 
@@ -451,6 +585,7 @@
   recorder->recorded = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   recorder->deletions = g_ptr_array_new_with_free_func (g_free);
   recorder->rows = g_ptr_array_new_with_free_func (row_free);
+  recorder->parts = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&recorder->finished);
   g_queue_init (&recorder->ending);
   recorder->calls++;
--- a/src/entry/recorder.h
+++ b/src/entry/recorder.h
@@ -1,8 +1,9 @@
 /* Writes what the decider must not lose, in batches of conditional transactions.
  *
- * Each transaction holds only while the claim is this VM's, and replaces a counter that
- * the one before wrote, so that one whose answer was lost and that is carried out late
- * changes nothing.
+ * Each transaction holds only while the claim is this VM's and while a counter has the
+ * value that the last batch gave it, so that one whose answer was lost and that is carried
+ * out late changes nothing.  A large batch is several transactions on their way together,
+ * and one that comes after them with the counter and what is to be deleted.
  */
 #pragma once
 
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -49,6 +49,9 @@
   gint64 revision;
   gint64 next_lease;
   bool is_down;
+  guint delay_ms;
+  guint lose_every;
+  guint transactions;
   guint sweep_timer;
 };
 
@@ -119,9 +122,12 @@
 }
 
 static void
-send (answer_t *answer)
+send (const fake_service_t *service, answer_t *answer)
 {
-  g_idle_add (deliver, answer);
+  if (service->delay_ms > 0)
+    g_timeout_add (service->delay_ms, deliver, answer);
+  else
+    g_idle_add (deliver, answer);
 }
 
 /* True when the service is down; the call is then told as lost. */
@@ -227,7 +233,7 @@
       g_free (answer);
       return false;
     }
-  send (answer);
+  send (service, answer);
   return true;
 }
 
@@ -281,7 +287,7 @@
   answer = answer_new (service, row != NULL ? STORE_DONE : STORE_MISSING, done, data);
   if (row != NULL)
     g_ptr_array_add (answer->reply.items, item_of (row));
-  send (answer);
+  send (service, answer);
 }
 
 static gint
@@ -310,7 +316,7 @@
         g_ptr_array_add (answer->reply.items, item_of (row));
     }
   g_ptr_array_sort (answer->reply.items, compare_items);
-  send (answer);
+  send (service, answer);
 }
 
 static void
@@ -362,10 +368,12 @@
      void *data)
 {
   fake_service_t *service = service_of (store);
+  answer_t *answer;
   bool is_refused = false;
 
   if (lose (service, done, data))
     return;
+  service->transactions++;
   for (gsize i = 0; i < expect_count; i++)
     is_refused |= !holds (service, &expect[i]);
   for (gsize i = 0; i < write_count; i++)
@@ -373,7 +381,15 @@
         |= writes[i].lease != 0 && g_hash_table_lookup (service->leases, &writes[i].lease) == NULL;
   if (is_refused)
     {
-      send (answer_new (service, STORE_REFUSED, done, data));
+      answer = answer_new (service, STORE_REFUSED, done, data);
+      for (gsize i = 0; i < expect_count; i++)
+        {
+          const row_t *row = g_hash_table_lookup (service->rows, expect[i].key);
+
+          if (row != NULL)
+            g_ptr_array_add (answer->reply.items, item_of (row));
+        }
+      send (service, answer);
       return;
     }
   service->revision++;
@@ -384,7 +400,10 @@
       else if (g_hash_table_remove (service->rows, writes[i].key))
         note_event (service, writes[i].key, true);
     }
-  send (answer_new (service, STORE_DONE, done, data));
+  answer = answer_new (service, STORE_DONE, done, data);
+  if (service->lose_every > 0 && service->transactions % service->lose_every == 0)
+    answer->reply.status = STORE_LOST;
+  send (service, answer);
 }
 
 static void
@@ -404,7 +423,7 @@
   answer = answer_new (service, STORE_DONE, done, data);
   answer->reply.lease = lease->id;
   answer->reply.ttl_ms = ttl_ms;
-  send (answer);
+  send (service, answer);
 }
 
 static void
@@ -417,7 +436,7 @@
     return;
   if (lease != NULL)
     lease->end_us = g_get_monotonic_time () + lease->ttl_ms * 1000;
-  send (answer_new (service, lease != NULL ? STORE_DONE : STORE_MISSING, done, data));
+  send (service, answer_new (service, lease != NULL ? STORE_DONE : STORE_MISSING, done, data));
 }
 
 static void
@@ -429,7 +448,7 @@
     return;
   g_hash_table_remove (service->leases, &id);
   remove_keys_of (service, id);
-  send (answer_new (service, STORE_DONE, done, data));
+  send (service, answer_new (service, STORE_DONE, done, data));
 }
 
 static void
@@ -508,6 +527,24 @@
   remove_key (service, key);
 }
 
+void
+fake_service_set_delay (fake_service_t *service, guint delay_ms)
+{
+  service->delay_ms = delay_ms;
+}
+
+void
+fake_service_lose_answers (fake_service_t *service, guint every)
+{
+  service->lose_every = every;
+}
+
+guint
+fake_service_transactions (const fake_service_t *service)
+{
+  return service->transactions;
+}
+
 gint64
 fake_service_revision (const fake_service_t *service, const char *key)
 {
--- /dev/null
+++ b/tests/recorder.c
@@ -0,0 +1,326 @@
+/* What the decider stores, against a service within this process: order, throughput on a slow
+ * service, lost answers and a claim that is gone. */
+#include "entry/recorder.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/keys.h"
+#include "entry/placements.h"
+#include "fake_store.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+
+enum
+{
+  SLOW_MS = 60 /* answer of a slow service */
+};
+
+typedef struct
+{
+  fake_service_t *service;
+  store_t *store;
+  cell_t *cell;
+  recorder_t *recorder;
+  GHashTable *ended; /* ids told as stored */
+  bool is_missing;   /* an end was told that the service does not have */
+  guint told_twice;
+  guint64 stored; /* the latest batch */
+  bool is_deposed;
+} fixture_t;
+
+static void
+ended (const char *id, job_state_t state G_GNUC_UNUSED, void *data)
+{
+  fixture_t *fixture = data;
+  g_autofree char *end = keys_end (id);
+  g_autofree char *job = keys_job (id);
+
+  fixture->is_missing |= fake_service_revision (fixture->service, end) == 0
+                         || fake_service_revision (fixture->service, job) != 0;
+  fixture->told_twice += !g_hash_table_add (fixture->ended, g_strdup (id));
+}
+
+static void
+stored (guint64 batch, void *data)
+{
+  ((fixture_t *) data)->stored = batch;
+}
+
+static void
+deposed (void *data)
+{
+  ((fixture_t *) data)->is_deposed = true;
+}
+
+static const recorder_events_t events = { ended, stored, deposed };
+static const cell_ops_t no_ops = { 0 };
+
+static gboolean
+stop_waiting (gpointer data)
+{
+  *(bool *) data = true;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_ms (guint ms)
+{
+  bool is_over = false;
+
+  g_timeout_add (ms, stop_waiting, &is_over);
+  while (!is_over)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+ignore (const store_reply_t *reply G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
+{
+}
+
+static void
+put (fixture_t *fixture, const char *key)
+{
+  store_write_t write = { key, (const guint8 *) "x", 1, 0 };
+
+  fixture->store->calls->txn (fixture->store, NULL, 0, &write, 1, ignore, NULL);
+}
+
+static fixture_t *
+fixture_new (void)
+{
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  cell_limits_t limits = { .hold_us = G_USEC_PER_SEC };
+
+  fixture->service = fake_service_new ();
+  fixture->store = fake_store_new (fixture->service);
+  fixture->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  put (fixture, "claim/d");
+  fixture->cell = cell_new (&limits, 1, clock_now_us (), &no_ops, fixture);
+  fixture->recorder = recorder_new (fixture->store, "claim/d",
+                                    fake_service_revision (fixture->service, "claim/d"),
+                                    fixture->cell, &events, fixture);
+  wait_ms (50);
+  return fixture;
+}
+
+static void
+fixture_free (fixture_t *fixture)
+{
+  recorder_free (fixture->recorder);
+  wait_ms (300);
+  cell_free (fixture->cell);
+  fixture->store->calls->free (fixture->store);
+  fake_service_free (fixture->service);
+  g_hash_table_unref (fixture->ended);
+  g_free (fixture);
+}
+
+static void
+finish_jobs (fixture_t *fixture, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i);
+      g_autofree char *job = keys_job (id);
+
+      put (fixture, job);
+      recorder_has_progress (fixture->recorder, id);
+      recorder_finish (fixture->recorder, id, JOB_SUCCEEDED);
+    }
+}
+
+/* The ends of a burst on a store that was 40 times as slow as usual: one transaction at
+ * a time took as many answers as there are 29 rows. */
+static void
+test_slow_store (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  finish_jobs (fixture, 300);
+  fake_service_set_delay (fixture->service, SLOW_MS);
+  /* 900 rows: 34 transactions, 8 at a time, and the closing one. */
+  wait_ms (10 * SLOW_MS);
+  CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 300);
+  CU_ASSERT_FALSE (fixture->is_missing);
+  fixture_free (fixture);
+}
+
+static void
+test_lost_answers (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  fake_service_lose_answers (fixture->service, 3);
+  finish_jobs (fixture, 100);
+  wait_ms (1500);
+  CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 100);
+  CU_ASSERT_EQUAL (fixture->told_twice, 0);
+  CU_ASSERT_FALSE (fixture->is_missing);
+  CU_ASSERT_FALSE (fixture->is_deposed);
+  fixture_free (fixture);
+}
+
+/* A small batch is one transaction. */
+static void
+test_small_batch (void)
+{
+  fixture_t *fixture = fixture_new ();
+  guint before;
+
+  finish_jobs (fixture, 5);
+  recorder_delete (fixture->recorder, "place/1-1");
+  wait_ms (5);
+  before = fake_service_transactions (fixture->service);
+  wait_ms (100);
+  CU_ASSERT_EQUAL (fake_service_transactions (fixture->service) - before, 1);
+  CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 5);
+  fixture_free (fixture);
+}
+
+/* What may be forgotten only after the ends are stored goes after them. */
+static void
+test_deletions_last (void)
+{
+  fixture_t *fixture = fixture_new ();
+  bool is_early = false;
+
+  put (fixture, "place/1-1");
+  fake_service_set_delay (fixture->service, 20);
+  finish_jobs (fixture, 100);
+  recorder_delete (fixture->recorder, "place/1-1");
+  for (guint i = 0; i < 60; i++)
+    {
+      wait_ms (5);
+      for (guint j = 0; j < 100; j++)
+        {
+          g_autofree char *id = g_strdup_printf ("%016x", j);
+          g_autofree char *end = keys_end (id);
+
+          is_early |= fake_service_revision (fixture->service, "place/1-1") == 0
+                      && fake_service_revision (fixture->service, end) == 0;
+        }
+    }
+  CU_ASSERT_FALSE (is_early);
+  CU_ASSERT_EQUAL (fake_service_revision (fixture->service, "place/1-1"), 0);
+  fixture_free (fixture);
+}
+
+static void
+test_claim_gone (void)
+{
+  fixture_t *fixture = fixture_new ();
+
+  put (fixture, "claim/d");
+  finish_jobs (fixture, 100);
+  wait_ms (200);
+  CU_ASSERT (fixture->is_deposed);
+  CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 0);
+  fixture_free (fixture);
+}
+
+/* ---- Placements. */
+
+typedef struct
+{
+  guint stored;
+  guint refused;
+} placed_t;
+
+static void
+placement_stored (guint64 placement G_GNUC_UNUSED, void *data)
+{
+  ((placed_t *) data)->stored++;
+}
+
+static void
+placement_refused (void *data)
+{
+  ((placed_t *) data)->refused++;
+}
+
+static const placements_events_t placements_events = { placement_stored, placement_refused };
+
+static void
+place (placements_t *placements, guint64 number)
+{
+  placed_run_t run = { .run = 1, .executor = "e" };
+
+  g_strlcpy (run.task.job, "0000000000000001", sizeof run.task.job);
+  placements_store (placements, number, &run, 1);
+}
+
+/* The rounds of a burst while each answer took 160 ms: a transaction for each waited for
+ * the others' connections, and the claim's renewal with them. */
+static void
+test_placements_share_calls (void)
+{
+  fixture_t *fixture = fixture_new ();
+  placed_t placed = { 0 };
+  placements_t *placements = placements_new (fixture->store, "claim/d",
+                                             fake_service_revision (fixture->service, "claim/d"),
+                                             &placements_events, &placed);
+  guint before = fake_service_transactions (fixture->service);
+
+  fake_service_set_delay (fixture->service, SLOW_MS);
+  for (guint i = 0; i < 50; i++)
+    {
+      place (placements, i);
+      wait_ms (2);
+    }
+  wait_ms (4 * SLOW_MS);
+  CU_ASSERT_EQUAL (placed.stored, 50);
+  CU_ASSERT (fake_service_transactions (fixture->service) - before <= 8);
+  placements_free (placements);
+  fixture_free (fixture);
+}
+
+static void
+test_placement_needs_claim (void)
+{
+  fixture_t *fixture = fixture_new ();
+  placed_t placed = { 0 };
+  placements_t *placements = placements_new (fixture->store, "claim/d",
+                                             fake_service_revision (fixture->service, "claim/d"),
+                                             &placements_events, &placed);
+
+  put (fixture, "claim/d");
+  place (placements, 1);
+  wait_ms (50);
+  CU_ASSERT_EQUAL (placed.stored, 0);
+  CU_ASSERT_EQUAL (placed.refused, 1);
+  /* A lost answer is asked for again. */
+  placements_free (placements);
+  placements = placements_new (fixture->store, "claim/d",
+                               fake_service_revision (fixture->service, "claim/d"),
+                               &placements_events, &placed);
+  fake_service_lose_answers (fixture->service, 2);
+  for (guint i = 0; i < 8; i++)
+    place (placements, i);
+  wait_ms (400);
+  CU_ASSERT_EQUAL (placed.stored, 8);
+  placements_free (placements);
+  fixture_free (fixture);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  if (CU_initialize_registry () != CUE_SUCCESS || !log_init ("error"))
+    return EXIT_FAILURE;
+  suite = CU_add_suite ("recorder", NULL, NULL);
+  CU_add_test (suite, "a burst of ends on a slow store", test_slow_store);
+  CU_add_test (suite, "answers are lost", test_lost_answers);
+  CU_add_test (suite, "a small batch is one transaction", test_small_batch);
+  CU_add_test (suite, "deletions come after the ends", test_deletions_last);
+  CU_add_test (suite, "nothing is told when the claim is gone", test_claim_gone);
+  CU_add_test (suite, "placements share calls", test_placements_share_calls);
+  CU_add_test (suite, "a placement needs the claim", test_placement_needs_claim);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
