All tickets of a gang are asked for together; eight gangs may reserve

A gang of 35 tasks was never started: its calls for advice (0.78 s, tickets good for 1.5 s) each named only the executors whose tickets had just expired, so that the others' had expired by the answer; some 60 calls in a row. Change: what expires before the answer is named with the rest, and further executors of which advice is known as far as they add a quarter of the call's own time; eight gangs may keep room at a time.

--- a/src/decide/cell_dispatch.c
+++ b/src/decide/cell_dispatch.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  RESERVATIONS_MAX = 3 /* gangs for which room is kept free at a time */
+  RESERVATIONS_MAX = 8 /* gangs for which room is kept free at a time */
 };
 
 typedef struct
--- a/src/decide/cell_gang.c
+++ b/src/decide/cell_gang.c
@@ -18,7 +18,7 @@
 {
   KNOWN_FACTOR = 2, /* executors are asked about until that many gangs could run on them */
   NAMED_MAX = 100,  /* executors of one call */
-  SPARE_MAX = 2     /* named beyond the plan: an expected end may come late */
+  SPARE_DIVISOR = 4 /* part of a call's own time that executors beyond the plan may add */
 };
 
 /* Room on an executor for one task of the gang. */
@@ -290,21 +290,30 @@
     g_ptr_array_add (named, g_strdup (id));
 }
 
-/* Names the executors of the plan whose tickets would not be good at its start. */
+/* Names the executors of the plan whose tickets would not be good at its start.  One that
+ * expires while the others' are asked for is asked for with them. */
 static void
 name_planned (GPtrArray *named, const GArray *plan, const step_t *step, gint64 now_us)
 {
-  guint wanted = MIN (plan->len, step->spec->count + SPARE_MAX);
+  const advice_terms_t *terms = &step->job->queue->advice;
   gint64 start_us = start_of (plan, step);
+  gint64 answer_us = now_us + cell_advice_us (step, MIN (plan->len, step->spec->count));
+  guint planned = 0;
+  guint spare
+      = terms->each_us > 0 ? (guint) (terms->call_us / SPARE_DIVISOR / terms->each_us) : NAMED_MAX;
 
-  if (is_whole (plan, step)
-      && start_us > now_us + cell_advice_us (step, step->spec->count) + ask_margin_us)
+  if (is_whole (plan, step) && start_us > answer_us + ask_margin_us)
     return;
-  for (guint i = 0; i < wanted; i++)
+  for (guint i = 0; i < plan->len; i++)
     {
       const opening_t *opening = &g_array_index (plan, opening_t, i);
 
-      if (!cell_has_ticket_at (step, opening->executor, MAX (opening->at_us, now_us)))
+      if (i == step->spec->count)
+        planned = named->len;
+      /* Without one that the plan needs now no call is made. */
+      if (i >= step->spec->count && (planned == 0 || named->len - planned >= spare))
+        return;
+      if (!cell_has_ticket_at (step, opening->executor, MAX (opening->at_us, answer_us)))
         name_executor (named, opening->executor->id);
     }
 }
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1086,6 +1086,53 @@
   fixture_free (fixture);
 }
 
+/* Wide gangs at the height of load had each call renew only the tickets that had just
+ * expired, and never held all of them at one time: what expires during a call is asked for
+ * with it. */
+static void
+test_gang_tickets_together (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  ticket_t tickets[] = { { "e1", "t-1" }, { "e2", "t-2" }, { "e3", "t-3" }, { "e4", "t-4" } };
+  job_spec_t *gang = job_spec (9, 4, 4000);
+  const entry_t *call;
+  guint starts = 0;
+
+  need_advice (fixture);
+  queue_of (fixture)->advice.call_us = 700 * MS;
+  queue_of (fixture)->advice.valid_us = 1500 * MS;
+  cell_set_desired (fixture->cell, fixture->desired);
+  ready_executor (fixture, "e1");
+  ready_executor (fixture, "e2");
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  cell_set_advice_slots (fixture->cell, 2, 2);
+  step (fixture);
+  call = must (fixture, 'a');
+  CU_ASSERT_EQUAL (call->named, 2);
+  fixture->now_us += 700 * MS;
+  cell_advice_result (fixture->cell, call->order, true, tickets, 2, fixture->now_us);
+  fixture->now_us += 800 * MS;
+  ready_executor (fixture, "e3");
+  ready_executor (fixture, "e4");
+  cell_set_advice_slots (fixture->cell, 2, 2);
+  /* The call that e3 led to is answered without it. */
+  call = must (fixture, 'a');
+  cell_advice_result (fixture->cell, call->order, false, NULL, 0, fixture->now_us);
+  fixture->now_us += 200 * MS;
+  cell_set_advice_slots (fixture->cell, 2, 2);
+  step (fixture);
+  call = must (fixture, 'a');
+  CU_ASSERT_EQUAL (call->named, 4);
+  fixture->now_us += 700 * MS;
+  cell_advice_result (fixture->cell, call->order, true, tickets, 4, fixture->now_us);
+  step (fixture);
+  while (next (fixture, 's') != NULL)
+    starts++;
+  CU_ASSERT_EQUAL (starts, 4);
+  fixture_free (fixture);
+}
+
 /* Room is kept for a gang where it becomes free first, and only there. */
 static void
 test_gang_reserves_soonest (void)
@@ -1208,6 +1255,7 @@
   CU_add_test (suite, "a gang is spread at last", test_gang_spread_at_last);
   CU_add_test (suite, "filling work is kept from serving work", test_filling_work_kept_apart);
   CU_add_test (suite, "a gang asks for advice ahead", test_gang_asks_ahead);
+  CU_add_test (suite, "a gang's tickets are asked for together", test_gang_tickets_together);
   CU_add_test (suite, "a gang has room where it is free soonest", test_gang_reserves_soonest);
   CU_add_test (suite, "a gang that lacks a member is stopped", test_gang_member_refused);
   CU_add_test (suite, "a cancel stops and prevents", test_cancel);
