mimosastair trace: one timeline of a job from the logs of all processes

Cause: the way from a job's id to its cause was a search by hand over the logs of all VMs, whose clocks may have stepped. Change: trace show ID FILE... and trace summary FILE..., for people and (--json) programs. Each log line tells the process's steady clock beside the time of day; the difference that most lines of a process show is taken for true. Outcomes of orders are named in the log. Measured: tests/trace.c: a decider whose time of day is 40 s ahead for a while, a refused job, the summary, files that are empty, missing, of another kind or cut at any byte.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include "base/clock.h"
+
 #include <limits.h>
 #include <poll.h>
 #include <stdio.h>
@@ -19,6 +21,7 @@
 static guint64 dropped;
 static guint64 dropped_told;
 static guint timer;
+static gint64 start_ms; /* on the steady clock */
 
 static const char *
 level_name (GLogLevelFlags level)
@@ -76,9 +79,13 @@
 stamp (char *line, GLogLevelFlags level, const char *module)
 {
   gint64 now_ms = g_get_real_time () / 1000;
+  gint64 up_ms = clock_now_us () / 1000 - start_ms;
 
-  return (gsize) g_snprintf (line, LINE_BYTES, "time=%" G_GINT64_FORMAT ".%03d level=%s module=%s ",
-                             now_ms / 1000, (int) (now_ms % 1000), level_name (level), module);
+  return (gsize) g_snprintf (line, LINE_BYTES,
+                             "time=%" G_GINT64_FORMAT ".%03d up=%" G_GINT64_FORMAT
+                             ".%03d level=%s module=%s ",
+                             now_ms / 1000, (int) (now_ms % 1000), up_ms / 1000,
+                             (int) (up_ms % 1000), level_name (level), module);
 }
 
 static void
@@ -161,6 +168,7 @@
     threshold = G_LOG_LEVEL_DEBUG;
   else
     return false;
+  start_ms = clock_now_us () / 1000;
   g_log_set_writer_func (write_library_line, NULL, NULL);
   return true;
 }
--- a/src/cli/commands.c
+++ b/src/cli/commands.c
@@ -3,6 +3,7 @@
 #include "base/histogram.h"
 #include "base/json.h"
 #include "cli/client.h"
+#include "cli/trace.h"
 #include "operator/document_json.h"
 
 #include <math.h>
@@ -448,18 +449,35 @@
     }
 }
 
+static bool
+run_trace_show (char **arguments, const command_options_t *options, error_info_t *error)
+{
+  return trace_show (arguments[0], arguments + 1, g_strv_length (arguments + 1), options->json,
+                     stdout, error);
+}
+
+static bool
+run_trace_summary (char **arguments, const command_options_t *options, error_info_t *error)
+{
+  return trace_summary (arguments, g_strv_length (arguments), options->json, stdout, error);
+}
+
 const command_t commands[] = {
-  { "status", NULL, 0, "", "what this entry VM does now", run_status },
-  { "top", NULL, 0, "", "the same, live", run_top },
-  { "histogram", NULL, 0, "", "latencies per customer and class, drawn", run_histogram },
-  { "env", "check", 1, "FILE", "check a document, offline", run_env_check },
-  { "env", "apply", 1, "FILE", "put a document in force", run_env_apply },
-  { "env", "get", 1, "NAME", "print the record in force", run_env_get },
-  { "env", "status", 0, "", "versions in force on this entry VM", run_env_status },
-  { "job", "submit", 2, "ENVIRONMENT FILE", "submit a job", run_job_submit },
-  { "job", "show", 1, "ID", "show a job", run_job_show },
-  { "job", "wait", 1, "ID", "wait until a job ends", run_job_wait },
+  { "status", NULL, 0, "", "what this entry VM does now", run_status, false },
+  { "top", NULL, 0, "", "the same, live", run_top, false },
+  { "histogram", NULL, 0, "", "latencies per customer and class, drawn", run_histogram, false },
+  { "env", "check", 1, "FILE", "check a document, offline", run_env_check, false },
+  { "env", "apply", 1, "FILE", "put a document in force", run_env_apply, false },
+  { "env", "get", 1, "NAME", "print the record in force", run_env_get, false },
+  { "env", "status", 0, "", "versions in force on this entry VM", run_env_status, false },
+  { "job", "submit", 2, "ENVIRONMENT FILE", "submit a job", run_job_submit, false },
+  { "job", "show", 1, "ID", "show a job", run_job_show, false },
+  { "job", "wait", 1, "ID", "wait until a job ends", run_job_wait, false },
   { "request", NULL, 3, "ENVIRONMENT CLASS JSON", "send a request and print its answer",
-    run_request },
-  { NULL, NULL, 0, NULL, NULL, NULL },
+    run_request, false },
+  { "trace", "show", 1, "ID [FILE...]", "one job, task, executor or VM in the logs", run_trace_show,
+    true },
+  { "trace", "summary", 0, "[FILE...]", "outcomes in the logs, and the worst seconds",
+    run_trace_summary, true },
+  { NULL, NULL, 0, NULL, NULL, NULL, false },
 };
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -28,7 +28,9 @@
   guint arguments;   /* further words */
   const char *usage; /* of those words */
   const char *help;
+  /* The list of arguments ends with NULL. */
   bool (*run) (char **arguments, const command_options_t *options, error_info_t *error);
+  bool takes_more; /* words than `arguments` */
 } command_t;
 
 /* All commands; the last has no group. */
--- /dev/null
+++ b/src/cli/log_reader.c
@@ -0,0 +1,354 @@
+#include "cli/log_reader.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* How often the lines of a process showed a difference of its two clocks. */
+typedef struct
+{
+  gint64 offset_ms;
+  guint64 count;
+} offset_t;
+
+/* One life of a VM's process. */
+typedef struct
+{
+  char *vm;
+  guint life;
+  GArray *offsets; /* offset_t */
+} process_t;
+
+struct log_reader
+{
+  log_filter_t filter;
+  void *data;
+  GPtrArray *records;    /* log_record_t */
+  GHashTable *lives;     /* vm -> latest life */
+  GHashTable *processes; /* "vm/life" -> process_t */
+  guint64 lines;
+  guint64 skipped;
+};
+
+/* Clocks of one process that differ by less than this have not stepped. */
+static const gint64 same_offset_ms = 50;
+
+void
+log_record_free (log_record_t *record)
+{
+  g_free (record->vm);
+  g_free (record->module);
+  g_free (record->event);
+  g_free (record->pairs);
+  g_free (record);
+}
+
+/* Value of `key` in "key=value key=value"; a value in quotes may hold spaces. */
+static char *
+find_value (const char *pairs, const char *key)
+{
+  gsize length = strlen (key);
+
+  for (const char *at = pairs; at != NULL && *at != '\0';)
+    {
+      const char *value = at + length + 1;
+
+      if (strncmp (at, key, length) == 0 && at[length] == '=')
+        return *value == '"' ? g_strndup (value + 1, strcspn (value + 1, "\""))
+                             : g_strndup (value, strcspn (value, " "));
+      at = strchr (at, ' ');
+      if (at != NULL)
+        at++;
+    }
+  return NULL;
+}
+
+char *
+log_value (const log_record_t *record, const char *key)
+{
+  return find_value (record->pairs, key);
+}
+
+bool
+log_has_value (const log_record_t *record, const char *key, const char *value)
+{
+  g_autofree char *text = log_value (record, key);
+
+  return g_strcmp0 (text, value) == 0;
+}
+
+char *
+log_time_text (gint64 time_ms)
+{
+  g_autoptr (GDateTime) time = g_date_time_new_from_unix_utc (time_ms / 1000);
+  g_autofree char *seconds
+      = time != NULL ? g_date_time_format (time, "%H:%M:%S") : g_strdup ("--:--:--");
+
+  return g_strdup_printf ("%s.%03d", seconds, (int) (time_ms % 1000));
+}
+
+bool
+log_mentions (const log_record_t *record, const char *text)
+{
+  gsize length = strlen (text);
+
+  for (const char *at = strstr (record->pairs, text); at != NULL; at = strstr (at + 1, text))
+    {
+      if (at > record->pairs && at[-1] == '=' && (at[length] == ' ' || at[length] == '\0'))
+        return true;
+    }
+  return false;
+}
+
+/* Milliseconds of "SECONDS.mmm"; -1: it is no number. */
+static gint64
+milliseconds (const char *text)
+{
+  char *end = NULL;
+  double seconds = g_ascii_strtod (text, &end);
+
+  if (end == text || *end != '\0' || !(seconds >= 0.0) || seconds > 1e12)
+    return -1;
+  return (gint64) (seconds * 1000.0 + 0.5);
+}
+
+static gint64
+time_value (const char *pairs, const char *key)
+{
+  g_autofree char *text = find_value (pairs, key);
+
+  return text != NULL ? milliseconds (text) : -1;
+}
+
+/* The word before `time=`; NULL: there is none. */
+static char *
+vm_before (const char *line, const char *time)
+{
+  const char *end = time;
+  const char *start;
+
+  while (end > line && end[-1] == ' ')
+    end--;
+  start = end;
+  while (start > line && start[-1] != ' ')
+    start--;
+  return start < end ? g_strndup (start, (gsize) (end - start)) : NULL;
+}
+
+static log_record_t *
+parse_line (const char *line, const char *file)
+{
+  const char *time = strstr (line, "time=");
+  const char *pairs;
+  log_record_t *record;
+
+  if (time == NULL || (time > line && time[-1] != ' '))
+    return NULL;
+  record = g_new0 (log_record_t, 1);
+  record->time_ms = time_value (time, "time");
+  record->up_ms = time_value (time, "up");
+  record->module = find_value (time, "module");
+  record->event = find_value (time, "event");
+  if (record->time_ms < 0 || record->module == NULL || record->event == NULL)
+    {
+      log_record_free (record);
+      return NULL;
+    }
+  record->vm = vm_before (line, time);
+  if (record->vm == NULL)
+    record->vm = g_strdup (file);
+  pairs = strstr (time, "event=");
+  pairs += strcspn (pairs, " ");
+  record->pairs = g_strdup (*pairs == ' ' ? pairs + 1 : "");
+  return record;
+}
+
+static void
+process_free (gpointer data)
+{
+  process_t *process = data;
+
+  g_array_unref (process->offsets);
+  g_free (process->vm);
+  g_free (process);
+}
+
+static process_t *
+process_of (log_reader_t *reader, const char *vm, guint life)
+{
+  char *key = g_strdup_printf ("%s/%u", vm, life);
+  process_t *process = g_hash_table_lookup (reader->processes, key);
+
+  if (process != NULL)
+    {
+      g_free (key);
+      return process;
+    }
+  process = g_new0 (process_t, 1);
+  process->vm = g_strdup (vm);
+  process->life = life;
+  process->offsets = g_array_new (FALSE, FALSE, sizeof (offset_t));
+  g_hash_table_insert (reader->processes, key, process);
+  return process;
+}
+
+static void
+note_offset (log_reader_t *reader, const log_record_t *record)
+{
+  process_t *process = process_of (reader, record->vm, record->life);
+  offset_t fresh = { record->time_ms - record->up_ms, 1 };
+
+  for (guint i = 0; i < process->offsets->len; i++)
+    {
+      offset_t *offset = &g_array_index (process->offsets, offset_t, i);
+
+      if (ABS (offset->offset_ms - fresh.offset_ms) < same_offset_ms)
+        {
+          offset->count++;
+          return;
+        }
+    }
+  g_array_append_val (process->offsets, fresh);
+}
+
+static void
+set_life (log_reader_t *reader, log_record_t *record)
+{
+  guint life = GPOINTER_TO_UINT (g_hash_table_lookup (reader->lives, record->vm));
+
+  if (strcmp (record->event, "started") == 0)
+    {
+      life++;
+      g_hash_table_replace (reader->lives, g_strdup (record->vm), GUINT_TO_POINTER (life));
+    }
+  record->life = life;
+}
+
+static void
+take_line (log_reader_t *reader, const char *line, const char *file)
+{
+  log_record_t *record = parse_line (line, file);
+
+  if (record == NULL)
+    {
+      reader->skipped++;
+      return;
+    }
+  record->number = reader->lines++;
+  set_life (reader, record);
+  if (record->up_ms >= 0)
+    note_offset (reader, record);
+  if (reader->filter (record, reader->data))
+    g_ptr_array_add (reader->records, record);
+  else
+    log_record_free (record);
+}
+
+log_reader_t *
+log_reader_new (log_filter_t filter, void *data)
+{
+  log_reader_t *reader = g_new0 (log_reader_t, 1);
+
+  reader->filter = filter;
+  reader->data = data;
+  reader->records = g_ptr_array_new_with_free_func ((GDestroyNotify) log_record_free);
+  reader->lives = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  reader->processes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, process_free);
+  return reader;
+}
+
+void
+log_reader_free (log_reader_t *reader)
+{
+  g_ptr_array_unref (reader->records);
+  g_hash_table_unref (reader->lives);
+  g_hash_table_unref (reader->processes);
+  g_free (reader);
+}
+
+bool
+log_reader_read (log_reader_t *reader, const char *path, error_info_t *error)
+{
+  bool is_input = strcmp (path, "-") == 0;
+  FILE *file = is_input ? stdin : fopen (path, "r");
+  g_autofree char *name = is_input ? g_strdup ("-") : g_path_get_basename (path);
+  guint64 before = reader->lines;
+  char *line = NULL;
+  size_t size = 0;
+  ssize_t length;
+
+  if (file == NULL)
+    return error_set (error, ERROR_BAD_REQUEST, "%s: %s", path, g_strerror (errno));
+  while ((length = getline (&line, &size, file)) > 0)
+    {
+      if (line[length - 1] == '\n')
+        line[length - 1] = '\0';
+      take_line (reader, line, name);
+    }
+  free (line);
+  if (!is_input)
+    (void) fclose (file);
+  if (reader->lines == before)
+    return error_set (error, ERROR_BAD_REQUEST, "%s: no line of a log of mimosastaird", path);
+  return true;
+}
+
+bool
+log_reader_read_all (log_reader_t *reader, char **files, guint count, error_info_t *error)
+{
+  if (count == 0)
+    return log_reader_read (reader, "-", error);
+  for (guint i = 0; i < count; i++)
+    {
+      if (!log_reader_read (reader, files[i], error))
+        return false;
+    }
+  return true;
+}
+
+/* The difference of clocks that most lines of the process show. */
+static gint64
+true_offset (const process_t *process)
+{
+  offset_t best = { 0, 0 };
+
+  for (guint i = 0; i < process->offsets->len; i++)
+    {
+      offset_t offset = g_array_index (process->offsets, offset_t, i);
+
+      if (offset.count > best.count)
+        best = offset;
+    }
+  return best.offset_ms;
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b)
+{
+  const log_record_t *left = *(log_record_t *const *) a;
+  const log_record_t *right = *(log_record_t *const *) b;
+
+  if (left->time_ms != right->time_ms)
+    return left->time_ms < right->time_ms ? -1 : 1;
+  return left->number < right->number ? -1 : left->number > right->number;
+}
+
+GPtrArray *
+log_reader_order (log_reader_t *reader)
+{
+  for (guint i = 0; i < reader->records->len; i++)
+    {
+      log_record_t *record = g_ptr_array_index (reader->records, i);
+
+      if (record->up_ms >= 0)
+        record->time_ms
+            = record->up_ms + true_offset (process_of (reader, record->vm, record->life));
+    }
+  g_ptr_array_sort (reader->records, by_time);
+  return reader->records;
+}
+
+guint64
+log_reader_skipped (const log_reader_t *reader)
+{
+  return reader->skipped;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -6,7 +6,7 @@
 
 enum
 {
-  words_max = 8
+  words_max = 256 /* logs of as many processes */
 };
 
 static command_options_t options;
@@ -107,7 +107,10 @@
     {
       int own = command->verb != NULL ? 2 : 1;
 
-      if (count != own + (int) command->arguments || g_strcmp0 (words[0], command->group) != 0)
+      int least = own + (int) command->arguments;
+
+      if (count < least || (count > least && !command->takes_more)
+          || g_strcmp0 (words[0], command->group) != 0)
         continue;
       if (command->verb == NULL || g_strcmp0 (words[1], command->verb) == 0)
         return command;
--- /dev/null
+++ b/src/cli/trace.c
@@ -0,0 +1,286 @@
+#include "cli/trace.h"
+
+#include "base/json.h"
+#include "cli/log_reader.h"
+
+#include <string.h>
+
+/* The reading of one trace. */
+typedef struct
+{
+  const char *id;
+  GHashTable *orders; /* "vm/life/order" of calls and orders for the id */
+} search_t;
+
+/* Events that say who decides; they are shown between those of the id. */
+static const char *const claim_events[]
+    = { "claim_gained", "claim_lost", "claim_released", "decider_loaded", "decider_deposed" };
+
+/* Events after which something is not as it was meant to be. */
+static const char *const trouble_events[]
+    = { "order_failed",      "task_stop",         "executor_lost", "executor_unreached",
+        "executor_unlisted", "executor_aside",    "claim_lost",    "decider_deposed",
+        "batch_refused",     "placement_refused", "job_unknown",   "job_cancel" };
+
+static bool
+is_one_of (const char *event, const char *const *list, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      if (strcmp (event, list[i]) == 0)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_of_claim (const log_record_t *record)
+{
+  return is_one_of (record->event, claim_events, G_N_ELEMENTS (claim_events));
+}
+
+/* Identifies an order among those of all deciders; NULL: the record names none. */
+static char *
+order_of (const log_record_t *record)
+{
+  g_autofree char *order = log_value (record, "order");
+
+  return order != NULL ? g_strdup_printf ("%s/%u/%s", record->vm, record->life, order) : NULL;
+}
+
+static bool
+keep (const log_record_t *record, void *data)
+{
+  search_t *search = data;
+  g_autofree char *order = order_of (record);
+
+  if (log_mentions (record, search->id))
+    {
+      if (order != NULL)
+        (void) g_hash_table_add (search->orders, g_steal_pointer (&order));
+      return true;
+    }
+  return is_of_claim (record) || (order != NULL && g_hash_table_contains (search->orders, order));
+}
+
+/* ---- The outcome. */
+
+typedef struct
+{
+  const log_record_t *refused; /* the last answer to a submission that did not take it */
+  const log_record_t *taken;   /* the first that did */
+  const log_record_t *started; /* the first start of a task */
+  const log_record_t *ended;
+  const log_record_t *cause; /* the last decision or event that led away from success */
+  guint runs;
+  guint failed; /* runs that ended otherwise than done */
+} story_t;
+
+static void
+note_request (story_t *outcome, const log_record_t *record)
+{
+  if (!log_has_value (record, "action", "submit"))
+    return;
+  if (!log_has_value (record, "result", "none"))
+    outcome->refused = record;
+  else if (outcome->taken == NULL)
+    outcome->taken = record;
+}
+
+static void
+note_record (story_t *outcome, const log_record_t *record)
+{
+  if (strcmp (record->event, "job_request") == 0)
+    note_request (outcome, record);
+  else if (strcmp (record->event, "job_ended") == 0)
+    outcome->ended = record;
+  else if (strcmp (record->event, "task_start") == 0)
+    {
+      outcome->runs++;
+      if (outcome->started == NULL)
+        outcome->started = record;
+    }
+  else if (strcmp (record->event, "task_ended") == 0 && !log_has_value (record, "how", "done"))
+    {
+      outcome->failed++;
+      if (outcome->ended == NULL)
+        outcome->cause = record;
+    }
+  else if (outcome->ended == NULL
+           && is_one_of (record->event, trouble_events, G_N_ELEMENTS (trouble_events)))
+    outcome->cause = record;
+}
+
+static story_t
+story_of (const GPtrArray *records)
+{
+  story_t outcome = { 0 };
+
+  for (guint i = 0; i < records->len; i++)
+    note_record (&outcome, g_ptr_array_index (records, i));
+  return outcome;
+}
+
+static char *
+outcome_text (const story_t *outcome)
+{
+  g_autofree char *state = NULL;
+
+  if (outcome->ended != NULL)
+    {
+      state = log_value (outcome->ended, "state");
+      return g_strdup_printf ("ended, %s", state != NULL ? state : "unknown");
+    }
+  if (outcome->started != NULL)
+    return g_strdup ("started, no end in these logs");
+  if (outcome->taken != NULL)
+    return g_strdup ("accepted, not started in these logs");
+  if (outcome->refused != NULL)
+    {
+      state = log_value (outcome->refused, "result");
+      return g_strdup_printf ("not accepted: %s", state != NULL ? state : "unknown");
+    }
+  return g_strdup ("no request or end of that id in these logs");
+}
+
+/* ---- Printing. */
+
+static void
+print_record (const log_record_t *record, gint64 start_ms, FILE *out)
+{
+  g_autofree char *time = log_time_text (record->time_ms);
+
+  (void) fprintf (out, "%s %+9.3f  %-20s %-8s %-18s %s\n", time,
+                  (double) (record->time_ms - start_ms) / 1000.0, record->vm, record->module,
+                  record->event, record->pairs);
+}
+
+static void
+print_gap (const char *what, const log_record_t *from, const log_record_t *to, FILE *out)
+{
+  if (from != NULL && to != NULL)
+    (void) fprintf (out, "%s: %.3f s\n", what, (double) (to->time_ms - from->time_ms) / 1000.0);
+}
+
+static void
+print_outcome (const story_t *outcome, FILE *out)
+{
+  g_autofree char *text = outcome_text (outcome);
+
+  (void) fprintf (out, "\noutcome: %s\n", text);
+  print_gap ("accepted to first start", outcome->taken, outcome->started, out);
+  print_gap ("first start to end", outcome->started, outcome->ended, out);
+  if (outcome->runs > 0)
+    (void) fprintf (out, "runs: %u started, %u ended otherwise than done\n", outcome->runs,
+                    outcome->failed);
+  if (outcome->cause != NULL)
+    (void) fprintf (out, "last cause: %s at %s: %s\n", outcome->cause->event, outcome->cause->vm,
+                    outcome->cause->pairs);
+  else if (outcome->refused != NULL && outcome->taken == NULL)
+    (void) fprintf (out, "last cause: %s at %s: %s\n", outcome->refused->event,
+                    outcome->refused->vm, outcome->refused->pairs);
+}
+
+static void
+put_record (JsonBuilder *builder, const log_record_t *record)
+{
+  json_builder_begin_object (builder);
+  json_put_number (builder, "time_ms", record->time_ms);
+  json_put_text (builder, "vm", record->vm);
+  json_put_text (builder, "module", record->module);
+  json_put_text (builder, "event", record->event);
+  json_put_text (builder, "pairs", record->pairs);
+  json_builder_end_object (builder);
+}
+
+static void
+print_json (const char *id, const GPtrArray *records, const story_t *outcome, FILE *out)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autofree char *state = outcome_text (outcome);
+  g_autofree char *text = NULL;
+
+  json_builder_begin_object (builder);
+  json_put_text (builder, "id", id);
+  json_put_text (builder, "outcome", state);
+  if (outcome->cause != NULL)
+    {
+      json_builder_set_member_name (builder, "cause");
+      put_record (builder, outcome->cause);
+    }
+  json_builder_set_member_name (builder, "events");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < records->len; i++)
+    put_record (builder, g_ptr_array_index (records, i));
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  text = json_builder_text (builder);
+  (void) fprintf (out, "%s\n", text);
+}
+
+/* The records from the last change of the decider before the id's first on. */
+static GPtrArray *
+records_around (const GPtrArray *all, const search_t *search)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  guint first = all->len;
+  guint last = 0;
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      if (!log_mentions (g_ptr_array_index (all, i), search->id))
+        continue;
+      first = MIN (first, i);
+      last = i;
+    }
+  if (first == all->len)
+    return found;
+  for (guint i = first; i > 0; i--)
+    {
+      log_record_t *record = g_ptr_array_index (all, i - 1);
+
+      if (strcmp (record->event, "claim_gained") != 0)
+        continue;
+      g_ptr_array_add (found, record);
+      break;
+    }
+  for (guint i = first; i <= last; i++)
+    g_ptr_array_add (found, g_ptr_array_index (all, i));
+  return found;
+}
+
+static bool
+show (log_reader_t *reader, const search_t *search, bool json, FILE *out, error_info_t *error)
+{
+  g_autoptr (GPtrArray) records = records_around (log_reader_order (reader), search);
+  story_t outcome;
+
+  if (records->len == 0)
+    return error_set (error, ERROR_BAD_REQUEST, "%s: no event in these logs mentions it",
+                      search->id);
+  outcome = story_of (records);
+  if (json)
+    {
+      print_json (search->id, records, &outcome, out);
+      return true;
+    }
+  for (guint i = 0; i < records->len; i++)
+    print_record (g_ptr_array_index (records, i),
+                  ((const log_record_t *) g_ptr_array_index (records, 0))->time_ms, out);
+  print_outcome (&outcome, out);
+  return true;
+}
+
+bool
+trace_show (const char *id, char **files, guint count, bool json, FILE *out, error_info_t *error)
+{
+  search_t search
+      = { .id = id, .orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  log_reader_t *reader = log_reader_new (keep, &search);
+  bool ok = log_reader_read_all (reader, files, count, error)
+            && show (reader, &search, json, out, error);
+
+  log_reader_free (reader);
+  g_hash_table_unref (search.orders);
+  return ok;
+}
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -58,6 +58,8 @@
   ORDER_OTHER_LIFE /* the executor has restarted */
 } order_outcome_t;
 
+const char *order_outcome_name (order_outcome_t outcome);
+
 typedef struct
 {
   task_ref_t task;
--- a/src/decide/cell_runs.c
+++ b/src/decide/cell_runs.c
@@ -403,6 +403,35 @@
     }
 }
 
+const char *
+order_outcome_name (order_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case ORDER_OK:
+      return "ok";
+    case ORDER_LOST:
+      return "no_answer";
+    case ORDER_NOT_SENT:
+      return "not_sent";
+    case ORDER_FENCED:
+      return "fenced";
+    case ORDER_OLD:
+      return "old_run";
+    case ORDER_LATE:
+      return "lease_over";
+    case ORDER_NO_ROOM:
+      return "no_room";
+    case ORDER_BAD_TICKET:
+      return "bad_ticket";
+    case ORDER_BUSY:
+      return "not_healthy";
+    case ORDER_OTHER_LIFE:
+      return "other_life";
+    }
+  return "unknown";
+}
+
 void
 cell_order_result (cell_t *cell, guint64 order, order_outcome_t outcome, gint64 now_us)
 {
@@ -413,9 +442,9 @@
   clear_order (cell, run);
   if (outcome != ORDER_OK)
     cell_note (cell, "order_failed",
-               "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT " outcome=%d",
+               "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT " outcome=%s",
                run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
-               run->executor->id, order, (int) outcome);
+               run->executor->id, order, order_outcome_name (outcome));
   if (run->state == RUN_ORDERED)
     start_answered (cell, run, outcome, now_us);
   else if (run->state == RUN_STOPPING)
--- /dev/null
+++ b/tests/trace.c
@@ -0,0 +1,202 @@
+/* The reading of logs: one timeline in spite of clock steps, the outcome and its cause. */
+#include "cli/trace.h"
+#include "cli/log_reader.h"
+
+#include <CUnit/Basic.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define JOB "0123456789abcdef"
+
+/* The decider's VM; its time of day is 40 s ahead for a while. */
+static const char *const decider_log
+    = "vm-1 time=1000.000 up=0.000 level=info module=entry event=started vm=vm-1\n"
+      "vm-1 time=1001.000 up=1.000 level=info module=claim event=claim_gained domain=all fence=3\n"
+      "vm-1 time=1002.000 up=2.000 level=info module=decider event=advice_asked job=" JOB
+      " step=0.0 order=1\n"
+      "vm-1 time=1042.100 up=2.100 level=info module=decider event=advice_answered order=1 "
+      "allowed=2\n"
+      "vm-1 time=1042.200 up=2.200 level=info module=decider event=task_start job=" JOB
+      " task=0.0.0 run=1 executor=e1 order=2\n"
+      "vm-1 time=1003.500 up=3.500 level=info module=decider event=order_failed order=2 "
+      "outcome=lost\n"
+      "vm-1 time=1004.000 up=4.000 level=info module=decider event=task_ended job=" JOB
+      " task=0.0.0 run=1 executor=e1 how=failed ran_ms=900\n"
+      "vm-1 time=1004.100 up=4.100 level=info module=decider event=job_ended job=" JOB
+      " queue=q state=failed\n"
+      "vm-1 time=1004.200 up=4.200 level=info module=decider event=advice_answered order=9 "
+      "allowed=1\n"
+      "a line of something else\n";
+
+/* Of the VM that took the job; without `up`, as older versions write. */
+static const char *const intake_log
+    = "time=1001.900 level=info module=intake event=job_request job=" JOB
+      " action=submit queue=q result=none took_ms=9\n"
+      "time=1002.500 level=info module=intake event=job_request job=fedcba9876543210 "
+      "action=submit queue=q result=platform_unavailable took_ms=0\n";
+
+typedef struct
+{
+  char *folder;
+  char *files[3];
+} logs_t;
+
+static void
+logs_write (logs_t *logs)
+{
+  logs->folder = g_dir_make_tmp ("trace-XXXXXX", NULL);
+  logs->files[0] = g_build_filename (logs->folder, "intake.log", NULL);
+  logs->files[1] = g_build_filename (logs->folder, "decider.log", NULL);
+  logs->files[2] = NULL;
+  CU_ASSERT (g_file_set_contents (logs->files[0], intake_log, -1, NULL));
+  CU_ASSERT (g_file_set_contents (logs->files[1], decider_log, -1, NULL));
+}
+
+static void
+logs_remove (logs_t *logs)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      (void) g_unlink (logs->files[i]);
+      g_free (logs->files[i]);
+    }
+  (void) g_rmdir (logs->folder);
+  g_free (logs->folder);
+}
+
+/* Output of a trace; `id` NULL: of the summary. */
+static char *
+trace (const logs_t *logs, const char *id, bool json)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  error_info_t error = { .kind = ERROR_NONE };
+  bool ok = id != NULL ? trace_show (id, (char **) logs->files, 2, json, out, &error)
+                       : trace_summary ((char **) logs->files, 2, json, out, &error);
+
+  CU_ASSERT (ok);
+  (void) fclose (out);
+  return text;
+}
+
+/* True when the texts stand in this order. */
+static bool
+in_order (const char *text, const char *const *wanted, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      text = strstr (text, wanted[i]);
+      if (text == NULL)
+        return false;
+      text += strlen (wanted[i]);
+    }
+  return true;
+}
+
+static void
+test_timeline (void)
+{
+  static const char *const wanted[]
+      = { "claim_gained", "job_request",  "advice_asked", "advice_answered",
+          "task_start",   "order_failed", "task_ended",   "job_ended" };
+  logs_t logs;
+  g_autofree char *text = NULL;
+
+  logs_write (&logs);
+  text = trace (&logs, JOB, false);
+  CU_ASSERT (in_order (text, wanted, G_N_ELEMENTS (wanted)));
+  /* The time of day had stepped when the task was started. */
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "00:16:42.200"));
+  CU_ASSERT_PTR_NULL (strstr (text, "order=9"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "outcome: ended, failed"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "accepted to first start: 0.300 s"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "last cause: task_ended at vm-1"));
+  logs_remove (&logs);
+}
+
+static void
+test_refused (void)
+{
+  logs_t logs;
+  g_autofree char *text = NULL;
+
+  logs_write (&logs);
+  text = trace (&logs, "fedcba9876543210", false);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "outcome: not accepted: platform_unavailable"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "last cause: job_request at intake.log"));
+  logs_remove (&logs);
+}
+
+static void
+test_summary (void)
+{
+  logs_t logs;
+  g_autofree char *text = NULL;
+  g_autofree char *json = NULL;
+
+  logs_write (&logs);
+  text = trace (&logs, NULL, false);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "1  submission refused: platform_unavailable"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "1  job ended: failed"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "1 lines were no log lines"));
+  json = trace (&logs, NULL, true);
+  CU_ASSERT_PTR_NOT_NULL (strstr (json, "\"job ended: failed\":1"));
+  logs_remove (&logs);
+}
+
+/* Files that are cut, empty, missing or of another kind. */
+static void
+test_bad_files (void)
+{
+  logs_t logs;
+  char *missing[] = { (char *) "/nowhere/to.log", NULL };
+  error_info_t error = { .kind = ERROR_NONE };
+  g_autofree char *cut = NULL;
+
+  logs_write (&logs);
+  CU_ASSERT_FALSE (trace_show (JOB, missing, 1, false, stdout, &error));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error.detail, "/nowhere/to.log"));
+  CU_ASSERT (g_file_set_contents (logs.files[0], "", -1, NULL));
+  CU_ASSERT_FALSE (trace_show (JOB, logs.files, 1, false, stdout, &error));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error.detail, "no line of a log"));
+  CU_ASSERT (g_file_set_contents (logs.files[0],
+                                  "\x7f"
+                                  "ELF time=x event=y\n",
+                                  -1, NULL));
+  CU_ASSERT_FALSE (trace_show (JOB, logs.files, 1, false, stdout, &error));
+  /* A line that is cut anywhere is skipped or read as far as it goes. */
+  for (gsize length = strlen (intake_log); length > 0; length--)
+    {
+      FILE *out = fopen ("/dev/null", "w");
+
+      cut = g_strndup (intake_log, length);
+      CU_ASSERT (g_file_set_contents (logs.files[0], cut, -1, NULL));
+      (void) trace_show (JOB, logs.files, 1, false, out, &error);
+      (void) fclose (out);
+      g_clear_pointer (&cut, g_free);
+    }
+  CU_ASSERT_FALSE (trace_show ("ffffffffffffffff", logs.files + 1, 1, false, stdout, &error));
+  logs_remove (&logs);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return EXIT_FAILURE;
+  suite = CU_add_suite ("trace", NULL, NULL);
+  CU_add_test (suite, "one timeline of a job", test_timeline);
+  CU_add_test (suite, "a job that was not accepted", test_refused);
+  CU_add_test (suite, "outcomes by cause", test_summary);
+  CU_add_test (suite, "files that are no logs", test_bad_files);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
