--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -6,8 +6,8 @@
 #include "base/log.h"
 #include "caller/callers.h"
 #include "operator/operators.h"
-#include "platform/claims.h"
-#include "platform/vmlist.h"
+#include "records/claims.h"
+#include "records/vmlist.h"
 
 #include <glib-unix.h>
 #include <signal.h>
--- a/src/operator/environments.h
+++ b/src/operator/environments.h
@@ -8,8 +8,8 @@
 
 #include "base/error.h"
 #include "decide/document.h"
-#include "platform/config.h"
-#include "platform/kv.h"
+#include "records/config.h"
+#include "records/kv.h"
 
 #include <json-glib/json-glib.h>
 
--- a/src/platform/batch.c
+++ b/src/records/batch.c
@@ -1,4 +1,4 @@
-#include "platform/batch.h"
+#include "records/batch.h"
 
 #include <string.h>
 
--- a/src/platform/batch.h
+++ b/src/records/batch.h
@@ -8,7 +8,7 @@
  */
 #pragma once
 
-#include "platform/kv.h"
+#include "records/kv.h"
 
 typedef struct batch batch_t;
 
--- a/src/platform/claims.c
+++ b/src/records/claims.c
@@ -1,6 +1,6 @@
 #define LOG_MODULE "claims"
 
-#include "platform/claims.h"
+#include "records/claims.h"
 
 #include "base/json.h"
 #include "base/log.h"
--- a/src/platform/claims.h
+++ b/src/records/claims.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "decide/claim.h"
-#include "platform/kv.h"
+#include "records/kv.h"
 
 typedef struct claims claims_t;
 
--- a/src/platform/config.c
+++ b/src/records/config.c
@@ -1,6 +1,6 @@
 #define LOG_MODULE "config"
 
-#include "platform/config.h"
+#include "records/config.h"
 
 #include "base/log.h"
 
--- a/src/platform/config.h
+++ b/src/records/config.h
@@ -6,7 +6,7 @@
  */
 #pragma once
 
-#include "platform/kv.h"
+#include "records/kv.h"
 
 #define CONFIG_PREFIX "/mimosastair/environments/"
 
--- a/src/platform/idem.c
+++ b/src/records/idem.c
@@ -1,6 +1,6 @@
 #define LOG_MODULE "idem"
 
-#include "platform/idem.h"
+#include "records/idem.h"
 
 #include "base/json.h"
 #include "base/list.h"
--- a/src/platform/idem.h
+++ b/src/records/idem.h
@@ -15,7 +15,7 @@
 
 #include "base/error.h"
 #include "decide/members.h"
-#include "platform/batch.h"
+#include "records/batch.h"
 
 #include <glib.h>
 
--- a/src/platform/kv.c
+++ b/src/records/kv.c
@@ -1,4 +1,4 @@
-#include "platform/kv.h"
+#include "records/kv.h"
 
 #include "base/http_client.h"
 #include "base/json.h"
--- a/src/platform/vmlist.c
+++ b/src/records/vmlist.c
@@ -1,6 +1,6 @@
 #define LOG_MODULE "vmlist"
 
-#include "platform/vmlist.h"
+#include "records/vmlist.h"
 
 #include "base/http_client.h"
 #include "base/json.h"
--- a/src/work/jobs.h
+++ b/src/work/jobs.h
@@ -11,7 +11,7 @@
 #include "base/metrics.h"
 #include "decide/claim.h"
 #include "decide/job.h"
-#include "platform/batch.h"
+#include "records/batch.h"
 
 typedef struct jobs jobs_t;
 
--- a/src/work/requests.h
+++ b/src/work/requests.h
@@ -9,7 +9,7 @@
 #include "base/json.h"
 #include "base/metrics.h"
 #include "decide/members.h"
-#include "platform/idem.h"
+#include "records/idem.h"
 
 typedef struct requests requests_t;
 
