--- a/tests/claim.c
+++ b/tests/claim.c
@@ -2,11 +2,8 @@
  * long a domain is without a holder. */
 #include "entry/claim.h"
 #include "base/clock.h"
-#include "base/log.h"
 #include "fake_store.h"
-
-#include <CUnit/Basic.h>
-#include <stdlib.h>
+#include "run.h"
 
 enum
 {
@@ -66,23 +63,6 @@
   bidder->claim = claim_new (bidder->store, &config, &events, bidder);
 }
 
-static gboolean
-stop_waiting (gpointer data)
-{
-  *(bool *) data = true;
-  return G_SOURCE_REMOVE;
-}
-
-static void
-wait_ms (guint ms)
-{
-  bool is_over = false;
-
-  g_timeout_add (ms, stop_waiting, &is_over);
-  while (!is_over)
-    g_main_context_iteration (NULL, TRUE);
-}
-
 /* Waits until one of two bidders holds the claim; the test ends when none does in `ms`. */
 static bidder_t *
 wait_for_holder (bidder_t *first, bidder_t *second, guint ms)
@@ -95,7 +75,7 @@
         return first;
       if (second->fence != 0)
         return second;
-      wait_ms (5);
+      run_wait_ms (5);
     }
   g_error ("nobody holds the claim after %u ms", ms);
   return first;
@@ -113,13 +93,13 @@
   fake_service_set_down (service, false);
   for (guint i = 0; i < count; i++)
     claim_give_up (bidders[i]->claim, given_up, NULL);
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   /* Ends the watches. */
   fake_service_set_down (service, true);
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   for (guint i = 0; i < count; i++)
     claim_free (bidders[i]->claim);
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   for (guint i = 0; i < count; i++)
     bidders[i]->store->calls->free (bidders[i]->store);
   fake_service_free (service);
@@ -147,12 +127,12 @@
   start (&b, "b", 1000);
   holder = wait_for_holder (&a, &b, 2 * MOMENT_MS);
   other = holder == &a ? &b : &a;
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   CU_ASSERT_EQUAL (other->fence, 0);
   fence = holder->fence;
   /* The key is taken away, while the holder's lease is renewed. */
   fake_service_revoke (service, "claim/d");
-  wait_ms (TTL_MS);
+  run_wait_ms (TTL_MS);
   CU_ASSERT ((a.fence == 0) != (b.fence == 0));
   CU_ASSERT (MAX (a.fence, b.fence) > fence);
   CU_ASSERT_EQUAL (MAX (a.epoch, b.epoch), 1);
@@ -173,11 +153,11 @@
   start (&b, "b", 1000);
   holder = wait_for_holder (&a, &b, 2 * MOMENT_MS);
   fence = holder->fence;
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   fake_service_set_down (service, true);
-  wait_ms (2 * TTL_MS);
+  run_wait_ms (2 * TTL_MS);
   claim_abdicate (holder->claim);
-  wait_ms (2 * TTL_MS);
+  run_wait_ms (2 * TTL_MS);
   fake_service_set_down (service, false);
   /* The former claim's key is there for TTL_MS yet: its owner takes it away. */
   holder = wait_for_holder (&a, &b, TTL_MS - MOMENT_MS);
@@ -199,12 +179,12 @@
   start (&b, "b", 1000);
   holder = wait_for_holder (&a, &b, 2 * MOMENT_MS);
   other = holder == &a ? &b : &a;
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   fake_service_set_down (service, true);
   claim_abandoned (other->claim, holder->fence);
-  wait_ms (2 * MOMENT_MS);
+  run_wait_ms (2 * MOMENT_MS);
   fake_service_set_down (service, false);
-  wait_ms (2 * MOMENT_MS);
+  run_wait_ms (2 * MOMENT_MS);
   CU_ASSERT (other->fence != 0);
   finish_two (&a, &b);
 }
@@ -222,9 +202,9 @@
   start (&a, "a", 1000);
   start (&b, "b", 1000);
   (void) wait_for_holder (&a, &b, 2 * MOMENT_MS);
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   start (&young, "c", 1000);
-  wait_ms (MOMENT_MS);
+  run_wait_ms (MOMENT_MS);
   fake_service_revoke (service, "claim/d");
   (void) wait_for_holder (&young, &young, TTL_MS);
   CU_ASSERT (young.fence != 0);
@@ -247,20 +227,13 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const test_case_t tests[] = {
+    { "one VM holds the claim", test_one_holder },
+    { "a claim is back soon after an outage", test_back_after_outage },
+    { "a claim given up in an outage", test_abandoned_in_outage },
+    { "a VM that was restarted goes first", test_younger_first },
+    { "the larger VM is first", test_larger_first },
+  };
 
-  if (CU_initialize_registry () != CUE_SUCCESS || !log_init ("error"))
-    return EXIT_FAILURE;
-  suite = CU_add_suite ("claim", NULL, NULL);
-  CU_add_test (suite, "one VM holds the claim", test_one_holder);
-  CU_add_test (suite, "a claim is back soon after an outage", test_back_after_outage);
-  CU_add_test (suite, "a claim given up in an outage", test_abandoned_in_outage);
-  CU_add_test (suite, "a VM that was restarted goes first", test_younger_first);
-  CU_add_test (suite, "the larger VM is first", test_larger_first);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite ("claim", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/recorder.c
+++ b/tests/recorder.c
@@ -2,13 +2,10 @@
  * service, lost answers and a claim that is gone. */
 #include "entry/recorder.h"
 #include "base/clock.h"
-#include "base/log.h"
 #include "entry/keys.h"
 #include "entry/placements.h"
 #include "fake_store.h"
-
-#include <CUnit/Basic.h>
-#include <stdlib.h>
+#include "run.h"
 
 enum
 {
@@ -55,23 +52,6 @@
 static const recorder_events_t events = { ended, stored, deposed };
 static const cell_ops_t no_ops = { 0 };
 
-static gboolean
-stop_waiting (gpointer data)
-{
-  *(bool *) data = true;
-  return G_SOURCE_REMOVE;
-}
-
-static void
-wait_ms (guint ms)
-{
-  bool is_over = false;
-
-  g_timeout_add (ms, stop_waiting, &is_over);
-  while (!is_over)
-    g_main_context_iteration (NULL, TRUE);
-}
-
 static void
 ignore (const store_reply_t *reply G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
 {
@@ -99,7 +79,7 @@
   fixture->recorder = recorder_new (fixture->store, "claim/d",
                                     fake_service_revision (fixture->service, "claim/d"),
                                     fixture->cell, &events, fixture);
-  wait_ms (50);
+  run_wait_ms (50);
   return fixture;
 }
 
@@ -107,7 +87,7 @@
 fixture_free (fixture_t *fixture)
 {
   recorder_free (fixture->recorder);
-  wait_ms (300);
+  run_wait_ms (300);
   cell_free (fixture->cell);
   fixture->store->calls->free (fixture->store);
   fake_service_free (fixture->service);
@@ -139,7 +119,7 @@
   finish_jobs (fixture, 300);
   fake_service_set_delay (fixture->service, SLOW_MS);
   /* 900 rows: 34 transactions, 16 at a time, and the closing one. */
-  wait_ms (10 * SLOW_MS);
+  run_wait_ms (10 * SLOW_MS);
   CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 300);
   CU_ASSERT_FALSE (fixture->is_missing);
   fixture_free (fixture);
@@ -152,7 +132,7 @@
 
   fake_service_lose_answers (fixture->service, 3);
   finish_jobs (fixture, 100);
-  wait_ms (1500);
+  run_wait_ms (1500);
   CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 100);
   CU_ASSERT_EQUAL (fixture->told_twice, 0);
   CU_ASSERT_FALSE (fixture->is_missing);
@@ -169,9 +149,9 @@
 
   finish_jobs (fixture, 5);
   recorder_delete (fixture->recorder, "place/1-1");
-  wait_ms (5);
+  run_wait_ms (5);
   before = fake_service_transactions (fixture->service);
-  wait_ms (100);
+  run_wait_ms (100);
   CU_ASSERT_EQUAL (fake_service_transactions (fixture->service) - before, 1);
   CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 5);
   fixture_free (fixture);
@@ -190,7 +170,7 @@
   recorder_delete (fixture->recorder, "place/1-1");
   for (guint i = 0; i < 60; i++)
     {
-      wait_ms (5);
+      run_wait_ms (5);
       for (guint j = 0; j < 100; j++)
         {
           g_autofree char *id = g_strdup_printf ("%016x", j);
@@ -212,7 +192,7 @@
 
   put (fixture, "claim/d");
   finish_jobs (fixture, 100);
-  wait_ms (200);
+  run_wait_ms (200);
   CU_ASSERT (fixture->is_deposed);
   CU_ASSERT_EQUAL (g_hash_table_size (fixture->ended), 0);
   fixture_free (fixture);
@@ -265,9 +245,9 @@
   for (guint i = 0; i < 50; i++)
     {
       place (placements, i);
-      wait_ms (2);
+      run_wait_ms (2);
     }
-  wait_ms (4 * SLOW_MS);
+  run_wait_ms (4 * SLOW_MS);
   CU_ASSERT_EQUAL (placed.stored, 50);
   CU_ASSERT (fake_service_transactions (fixture->service) - before <= 8);
   placements_free (placements);
@@ -285,7 +265,7 @@
 
   put (fixture, "claim/d");
   place (placements, 1);
-  wait_ms (50);
+  run_wait_ms (50);
   CU_ASSERT_EQUAL (placed.stored, 0);
   CU_ASSERT_EQUAL (placed.refused, 1);
   /* A lost answer is asked for again. */
@@ -296,7 +276,7 @@
   fake_service_lose_answers (fixture->service, 2);
   for (guint i = 0; i < 8; i++)
     place (placements, i);
-  wait_ms (400);
+  run_wait_ms (400);
   CU_ASSERT_EQUAL (placed.stored, 8);
   placements_free (placements);
   fixture_free (fixture);
@@ -305,22 +285,15 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS || !log_init ("error"))
-    return EXIT_FAILURE;
-  suite = CU_add_suite ("recorder", NULL, NULL);
-  CU_add_test (suite, "a burst of ends on a slow store", test_slow_store);
-  CU_add_test (suite, "answers are lost", test_lost_answers);
-  CU_add_test (suite, "a small batch is one transaction", test_small_batch);
-  CU_add_test (suite, "deletions come after the ends", test_deletions_last);
-  CU_add_test (suite, "nothing is told when the claim is gone", test_claim_gone);
-  CU_add_test (suite, "placements share calls", test_placements_share_calls);
-  CU_add_test (suite, "a placement needs the claim", test_placement_needs_claim);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  static const test_case_t tests[] = {
+    { "a burst of ends on a slow store", test_slow_store },
+    { "answers are lost", test_lost_answers },
+    { "a small batch is one transaction", test_small_batch },
+    { "deletions come after the ends", test_deletions_last },
+    { "nothing is told when the claim is gone", test_claim_gone },
+    { "placements share calls", test_placements_share_calls },
+    { "a placement needs the claim", test_placement_needs_claim },
+  };
+
+  return run_suite ("recorder", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/trace.c
+++ b/tests/trace.c
@@ -1,10 +1,9 @@
 /* The reading of logs: one timeline in spite of clock steps, the outcome and its cause. */
 #include "cli/trace.h"
 #include "cli/log_reader.h"
+#include "run.h"
 
-#include <CUnit/Basic.h>
 #include <glib/gstdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define JOB "0123456789abcdef"
@@ -184,19 +183,12 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return EXIT_FAILURE;
-  suite = CU_add_suite ("trace", NULL, NULL);
-  CU_add_test (suite, "one timeline of a job", test_timeline);
-  CU_add_test (suite, "a job that was not accepted", test_refused);
-  CU_add_test (suite, "outcomes by cause", test_summary);
-  CU_add_test (suite, "files that are no logs", test_bad_files);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  static const test_case_t tests[] = {
+    { "one timeline of a job", test_timeline },
+    { "a job that was not accepted", test_refused },
+    { "outcomes by cause", test_summary },
+    { "files that are no logs", test_bad_files },
+  };
+
+  return run_suite ("trace", tests, G_N_ELEMENTS (tests));
 }
