--- a/src/entry/claim.h
+++ b/src/entry/claim.h
@@ -55,6 +55,6 @@
 /* Processor of the largest VM, as the decider tells it. */
 void claim_set_cpu_most (claim_t *claim, guint cpu_milli);
 
-/* Gives the claim up without a call: the service does not answer this VM.  Others are to
- * be told its revision. */
+/* Gives the claim up without a call: the service does not answer this VM, or a larger one
+ * is to decide.  Others are to be told its revision. */
 void claim_abdicate (claim_t *claim);
--- a/src/entry/decider.h
+++ b/src/entry/decider.h
@@ -23,7 +23,8 @@
 } decider_config_t;
 
 /* `deposed` is called once when the claim turns out to be another's; `abdicate` when the
- * store answers other VMs but not this one: the VMs have been told that the claim is free. */
+ * store answers other VMs but not this one, or a VM is clearly larger: the VMs have been
+ * told that the claim is free. */
 decider_t *decider_new (store_t *store,
                         claim_t *claim,
                         const decider_config_t *config,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -154,7 +154,7 @@
   claim_check (entry->claim);
 }
 
-/* The store answers other VMs but not this one. */
+/* Another VM is to decide. */
 static void
 abdicate (void *data)
 {
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -1,9 +1,9 @@
 /* The key-value service for customers' requests, with a way round.
  *
- * Calls go straight to the service.  Where it does not answer this VM soon, or refuses,
- * the decider makes the same call for it: the service may turn some VMs away and serve
- * the others.  Only gets and transactions that may be carried out twice are offered:
- * those whose conditions the first execution breaks, or that write the same again.
+ * Calls go straight to the service.  Where it does not answer this VM in twice the time that
+ * answers took of late, or refuses, the decider makes the same call for it: the service may turn
+ * some VMs away and serve the others.  Only gets and transactions that may be carried out twice are
+ * offered: those whose conditions the first execution breaks, or that write the same again.
  */
 #pragma once
 
