--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -52,6 +52,8 @@
   guint delay_ms;
   guint lose_every;
   guint transactions;
+  guint open; /* transactions on their way */
+  guint most_open;
   guint sweep_timer;
 };
 
@@ -67,6 +69,7 @@
   store_reply_t reply;
   store_done_t done;
   void *data;
+  fake_service_t *of_transaction; /* NULL: of another call */
 } answer_t;
 
 static void
@@ -102,6 +105,8 @@
 {
   answer_t *answer = data;
 
+  if (answer->of_transaction != NULL)
+    answer->of_transaction->open--;
   answer->done (&answer->reply, answer->data);
   g_ptr_array_unref (answer->reply.items);
   g_free (answer);
@@ -374,6 +379,8 @@
   if (lose (service, done, data))
     return;
   service->transactions++;
+  service->open++;
+  service->most_open = MAX (service->most_open, service->open);
   for (gsize i = 0; i < expect_count; i++)
     is_refused |= !holds (service, &expect[i]);
   for (gsize i = 0; i < write_count; i++)
@@ -382,6 +389,7 @@
   if (is_refused)
     {
       answer = answer_new (service, STORE_REFUSED, done, data);
+      answer->of_transaction = service;
       for (gsize i = 0; i < expect_count; i++)
         {
           const row_t *row = g_hash_table_lookup (service->rows, expect[i].key);
@@ -401,6 +409,7 @@
         note_event (service, writes[i].key, true);
     }
   answer = answer_new (service, STORE_DONE, done, data);
+  answer->of_transaction = service;
   if (service->lose_every > 0 && service->transactions % service->lose_every == 0)
     answer->reply.status = STORE_LOST;
   send (service, answer);
@@ -539,6 +548,12 @@
   service->lose_every = every;
 }
 
+guint
+fake_service_most_open (const fake_service_t *service)
+{
+  return service->most_open;
+}
+
 guint
 fake_service_transactions (const fake_service_t *service)
 {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -24,6 +24,9 @@
 /* Takes a key away; its lease is renewed as before. */
 void fake_service_revoke (fake_service_t *service, const char *key);
 
+/* The most transactions that were on their way at one time. */
+guint fake_service_most_open (const fake_service_t *service);
+
 /* Transactions that were carried out or refused. */
 guint fake_service_transactions (const fake_service_t *service);
 
--- a/tests/run.h
+++ b/tests/run.h
@@ -31,6 +31,21 @@
     g_main_context_iteration (NULL, TRUE);
 }
 
+/* Waits until the condition holds; false after so long that a busy machine is no excuse. */
+static inline bool
+run_wait_until (bool (*holds) (void *data), void *data)
+{
+  gint64 end_us = g_get_monotonic_time () + 20 * G_USEC_PER_SEC;
+
+  while (!holds (data))
+    {
+      if (g_get_monotonic_time () > end_us)
+        return false;
+      run_wait_ms (2);
+    }
+  return true;
+}
+
 /* Exit status of the test program. */
 static inline int
 run_suite (const char *name, const test_case_t *tests, guint count)
