A moved executor's lease is not taken as lapsed

A VM's first hold of an executor grants no lease; its second does and waits up to a second for its answer. When the executor was moved to another VM meanwhile (a new executor, moved twice in 0.5 s), no report of that lease came, so the books had none; the third VM's first hold went unanswered, and what ran there was taken as lapsed and started elsewhere. Change: a move extends the lease in the books as the loss of a VM does (cell_executor_moved). Measured: a unit test fails without it and passes with it. Ruled out: begin_life, which does not touch the lease.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -263,6 +263,10 @@
  * at the latest. */
 void cell_executor_orphaned (cell_t *cell, const char *id, gint64 now_us);
 
+/* Another VM is to hold the executor: the former one may have had a lease granted of which no
+ * report will come. */
+void cell_executor_moved (cell_t *cell, const char *id, gint64 now_us);
+
 void cell_order_result (cell_t *cell, guint64 order, order_outcome_t outcome, gint64 now_us);
 
 /* `is_answered` false: the call failed or was refused. */
--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -481,6 +481,15 @@
   start_hold (cell, executor);
 }
 
+void
+cell_executor_moved (cell_t *cell, const char *id, gint64 now_us)
+{
+  executor_t *executor = cell_find_executor (cell, id);
+
+  if (executor != NULL)
+    cell_extend_lapse (cell, executor, now_us + cell->limits.claim_us);
+}
+
 /* Executors that are unreachable for so long that nothing runs there, or that left. */
 static void
 check_executor (cell_t *cell, executor_t *executor, gint64 now_us)
--- a/src/entry/decider_vms.c
+++ b/src/entry/decider_vms.c
@@ -86,6 +86,7 @@
           rows[from].held--;
           decider_send_assign (assignment, assignment->vm, true);
           decider_unassign (assignment);
+          cell_executor_moved (decider->cell, assignment->id, clock_now_us ());
         }
       to = share_choose (rows, vms->len, assignment->zone);
       if (to < 0)
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -997,6 +997,33 @@
   CU_ASSERT (!share_should_move (vms, 4, "a", 1));
 }
 
+/* An executor was moved between VMs before the report of a lease came that the first had
+ * been granted; the second did not reach it at once.  Its tasks may run on. */
+static void
+test_moved_executor_keeps_lease (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  executor_report_t fresh = { .executor = "e1", .is_reached = true, .born = 1 };
+  executor_report_t silent = { .executor = "e1" };
+  const entry_t *start;
+
+  list_executor (fixture, "e1", 1, false);
+  cell_executor_report (fixture->cell, &fresh, fixture->now_us);
+  ready_executor (fixture, "e2");
+  add_job (fixture, job_spec (1, 1, 1000), false);
+  step (fixture);
+  start = must (fixture, 's');
+  CU_ASSERT_STRING_EQUAL (start->executor, "e1");
+  cell_order_result (fixture->cell, start->order, ORDER_OK, fixture->now_us);
+  cell_executor_moved (fixture->cell, "e1", fixture->now_us);
+  fixture->now_us += 500 * MS;
+  cell_executor_report (fixture->cell, &silent, fixture->now_us);
+  step (fixture);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next (fixture, 's'));
+  fixture_free (fixture);
+}
+
 /* A second queue, whose starts need no advice. */
 static void
 add_plain_queue (fixture_t *fixture)
@@ -1283,6 +1310,7 @@
   CU_add_test (suite, "a gang stays in one rack", test_gang_in_one_rack);
   CU_add_test (suite, "a gang is spread at last", test_gang_spread_at_last);
   CU_add_test (suite, "filling work is kept from serving work", test_filling_work_kept_apart);
+  CU_add_test (suite, "a moved executor keeps its lease", test_moved_executor_keeps_lease);
   CU_add_test (suite, "a gang asks for advice ahead", test_gang_asks_ahead);
   CU_add_test (suite, "a gang's tickets are asked for together", test_gang_tickets_together);
   CU_add_test (suite, "a gang has room where it is free soonest", test_gang_reserves_soonest);
