--- /dev/null
+++ b/src/base/program.c
@@ -0,0 +1,36 @@
+#include "base/program.h"
+
+#include "base/log.h"
+
+int
+program_usage_error (const error_info_t *error)
+{
+  (void) fprintf (stderr, "mimosastaird: %s\n", error->detail);
+  return error_answer (ERROR_BAD_SETTING)->exit_code;
+}
+
+int
+program_answer (bool is_loaded,
+                settings_result_t result,
+                const char *log_level,
+                void (*print_help) (FILE *out),
+                error_info_t *error)
+{
+  if (!is_loaded)
+    return program_usage_error (error);
+  if (result == SETTINGS_HELP)
+    {
+      print_help (stdout);
+      return 0;
+    }
+  if (result == SETTINGS_VERSION)
+    {
+      (void) printf ("mimosastaird %s\n", MIMOSASTAIR_VERSION);
+      return 0;
+    }
+  if (log_init (log_level))
+    return -1;
+  (void) error_set (error, ERROR_BAD_SETTING,
+                    "--log-level: \"%s\" is not error, warning, info or debug", log_level);
+  return program_usage_error (error);
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -6,6 +6,7 @@
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/program.h"
 #include "entry/claim.h"
 #include "entry/decider.h"
 #include "entry/intake.h"
@@ -479,44 +480,24 @@
   g_free (entry);
 }
 
-static int
-usage_error (const error_info_t *error)
-{
-  (void) fprintf (stderr, "mimosastaird: %s\n", error->detail);
-  return error_answer (ERROR_BAD_SETTING)->exit_code;
-}
-
 int
 entry_main (int argc, char **argv)
 {
   entry_options_t options = { 0 };
-  settings_result_t result;
+  settings_result_t result = SETTINGS_READY;
+  bool is_loaded;
+  int status;
   error_info_t error = { .kind = ERROR_NONE };
   entry_t *entry;
 
   (void) signal (SIGPIPE, SIG_IGN);
-  if (!entry_options_load (&options, argc, argv, &result, &error))
-    return usage_error (&error);
-  if (result == SETTINGS_HELP)
-    {
-      entry_options_print_help (stdout);
-      return 0;
-    }
-  if (result == SETTINGS_VERSION)
-    {
-      (void) printf ("mimosastaird %s\n", MIMOSASTAIR_VERSION);
-      return 0;
-    }
-  if (!log_init (options.log_level))
-    {
-      (void) error_set (&error, ERROR_BAD_SETTING,
-                        "--log-level: \"%s\" is not error, warning, info or debug",
-                        options.log_level);
-      return usage_error (&error);
-    }
+  is_loaded = entry_options_load (&options, argc, argv, &result, &error);
+  status = program_answer (is_loaded, result, options.log_level, entry_options_print_help, &error);
+  if (status >= 0)
+    return status;
   entry = entry_new (&options, &error);
   if (entry == NULL)
-    return usage_error (&error);
+    return program_usage_error (&error);
   entry_run (entry);
   /* The process ends here; connections are closed by the kernel with what was written
    * to them delivered. */
