Leases of a former holder are in the books wherever a VM begins to hold; schedules move executors

The same gap was there when an entry is listed again or its address changes. The random schedules had one VM for each executor and answered holds at once, so they could not see any of it. Change: a VM that is told to hold an executor extends the lease in the books by what one before it may have been granted; tests/schedules.c moves executors between VMs and has granted holds answered up to a second late.

--- a/src/decide/cell_fleet.c
+++ b/src/decide/cell_fleet.c
@@ -186,12 +186,15 @@
   clear_acks (executor);
 }
 
+/* Has a VM hold the executor.  One that held it before may have had a lease granted of which
+ * no report comes. */
 static void
-start_hold (cell_t *cell, executor_t *executor)
+start_hold (cell_t *cell, executor_t *executor, gint64 now_us)
 {
   if (executor->is_held || executor->address == NULL)
     return;
   executor->is_held = true;
+  cell_extend_lapse (cell, executor, now_us + cell->limits.claim_us);
   cell->ops->hold (executor->id, executor->address, cell->data);
 }
 
@@ -224,7 +227,7 @@
       executor->address = g_strdup (entry->address);
       executor->is_held = false;
     }
-  start_hold (cell, executor);
+  start_hold (cell, executor, now_us);
 }
 
 void
@@ -478,7 +481,7 @@
   executor->is_held = false;
   executor->is_reached = false;
   cell_extend_lapse (cell, executor, now_us + cell->limits.claim_us);
-  start_hold (cell, executor);
+  start_hold (cell, executor, now_us);
 }
 
 void
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -2,7 +2,8 @@
  * decide/cell.h.
  *
  * Each schedule runs a few jobs on a few executors.  Orders are carried out late or
- * their answers get lost, executors crash, restart and are cut off, deciders are deposed
+ * their answers get lost, executors crash, restart, are cut off and are moved from one VM
+ * to another before the answer of a granted lease comes, deciders are deposed
  * in an orderly way or while they still believe in their claim, and everything that is
  * not stored can be lost at once.  Checked from what executors see:
  *  - no task has two runs at a time on executors that are up;
@@ -12,7 +13,7 @@
  *  - no start comes for a job that was not accepted, or long after its cancel;
  *  - every accepted job ends once the trouble is over.
  *
- * usage: schedules [COUNT [SEED]] */
+ * usage: schedules [COUNT [SEED [v] [no-moves]]] */
 #include "decide/cell.h"
 #include "decide/tenure.h"
 
@@ -128,6 +129,7 @@
   gint64 held_born[EXECUTORS];
   bool is_held[EXECUTORS];
   bool answers[EXECUTORS];
+  guint vm[EXECUTORS]; /* how often another VM was given the executor */
 } decider_t;
 
 typedef enum
@@ -148,6 +150,7 @@
   EVENT_CANCEL,
   EVENT_CRASH,
   EVENT_CUT,
+  EVENT_MOVE,     /* another VM is to hold an executor */
   EVENT_REGISTER, /* an executor writes its registry entry */
   EVENT_LISTED    /* a decider reads it, maybe late */
 } event_kind_t;
@@ -160,6 +163,7 @@
   guint decider;
   guint64 generation; /* of the decider */
   guint executor;
+  guint vm;
   gint64 fence;
   guint64 order;
   guint job;
@@ -211,6 +215,7 @@
 };
 
 static bool verbose;
+static bool has_moves = true; /* executors are moved between VMs, and answers wait */
 
 /* ---- Random numbers. */
 
@@ -728,6 +733,7 @@
   decider->is_held[index] = true;
   event = push_for (decider, EVENT_HOLD_NEXT, MS);
   event->executor = index;
+  event->vm = decider->vm[index];
 }
 
 static const char *
@@ -799,21 +805,23 @@
 
 /* Asks an executor for a report, with a lease while the claim is valid. */
 static void
-send_hold (decider_t *decider, guint index)
+send_hold (decider_t *decider, guint index, guint vm)
 {
   world_t *world = decider->world;
   event_t *event;
 
-  if (!decider->is_held[index] || decider->is_deposed)
+  if (!decider->is_held[index] || decider->is_deposed || vm != decider->vm[index])
     return;
   if (world->now_us >= decider->valid_until_us)
     {
       event = push_for (decider, EVENT_HOLD_NEXT, 100 * MS);
       event->executor = index;
+      event->vm = vm;
       return;
     }
   event = push_for (decider, EVENT_HOLD, (1 + below (world, 3)) * MS);
   event->executor = index;
+  event->vm = vm;
   event->fence = decider->fence;
   event->acked
       = decider->held_born[index] == world->executors[index].born ? decider->acked[index] : 0;
@@ -884,12 +892,16 @@
   model_executor_t *executor = &world->executors[event->executor];
   decider_t *decider = decider_of (world, event);
   bool is_answering = executor->is_up && !executor->is_cut;
+  gint64 delay_us;
   event_t *report;
 
   if (decider == NULL)
     return;
-  report = push_for (decider, EVENT_REPORT, event->is_lost || !is_answering ? 500 * MS : 2 * MS);
+  /* The lease is granted at once; the answer waits for something to tell. */
+  delay_us = has_moves && event->renews && chance (world, 30) ? below (world, 1000) * MS : 2 * MS;
+  report = push_for (decider, EVENT_REPORT, event->is_lost || !is_answering ? 500 * MS : delay_us);
   report->executor = event->executor;
+  report->vm = event->vm;
   report->mark = event->mark;
   report->renews = event->renews;
   if (!is_answering)
@@ -927,7 +939,7 @@
   };
   event_t *next;
 
-  if (decider == NULL || decider->is_deposed)
+  if (decider == NULL || decider->is_deposed || event->vm != decider->vm[event->executor])
     return;
   if (event->is_reached)
     {
@@ -940,6 +952,7 @@
   step_soon (decider, MS);
   next = push_for (decider, EVENT_HOLD_NEXT, (20 + below (world, 400)) * MS);
   next->executor = event->executor;
+  next->vm = event->vm;
 }
 
 /* ---- The store. */
@@ -1337,6 +1350,24 @@
   executor->cut_until_us = world->now_us + (500 + below (world, 7000)) * MS;
 }
 
+/* The former VM's hold may be carried out still; its answer is not looked at. */
+static void
+move (world_t *world, const event_t *event)
+{
+  decider_t *decider = &world->deciders[world->holder];
+  char id[3] = { 'e', (char) ('0' + event->executor), '\0' };
+  event_t *next;
+
+  if (decider->cell == NULL || decider->is_deposed || !decider->is_held[event->executor])
+    return;
+  decider->vm[event->executor]++;
+  decider->answers[event->executor] = false;
+  cell_executor_moved (decider->cell, id, world->now_us);
+  next = push_for (decider, EVENT_HOLD_NEXT, (1 + below (world, 20)) * MS);
+  next->executor = event->executor;
+  next->vm = decider->vm[event->executor];
+}
+
 static void
 order_arrives (world_t *world, const event_t *event)
 {
@@ -1385,7 +1416,7 @@
       return;
     case EVENT_HOLD_NEXT:
       if (decider != NULL)
-        send_hold (decider, event->executor);
+        send_hold (decider, event->executor, event->vm);
       return;
     case EVENT_BATCH:
       batch_arrives (world, event);
@@ -1430,6 +1461,9 @@
     case EVENT_CUT:
       cut (world, event);
       return;
+    case EVENT_MOVE:
+      move (world, event);
+      return;
     case EVENT_REGISTER:
       register_executors (world);
       return;
@@ -1450,6 +1484,8 @@
     (void) push (world, EVENT_LOSE_ALL, below (world, 10000) * MS);
   for (guint i = below (world, 3); i > 0; i--)
     push (world, EVENT_CRASH, below (world, 10000) * MS)->executor = below (world, EXECUTORS);
+  for (guint i = has_moves ? below (world, 6) : 0; i > 0; i--)
+    push (world, EVENT_MOVE, below (world, 10000) * MS)->executor = below (world, EXECUTORS);
   for (guint i = below (world, 3); i > 0; i--)
     push (world, EVENT_CUT, below (world, 9000) * MS)->executor = below (world, EXECUTORS);
 }
@@ -1556,7 +1592,11 @@
   desired_t *desired = one_queue ();
   guint64 failed = 0;
 
-  verbose = argc > 3;
+  for (int i = 3; i < argc; i++)
+    {
+      verbose |= strcmp (argv[i], "v") == 0;
+      has_moves &= strcmp (argv[i], "no-moves") != 0;
+    }
   for (guint64 i = 0; i < count && failed < 5; i++)
     failed += !run_schedule (first + i, desired);
   desired_free (desired);
