--- a/src/entry/claim.c
+++ b/src/entry/claim.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "decide/succession.h"
 #include "decide/tenure.h"
+#include "entry/standby.h"
 #include "peer/peer.pb-c.h"
 #include "store/mirror.h"
 
@@ -45,12 +46,7 @@
   char *holder;    /* address last told */
   tenure_t tenure;
   gint64 lease;
-  gint64 standby; /* a lease that is kept ready; 0: none */
-  gint64 standby_sent_us;
-  gint64 standby_asked_us;
-  guint standby_timer;
-  bool is_granting;
-  bool is_wanted; /* an attempt waits for the lease */
+  standby_t *standby;
   gint64 lease_sent_us;
   gint64 seen_claim;        /* revision of the claim seen last */
   gint64 released_revision; /* of a claim whose holder gave it up; 0: none */
@@ -80,7 +76,6 @@
 static const gint64 abstain_us = 2 * G_USEC_PER_SEC;
 
 static void try_claim (claim_t *claim);
-static void grant_standby (claim_t *claim);
 static void schedule_renewal (claim_t *claim, guint delay_ms);
 
 static void
@@ -132,7 +127,7 @@
   if (claim->state != CLAIM_TRYING)
     return;
   claim->state = CLAIM_FOLLOWING;
-  grant_standby (claim);
+  standby_keep (claim->standby, true);
   schedule_attempt (claim, RETRY_MS);
 }
 
@@ -153,6 +148,7 @@
 hold (claim_t *claim, gint64 fence)
 {
   claim->state = CLAIM_HELD;
+  standby_keep (claim->standby, false);
   claim->is_present = true;
   claim->released_revision = 0;
   claim->fence = fence;
@@ -175,7 +171,7 @@
   claim->tenure = (tenure_t){ 0 };
   drop_lease (claim);
   claim->events->lost (reason, claim->data);
-  grant_standby (claim);
+  standby_keep (claim->standby, true);
   schedule_attempt (claim, RETRY_MS);
 }
 
@@ -274,96 +270,20 @@
   }
 }
 
-/* ---- The lease that is kept ready, so that a claim takes one call. */
-
-static gboolean
-keep_standby (gpointer data)
-{
-  claim_t *claim = data;
-
-  claim->standby_timer = 0;
-  grant_standby (claim);
-  return G_SOURCE_REMOVE;
-}
-
-static void
-schedule_standby (claim_t *claim)
-{
-  guint delay_ms = claim->is_wanted ? RETRY_MS : claim->config.ttl_ms / 2;
-
-  if (claim->standby_timer == 0)
-    claim->standby_timer = g_timeout_add (delay_ms, keep_standby, claim);
-}
-
-static void
-standby_kept (const store_reply_t *reply, void *data)
-{
-  claim_t *claim = data;
-
-  claim->is_granting = false;
-  if (reply->status == STORE_MISSING)
-    claim->standby = 0;
-  else if (reply->status == STORE_DONE)
-    claim->standby_sent_us = claim->standby_asked_us;
-  schedule_standby (claim);
-}
-
-static void
-standby_granted (const store_reply_t *reply, void *data)
-{
-  claim_t *claim = data;
-
-  claim->is_granting = false;
-  if (reply->status == STORE_DONE)
-    {
-      claim->standby = reply->lease;
-      claim->standby_sent_us = claim->standby_asked_us;
-    }
-  if (claim->is_wanted && claim->standby != 0 && claim->state == CLAIM_FOLLOWING)
-    {
-      claim->is_wanted = false;
-      schedule_attempt (claim, 0);
-    }
-  schedule_standby (claim);
-}
-
+/* The lease that an attempt waited for is there. */
 static void
-grant_standby (claim_t *claim)
+lease_ready (void *data)
 {
-  if (claim->state == CLAIM_HELD || claim->state == CLAIM_RELEASED || claim->is_granting)
-    return;
-  claim->is_granting = true;
-  claim->standby_asked_us = clock_now_us ();
-  if (claim->standby != 0)
-    claim->store->calls->keep (claim->store, claim->standby, standby_kept, claim);
-  else
-    claim->store->calls->lease (claim->store, claim->config.ttl_ms, standby_granted, claim);
-}
-
-static bool
-has_standby (const claim_t *claim)
-{
-  gint64 age_us = clock_now_us () - claim->standby_sent_us;
-
-  return claim->standby != 0 && age_us < (gint64) claim->config.ttl_ms * 1000;
+  schedule_attempt (data, 0);
 }
 
 static void
 try_claim (claim_t *claim)
 {
-  if (!has_standby (claim))
-    {
-      claim->is_wanted = true;
-      claim->standby = 0;
-      grant_standby (claim);
-      return;
-    }
-  claim->is_wanted = false;
+  if (!standby_take (claim->standby, &claim->lease, &claim->lease_sent_us))
+    return;
   claim->state = CLAIM_TRYING;
   claim->fence = 0;
-  claim->lease = claim->standby;
-  claim->lease_sent_us = claim->standby_sent_us;
-  claim->standby = 0;
   claim->epoch = claim->seen_epoch;
   claim->epoch_revision = claim->seen_revision;
   write_claim (claim);
@@ -551,10 +471,10 @@
 {
   claim_t *claim = data;
 
+  if (!claim->was_synced)
+    standby_keep (claim->standby, true);
   claim->is_synced = true;
   claim->was_synced = true;
-  if (claim->standby_timer == 0 && !claim->is_granting && claim->standby == 0)
-    grant_standby (claim);
   if (is_free (claim))
     schedule_attempt (claim, turn_ms (claim));
 }
@@ -582,6 +502,7 @@
   claim->key = g_strdup_printf ("claim/%s", config->domain);
   claim->prefix = g_strdup ("claim/");
   claim->epoch_key = g_strdup_printf ("claim/%s.epoch", config->domain);
+  claim->standby = standby_new (store, config->ttl_ms, lease_ready, claim);
   claim->mirror = mirror_new (store, claim->prefix, WATCH_MS, &mirror_events, claim);
   return claim;
 }
@@ -592,8 +513,7 @@
   if (claim == NULL)
     return;
   clear_timer (claim);
-  if (claim->standby_timer != 0)
-    g_source_remove (claim->standby_timer);
+  standby_free (claim->standby);
   mirror_free (claim->mirror);
   g_free (claim->key);
   g_free (claim->prefix);
@@ -627,6 +547,7 @@
 
   clear_timer (claim);
   claim->state = CLAIM_RELEASED;
+  standby_keep (claim->standby, false);
   claim->released = done;
   claim->released_data = data;
   /* The key goes with its lease. */
