--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -43,3 +43,12 @@
     return a->slack_us < b->slack_us ? -1 : 1;
   return 0;
 }
+
+static queue_order_key_t
+fifo_key (const queue_order_job_t *job, gint64 now_us G_GNUC_UNUSED)
+{
+  return (queue_order_key_t){ .group = GROUP_ON_TIME, .slack_us = job->accepted_us };
+}
+
+const queue_order_policy_t queue_order_by_slack = { "slack", queue_order_key };
+const queue_order_policy_t queue_order_fifo = { "fifo", fifo_key };
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -27,5 +27,15 @@
 /* Returns the sort key of the job at `now_us`. */
 queue_order_key_t queue_order_key (const queue_order_job_t *job, gint64 now_us);
 
+/* A policy; others than the one above serve comparison. */
+typedef struct
+{
+  const char *name;
+  queue_order_key_t (*key) (const queue_order_job_t *job, gint64 now_us);
+} queue_order_policy_t;
+
+extern const queue_order_policy_t queue_order_by_slack; /* queue_order_key() */
+extern const queue_order_policy_t queue_order_fifo;     /* first in, first out */
+
 /* Compares like strcmp(): negative when `a` goes first. */
 int queue_order_compare (const queue_order_key_t *a, const queue_order_key_t *b);
--- a/src/decide/scheduler.c
+++ b/src/decide/scheduler.c
@@ -33,6 +33,8 @@
   scheduler_t *scheduler = g_new0 (scheduler_t, 1);
 
   scheduler->limits = *limits;
+  if (scheduler->limits.order == NULL)
+    scheduler->limits.order = &queue_order_by_slack;
   scheduler->epoch = epoch;
   scheduler->started_us = now_us;
   scheduler->ops = ops;
@@ -41,12 +43,17 @@
   scheduler->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->executors = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->executor_list = g_ptr_array_new_with_free_func (scheduler_executor_free);
+  scheduler->open_executors = g_ptr_array_new ();
+  scheduler->touched = g_ptr_array_new ();
+  scheduler->reserving = g_ptr_array_new ();
+  list_init (&scheduler->acking);
   scheduler->runs_by_order = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
   scheduler->advice_calls
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, advice_call_free);
   scheduler->placements = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   scheduler->planned = g_array_new (FALSE, FALSE, sizeof (run_t *));
   list_init (&scheduler->job_list);
+  list_init (&scheduler->dirty_jobs);
   scheduler->next_order = 1;
   scheduler->next_placement = RESTORED_PLACEMENT_LIMIT + 1;
   scheduler->batch = 1;
@@ -54,7 +61,7 @@
 }
 
 static void
-steps_free (job_t *job)
+steps_free (scheduler_t *scheduler, job_t *job)
 {
   for (guint i = 0; i < job->step_total; i++)
     {
@@ -63,16 +70,20 @@
       for (guint t = 0; t < step->spec->count; t++)
         g_free (step->tasks[t].checkpoint);
       g_free (step->tasks);
-      g_clear_pointer (&step->advice, g_hash_table_unref);
+      scheduler_discard_advice (scheduler, step);
+      scheduler_release_reservation (scheduler, step);
+      if (step->is_touched)
+        (void) g_ptr_array_remove_fast (scheduler->touched, step);
     }
   g_free (job->steps);
 }
 
 static void
-job_free (job_t *job)
+job_free (scheduler_t *scheduler, job_t *job)
 {
   list_remove (&job->node);
-  steps_free (job);
+  list_remove (&job->dirty_node);
+  steps_free (scheduler, job);
   job_spec_free (job->spec);
   g_free (job);
 }
@@ -82,13 +93,16 @@
 {
   if (scheduler == NULL)
     return;
+  while (!list_is_empty (&scheduler->job_list))
+    job_free (scheduler, LIST_ENTRY (scheduler->job_list.next, job_t, node));
+  g_hash_table_unref (scheduler->jobs);
   /* Executors own their runs. */
   g_hash_table_unref (scheduler->runs_by_order);
   g_ptr_array_unref (scheduler->executor_list);
   g_hash_table_unref (scheduler->executors);
-  while (!list_is_empty (&scheduler->job_list))
-    job_free (LIST_ENTRY (scheduler->job_list.next, job_t, node));
-  g_hash_table_unref (scheduler->jobs);
+  g_ptr_array_unref (scheduler->open_executors);
+  g_ptr_array_unref (scheduler->touched);
+  g_ptr_array_unref (scheduler->reserving);
   g_hash_table_unref (scheduler->queues);
   g_hash_table_unref (scheduler->advice_calls);
   g_hash_table_unref (scheduler->placements);
@@ -194,18 +208,26 @@
 }
 
 void
-scheduler_count_unplaced (step_t *step)
+scheduler_touch_step (scheduler_t *scheduler, step_t *step)
 {
-  step->unplaced_count = 0;
-  for (guint i = 0; i < step->spec->count; i++)
-    step->unplaced_count += scheduler_task_is_unplaced (&step->tasks[i]);
+  if (step->is_touched || step->job->is_ended)
+    return;
+  step->is_touched = true;
+  g_ptr_array_add (scheduler->touched, step);
 }
 
+/* Counts the unplaced tasks of a new job. */
 static void
-count_job_unplaced (job_t *job)
+count_unplaced (scheduler_t *scheduler, job_t *job)
 {
   for (guint i = 0; i < job->step_total; i++)
-    scheduler_count_unplaced (&job->steps[i]);
+    {
+      step_t *step = &job->steps[i];
+
+      for (guint t = 0; t < step->spec->count; t++)
+        step->unplaced_count += scheduler_task_is_unplaced (&step->tasks[t]);
+      scheduler_touch_step (scheduler, step);
+    }
 }
 
 static void
@@ -305,7 +327,7 @@
     apply_progress (scheduler, job, &progress[i]);
   if (!job->was_started)
     job->queue->pending_job_count++;
-  count_job_unplaced (job);
+  count_unplaced (scheduler, job);
   finish_if_done (scheduler, job);
   return true;
 }
@@ -313,9 +335,9 @@
 void
 scheduler_mark_dirty (scheduler_t *scheduler, job_t *job)
 {
-  if (job->is_dirty || job->is_ended)
+  if (list_is_linked (&job->dirty_node) || job->is_ended)
     return;
-  job->is_dirty = true;
+  list_push_back (&scheduler->dirty_jobs, &job->dirty_node);
   scheduler->ops->save_progress (job->spec->id, scheduler->data);
 }
 
@@ -333,6 +355,7 @@
     {
       job->steps[i].unplaced_count = 0;
       scheduler_discard_advice (scheduler, &job->steps[i]);
+      scheduler_release_reservation (scheduler, &job->steps[i]);
     }
   scheduler_log (scheduler, "job_ended", "job=%s queue=%s state=%s", job->spec->id,
                  job->queue->name, job_state_name (state));
@@ -374,10 +397,27 @@
 {
   if (task->is_done)
     return;
+  if (scheduler_task_is_unplaced (task))
+    task->step->unplaced_count--;
   task->is_done = true;
   task->step->done_count++;
 }
 
+/* The step is done: those that come after it may be ready now. */
+static void
+finish_step (scheduler_t *scheduler, step_t *step)
+{
+  const job_t *job = step->job;
+  guint first = step->occurrence * job->spec->step_count;
+
+  scheduler_discard_advice (scheduler, step);
+  for (guint i = step->index + 1; i < job->spec->step_count; i++)
+    {
+      if ((job->spec->steps[i].after >> step->index & 1) != 0)
+        scheduler_touch_step (scheduler, &job->steps[first + i]);
+    }
+}
+
 void
 scheduler_task_done (scheduler_t *scheduler, task_t *task, gint64 now_us)
 {
@@ -390,9 +430,8 @@
   /* When one member of a gang is done, all of them are. */
   for (guint i = 0; step->spec->gang && i < step->spec->count; i++)
     mark_task_done (&step->tasks[i]);
-  scheduler_count_unplaced (step);
   if (step->done_count == step->spec->count)
-    scheduler_discard_advice (scheduler, step);
+    finish_step (scheduler, step);
   /* Stops the other runs of a speculative task.  The run that is done is sent a stop order as
    * well, and then removed by the caller. */
   for (list_node_t *node = task->runs.next; step->spec->speculative && node != &task->runs;)
@@ -465,10 +504,8 @@
 {
   if (!job->is_end_stored || job->run_count > 0)
     return;
-  for (guint i = 0; i < job->step_total; i++)
-    scheduler_discard_advice (scheduler, &job->steps[i]);
   g_hash_table_remove (scheduler->jobs, job->spec->id);
-  job_free (job);
+  job_free (scheduler, job);
 }
 
 void
@@ -553,14 +590,13 @@
 guint64
 scheduler_batch_begin (scheduler_t *scheduler)
 {
-  for (list_node_t *node = scheduler->job_list.next; node != &scheduler->job_list;
-       node = node->next)
-    LIST_ENTRY (node, job_t, node)->is_dirty = false;
+  while (!list_is_empty (&scheduler->dirty_jobs))
+    list_remove (scheduler->dirty_jobs.next);
   return scheduler->batch++;
 }
 
-static void
-acknowledge_stored (scheduler_t *scheduler, executor_t *executor)
+void
+scheduler_acknowledge_stored (scheduler_t *scheduler, executor_t *executor)
 {
   pending_ack_t *ack = g_queue_peek_head (&executor->pending_acks);
   guint64 before = executor->acked;
@@ -571,6 +607,8 @@
       g_free (g_queue_pop_head (&executor->pending_acks));
       ack = g_queue_peek_head (&executor->pending_acks);
     }
+  if (g_queue_is_empty (&executor->pending_acks))
+    list_remove (&executor->ack_node);
   if (executor->acked != before)
     scheduler->ops->acknowledge (executor->id, executor->acked, executor->mark, scheduler->data);
 }
@@ -578,9 +616,14 @@
 void
 scheduler_batch_stored (scheduler_t *scheduler, guint64 batch)
 {
+  list_node_t *next;
+
   scheduler->stored_batch = MAX (scheduler->stored_batch, batch);
-  for (guint i = 0; i < scheduler->executor_list->len; i++)
-    acknowledge_stored (scheduler, g_ptr_array_index (scheduler->executor_list, i));
+  for (list_node_t *node = scheduler->acking.next; node != &scheduler->acking; node = next)
+    {
+      next = node->next;
+      scheduler_acknowledge_stored (scheduler, LIST_ENTRY (node, executor_t, ack_node));
+    }
 }
 
 void
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -18,6 +18,7 @@
  */
 #pragma once
 
+#include "decide/queue_order.h"
 #include "decide/spec.h"
 
 typedef struct scheduler scheduler_t;
@@ -190,6 +191,9 @@
   gint64 leader_lease_us;   /* VMs may still act for a replaced leader for at most this long */
   gint64 gang_wait_us;      /* how long the members of a gang wait for each other */
   double remote_factor;     /* run time of a gang spread over racks, relative to one in one rack */
+  const queue_order_policy_t *order; /* of waiting work; NULL: queue_order_by_slack */
+  /* Rounds between two full ones serve only what has changed; 0: each round is a full one. */
+  gint64 full_round_interval_us;
 } scheduler_limits_t;
 
 /* `epoch` counts the earlier leaders.  Runs of jobs that were accepted under one of them
--- a/src/decide/scheduler_advice.c
+++ b/src/decide/scheduler_advice.c
@@ -14,9 +14,13 @@
 enum
 {
   ADVICE_EXECUTORS_MAX = 100, /* executors per call */
-  ADVICE_SPARE_TASKS = 1      /* a call should cover this many tasks more than are unplaced */
+  ADVICE_SPARE_TASKS = 1,     /* a call should cover this many tasks more than are unplaced */
+  SPARE_DIVISOR = 4           /* spare executors prolong a call by at most `call_us` / this */
 };
 
+/* Stands for each executor that advice has denied. */
+static advice_t denied;
+
 static void
 advice_free (gpointer data)
 {
@@ -26,10 +30,11 @@
   g_free (advice);
 }
 
+/* Returns the advice on the executor, NULL if the step has not asked about it. */
 static advice_t *
 find_advice (const step_t *step, const executor_t *executor)
 {
-  return step->advice != NULL ? g_hash_table_lookup (step->advice, executor->id) : NULL;
+  return executor->index < step->advice_size ? step->advice[executor->index] : NULL;
 }
 
 advice_decision_t
@@ -37,7 +42,16 @@
 {
   const advice_t *advice = find_advice (step, executor);
 
-  return advice != NULL ? advice->decision : ADVICE_UNKNOWN;
+  if (advice == NULL)
+    return ADVICE_UNKNOWN;
+  return advice == &denied ? ADVICE_DENIED : ADVICE_ALLOWED;
+}
+
+static bool
+is_ticket_valid (const advice_t *advice, gint64 at_us)
+{
+  return advice->ticket != NULL && advice->born == advice->executor->born
+         && advice->expires_us - ticket_margin_us >= at_us;
 }
 
 const char *
@@ -48,8 +62,7 @@
   if (!step->job->queue->advice.is_needed)
     return "";
   advice = find_advice (step, executor);
-  if (advice == NULL || advice->decision != ADVICE_ALLOWED || advice->ticket == NULL
-      || advice->born != executor->born || advice->expires_us - ticket_margin_us < now_us)
+  if (advice == NULL || advice == &denied || !is_ticket_valid (advice, now_us))
     return NULL;
   return advice->ticket;
 }
@@ -59,7 +72,7 @@
 {
   advice_t *advice = find_advice (step, executor);
 
-  if (advice != NULL)
+  if (advice != NULL && advice != &denied)
     g_clear_pointer (&advice->ticket, g_free);
 }
 
@@ -68,7 +81,9 @@
 {
   advice_call_t *call;
 
-  g_clear_pointer (&step->advice, g_hash_table_unref);
+  g_clear_pointer (&step->allowed, g_ptr_array_unref);
+  g_clear_pointer (&step->advice, g_free);
+  step->advice_size = 0;
   if (step->advice_order == 0)
     return;
   call = g_hash_table_lookup (scheduler->advice_calls, &step->advice_order);
@@ -77,101 +92,148 @@
   step->advice_order = 0;
 }
 
-typedef struct
-{
-  executor_t *executor;
-  guint fits; /* tasks of the step that fit on it now */
-  bool is_allowed;
-} candidate_t;
-
 static guint
-tasks_that_fit (const step_t *step, const executor_t *executor)
+tasks_that_fit (const step_t *step, const resource_vector_t *resources)
 {
-  resource_vector_t resources = scheduler_free_resources (executor);
   resource_vector_t need = step->spec->need;
   guint fits = step->spec->count;
 
   if (need.cpu_milli > 0 && !step->spec->fills)
-    fits = MIN (fits, resources.cpu_milli / need.cpu_milli);
+    fits = MIN (fits, resources->cpu_milli / need.cpu_milli);
   if (need.mem_mb > 0)
-    fits = MIN (fits, resources.mem_mb / need.mem_mb);
+    fits = MIN (fits, resources->mem_mb / need.mem_mb);
   if (need.gpu > 0)
-    fits = MIN (fits, resources.gpu / need.gpu);
+    fits = MIN (fits, resources->gpu / need.gpu);
   if (step->spec->max_per_executor > 0)
     fits = MIN (fits, step->spec->max_per_executor);
   return fits;
 }
 
-static int
-compare_by_usefulness (const void *a, const void *b)
+/* Tasks of the step that fit now.  Without `is_shared`, other steps whose calls are in flight are
+ * expected to take part of the room. */
+static guint
+tasks_that_fit_on (const step_t *step, const executor_t *executor, bool is_shared)
 {
-  const candidate_t *left = a;
-  const candidate_t *right = b;
+  resource_vector_t resources = scheduler_free_resources (executor);
+
+  if (!is_shared)
+    resources.cpu_milli -= MIN (resources.cpu_milli, executor->asked_cpu_milli);
+  return tasks_that_fit (step, &resources);
+}
 
-  if (left->is_allowed != right->is_allowed)
-    return left->is_allowed ? -1 : 1;
-  if (left->fits != right->fits)
-    return left->fits > right->fits ? -1 : 1;
-  return strcmp (left->executor->id, right->executor->id);
+static bool
+is_candidate (const step_t *step, const executor_t *executor, gint64 now_us)
+{
+  return scheduler_executor_is_usable (executor, now_us)
+         && scheduler_executor_is_eligible (step, executor);
 }
 
-static GArray *
-find_candidates (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
+guint
+scheduler_advice_spare (const step_t *step)
 {
-  GArray *found = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  const advice_terms_t *terms = &step->job->queue->advice;
 
-  for (guint i = 0; i < scheduler->executor_list->len; i++)
+  return terms->per_executor_us > 0
+             ? (guint) (terms->call_us / SPARE_DIVISOR / terms->per_executor_us)
+             : ADVICE_EXECUTORS_MAX;
+}
+
+/* A call that is being put together. */
+typedef struct
+{
+  GPtrArray *executors;
+  double expected; /* tasks that are expected to get a ticket */
+  double wanted;
+  guint spare; /* executors that may still be added once enough are expected */
+} selection_t;
+
+/* Adds the executor.  Returns false once the call is complete. */
+static bool
+select_executor (selection_t *selection, executor_t *executor, guint fits, double share)
+{
+  if (selection->expected >= selection->wanted && selection->spare-- == 0)
+    return false;
+  selection->expected += fits * share;
+  g_ptr_array_add (selection->executors, executor);
+  return selection->executors->len < ADVICE_EXECUTORS_MAX;
+}
+
+/* Executors that advice has allowed before, and whose tickets have expired, go first. */
+static bool
+select_allowed (selection_t *selection, const step_t *step, gint64 now_us)
+{
+  for (guint i = 0; step->allowed != NULL && i < step->allowed->len; i++)
     {
-      executor_t *executor = g_ptr_array_index (scheduler->executor_list, i);
-      advice_decision_t decision = scheduler_advice_decision (step, executor);
-      candidate_t candidate = { .executor = executor, .is_allowed = decision == ADVICE_ALLOWED };
+      const advice_t *advice = g_ptr_array_index (step->allowed, i);
+      guint fits;
 
-      if (decision == ADVICE_DENIED || !scheduler_executor_is_usable (executor, now_us)
-          || !scheduler_executor_is_eligible (step, executor)
-          || scheduler_find_ticket (step, executor, now_us) != NULL)
+      if (is_ticket_valid (advice, now_us) || !is_candidate (step, advice->executor, now_us))
         continue;
-      candidate.fits = tasks_that_fit (step, executor);
-      if (candidate.fits > 0)
-        g_array_append_val (found, candidate);
+      fits = tasks_that_fit_on (step, advice->executor, true);
+      if (fits > 0 && !select_executor (selection, advice->executor, fits, 1.0))
+        return false;
     }
-  g_array_sort (found, compare_by_usefulness);
-  return found;
+  return true;
 }
 
-/* Chooses as many executors as are likely to be needed, given the share that advice allows. */
-static GPtrArray *
-choose_executors (const step_t *step, const GArray *found)
+/* Then those that the step has not asked about, the emptiest first.  Those on which other steps
+ * have just asked are left to a second pass, with `is_shared`. */
+static bool
+select_unknown (selection_t *selection,
+                const scheduler_t *scheduler,
+                const step_t *step,
+                bool is_shared,
+                gint64 now_us)
 {
-  GPtrArray *ids = g_ptr_array_new_with_free_func (g_free);
   double share = scheduler_allowed_share (step);
-  double expected = 0.0;
 
-  for (guint i = 0; i < found->len && ids->len < ADVICE_EXECUTORS_MAX; i++)
+  for (guint i = 0; i < scheduler->open_executors->len; i++)
     {
-      const candidate_t *candidate = &g_array_index (found, candidate_t, i);
+      executor_t *executor = g_ptr_array_index (scheduler->open_executors, i);
+      bool is_first_pass = tasks_that_fit_on (step, executor, false) > 0;
+      guint fits;
 
-      if (expected >= step->unplaced_count + ADVICE_SPARE_TASKS)
-        break;
-      expected += candidate->fits * (candidate->is_allowed ? 1.0 : share);
-      g_ptr_array_add (ids, g_strdup (candidate->executor->id));
+      if (is_shared == is_first_pass || find_advice (step, executor) != NULL
+          || !is_candidate (step, executor, now_us))
+        continue;
+      fits = tasks_that_fit_on (step, executor, is_shared);
+      if (fits > 0 && !select_executor (selection, executor, fits, share))
+        return false;
     }
-  return ids;
+  return true;
+}
+
+/* Chooses as many executors as are likely to be needed, given the share that advice allows, and
+ * as many more as prolong the call little. */
+static GPtrArray *
+choose_executors (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
+{
+  selection_t selection = {
+    .executors = g_ptr_array_new (),
+    .wanted = step->unplaced_count + ADVICE_SPARE_TASKS,
+    .spare = scheduler_advice_spare (step),
+  };
+
+  if (select_allowed (&selection, step, now_us)
+      && select_unknown (&selection, scheduler, step, false, now_us))
+    (void) select_unknown (&selection, scheduler, step, true, now_us);
+  return selection.executors;
 }
 
 /* Number of the step's tasks that fit on executors for which it has a valid ticket. */
 static guint
-tasks_with_ticket (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
+tasks_with_ticket (const step_t *step, gint64 now_us)
 {
-  g_autoptr (GPtrArray) allowed = scheduler_allowed_executors (scheduler, step);
   guint covered = 0;
 
-  for (guint i = 0; i < allowed->len; i++)
+  for (guint i = 0; step->allowed != NULL && i < step->allowed->len; i++)
     {
-      executor_t *executor = g_ptr_array_index (allowed, i);
+      const advice_t *advice = g_ptr_array_index (step->allowed, i);
+      resource_vector_t resources = scheduler_free_resources (advice->executor);
 
-      if (scheduler_find_ticket (step, executor, now_us) != NULL
-          && scheduler_executor_is_usable (executor, now_us))
-        covered += tasks_that_fit (step, executor);
+      if (is_ticket_valid (advice, now_us)
+          && scheduler_executor_is_usable (advice->executor, now_us))
+        covered += tasks_that_fit (step, &resources);
     }
   return covered;
 }
@@ -180,23 +242,12 @@
 scheduler_allowed_executors (const scheduler_t *scheduler, const step_t *step)
 {
   GPtrArray *allowed;
-  GHashTableIter iter;
-  gpointer id;
-  gpointer value;
 
   if (!step->job->queue->advice.is_needed)
-    return g_ptr_array_ref (scheduler->executor_list);
+    return g_ptr_array_ref (scheduler->open_executors);
   allowed = g_ptr_array_new ();
-  if (step->advice == NULL)
-    return allowed;
-  g_hash_table_iter_init (&iter, step->advice);
-  while (g_hash_table_iter_next (&iter, &id, &value))
-    {
-      executor_t *executor = scheduler_find_executor (scheduler, id);
-
-      if (((const advice_t *) value)->decision == ADVICE_ALLOWED && executor != NULL)
-        g_ptr_array_add (allowed, executor);
-    }
+  for (guint i = 0; step->allowed != NULL && i < step->allowed->len; i++)
+    g_ptr_array_add (allowed, ((advice_t *) g_ptr_array_index (step->allowed, i))->executor);
   return allowed;
 }
 
@@ -220,38 +271,60 @@
   return terms->is_needed ? terms->call_us + count * terms->per_executor_us : 0;
 }
 
+static void
+count_asked (const advice_call_t *call, bool is_sent)
+{
+  for (guint i = 0; i < call->executors->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (call->executors, i);
+
+      if (is_sent)
+        executor->asked_cpu_milli += call->asked_cpu_milli;
+      else
+        executor->asked_cpu_milli -= call->asked_cpu_milli;
+    }
+}
+
 void
-scheduler_send_advice_call (scheduler_t *scheduler, step_t *step, GPtrArray *ids, gint64 now_us)
+scheduler_send_advice_call (scheduler_t *scheduler,
+                            step_t *step,
+                            GPtrArray *executors,
+                            gint64 now_us)
 {
-  gint64 expected_us = scheduler_advice_call_us (step, ids->len);
+  gint64 expected_us = scheduler_advice_call_us (step, executors->len);
   advice_call_t *call = g_new0 (advice_call_t, 1);
   guint64 *key = g_new (guint64, 1);
+  g_autofree const char **ids = g_new0 (const char *, executors->len);
   advise_order_t order = {
     .order = scheduler->next_order++,
-    .executors = (const char *const *) ids->pdata,
-    .executor_count = ids->len,
+    .executors = ids,
+    .executor_count = executors->len,
     .expected_us = expected_us,
     .is_slow = expected_us > slow_call_us,
   };
 
+  for (guint i = 0; i < executors->len; i++)
+    ids[i] = ((const executor_t *) g_ptr_array_index (executors, i))->id;
   memcpy (order.step.job, step->job->spec->id, sizeof order.step.job);
   order.step.occurrence = step->occurrence;
   order.step.step = step->index;
   *key = order.order;
   call->step = step;
-  call->executors = ids;
+  call->executors = executors;
+  call->asked_cpu_milli = step->spec->need.cpu_milli * step->unplaced_count / executors->len;
   call->sent_us = now_us;
   call->is_slow = order.is_slow;
+  count_asked (call, true);
   step->advice_order = order.order;
   g_hash_table_insert (scheduler->advice_calls, key, call);
   scheduler->advice_slots--;
-  if (call->is_slow)
+  if (call->is_slow && scheduler->slow_slots > 0)
     scheduler->slow_slots--;
   scheduler_log (scheduler, "advice_asked",
                  "job=%s step=%u.%u queue=%s named=%u wanting=%u expected_ms=%" G_GINT64_FORMAT
                  " order=%" G_GUINT64_FORMAT,
-                 order.step.job, step->occurrence, step->index, step->job->queue->name, ids->len,
-                 step->unplaced_count, expected_us / 1000, order.order);
+                 order.step.job, step->occurrence, step->index, step->job->queue->name,
+                 executors->len, step->unplaced_count, expected_us / 1000, order.order);
   scheduler->ops->advise (&order, scheduler->data);
 }
 
@@ -268,50 +341,83 @@
 bool
 scheduler_request_advice (scheduler_t *scheduler, step_t *step, gint64 now_us)
 {
-  g_autoptr (GArray) found = NULL;
-  GPtrArray *ids;
+  GPtrArray *executors;
 
   if (!scheduler_may_request_advice (scheduler, step, now_us))
     return false;
-  if (tasks_with_ticket (scheduler, step, now_us) >= step->unplaced_count)
+  if (tasks_with_ticket (step, now_us) >= step->unplaced_count)
     return false;
-  found = find_candidates (scheduler, step, now_us);
-  ids = choose_executors (step, found);
-  if (ids->len == 0)
+  executors = choose_executors (scheduler, step, now_us);
+  if (executors->len == 0)
     {
-      g_ptr_array_unref (ids);
+      g_ptr_array_unref (executors);
       return false;
     }
-  scheduler_send_advice_call (scheduler, step, ids, now_us);
+  scheduler_send_advice_call (scheduler, step, executors, now_us);
   return true;
 }
 
 static void
-record_decision (
-    scheduler_t *scheduler, step_t *step, const char *id, const char *ticket, gint64 now_us)
+ensure_advice_size (const scheduler_t *scheduler, step_t *step, const executor_t *executor)
 {
-  executor_t *executor = scheduler_find_executor (scheduler, id);
-  advice_t *advice;
+  guint size = scheduler->executor_list->len;
 
-  if (executor == NULL)
+  if (executor->index < step->advice_size)
     return;
-  if (step->advice == NULL)
-    step->advice = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, advice_free);
-  advice = g_hash_table_lookup (step->advice, id);
+  step->advice = g_renew (advice_t *, step->advice, size);
+  memset (step->advice + step->advice_size, 0, (size - step->advice_size) * sizeof (advice_t *));
+  step->advice_size = size;
+}
+
+static advice_t *
+add_allowed (step_t *step, executor_t *executor)
+{
+  advice_t *advice = g_new0 (advice_t, 1);
+
+  advice->executor = executor;
+  if (step->allowed == NULL)
+    step->allowed = g_ptr_array_new_with_free_func (advice_free);
+  g_ptr_array_add (step->allowed, advice);
+  step->advice[executor->index] = advice;
+  return advice;
+}
+
+static void
+deny (step_t *step, const executor_t *executor)
+{
+  advice_t *advice = step->advice[executor->index];
+
+  if (advice != NULL && advice != &denied)
+    (void) g_ptr_array_remove_fast (step->allowed, advice);
+  step->advice[executor->index] = &denied;
+}
+
+static void
+record_decision (const scheduler_t *scheduler,
+                 step_t *step,
+                 executor_t *executor,
+                 const char *ticket,
+                 gint64 now_us)
+{
+  queue_t *queue = step->job->queue;
+  advice_t *advice;
+
+  ensure_advice_size (scheduler, step, executor);
+  advice = step->advice[executor->index];
   if (advice == NULL)
+    queue->allowed_share
+        += allowed_share_weight * ((ticket != NULL ? 1.0 : 0.0) - queue->allowed_share);
+  if (ticket == NULL)
     {
-      queue_t *queue = step->job->queue;
-
-      advice = g_new0 (advice_t, 1);
-      g_hash_table_insert (step->advice, g_strdup (id), advice);
-      queue->allowed_share
-          += allowed_share_weight * ((ticket != NULL ? 1.0 : 0.0) - queue->allowed_share);
+      deny (step, executor);
+      return;
     }
-  advice->decision = ticket != NULL ? ADVICE_ALLOWED : ADVICE_DENIED;
+  if (advice == NULL || advice == &denied)
+    advice = add_allowed (step, executor);
   g_free (advice->ticket);
   advice->ticket = g_strdup (ticket);
   advice->born = executor->born;
-  advice->expires_us = now_us + step->job->queue->advice.valid_us;
+  advice->expires_us = now_us + queue->advice.valid_us;
 }
 
 static const char *
@@ -339,6 +445,7 @@
   if (call == NULL)
     return;
   step = call->step;
+  count_asked (call, false);
   scheduler_log (scheduler, "advice_answered",
                  "order=%" G_GUINT64_FORMAT " answered=%d allowed=%u took_ms=%" G_GINT64_FORMAT
                  " wanted=%d",
@@ -351,10 +458,12 @@
         step->advice_retry_at_us = now_us + advice_retry_delay_us;
       for (guint i = 0; is_answered && i < call->executors->len; i++)
         {
-          const char *id = g_ptr_array_index (call->executors, i);
+          executor_t *executor = g_ptr_array_index (call->executors, i);
 
-          record_decision (scheduler, step, id, ticket_for (id, tickets, ticket_count), now_us);
+          record_decision (scheduler, step, executor,
+                           ticket_for (executor->id, tickets, ticket_count), now_us);
         }
+      scheduler_touch_step (scheduler, step);
     }
   g_hash_table_remove (scheduler->advice_calls, &order);
 }
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  RESERVATIONS_MAX = 8 /* gangs for which resources are reserved at a time */
+  RESERVATIONS_MAX = 8, /* gangs for which resources are reserved at a time */
+  GANG_PLANS_MAX = 32   /* gangs that are planned in one round */
 };
 
 typedef struct
@@ -78,7 +79,7 @@
 }
 
 static queue_order_key_t
-step_key (const step_t *step, gint64 now_us)
+step_key (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
 {
   const job_t *job = step->job;
   gint64 path_us = critical_path_us (job, step->occurrence, false);
@@ -89,7 +90,7 @@
     .remaining_us = critical_path_us (job, step->occurrence, true),
   };
 
-  return queue_order_key (&order, now_us);
+  return scheduler->limits.order->key (&order, now_us);
 }
 
 static int
@@ -99,6 +100,17 @@
                               &((const waiting_step_t *) b)->key);
 }
 
+static void
+add_if_waiting (scheduler_t *scheduler, GArray *waiting, step_t *step, gint64 now_us)
+{
+  waiting_step_t entry = { .step = step };
+
+  if (step->job->is_ended || step->unplaced_count == 0 || !is_ready (step, now_us))
+    return;
+  entry.key = step_key (scheduler, step, now_us);
+  g_array_append_val (waiting, entry);
+}
+
 /* Ready steps that have unplaced tasks, in the order in which they are served. */
 static GArray *
 collect_waiting (scheduler_t *scheduler, gint64 now_us)
@@ -110,22 +122,61 @@
     {
       job_t *job = LIST_ENTRY (node, job_t, node);
 
-      if (job->is_ended)
-        continue;
       for (guint i = 0; i < job->step_total; i++)
-        {
-          waiting_step_t entry = { .step = &job->steps[i] };
-
-          if (entry.step->unplaced_count == 0 || !is_ready (entry.step, now_us))
-            continue;
-          entry.key = step_key (entry.step, now_us);
-          g_array_append_val (waiting, entry);
-        }
+        add_if_waiting (scheduler, waiting, &job->steps[i], now_us);
     }
   g_array_sort (waiting, compare_by_key);
   return waiting;
 }
 
+/* Like collect_waiting(), but only steps that have changed since the last round. */
+static GArray *
+collect_touched (scheduler_t *scheduler, gint64 now_us)
+{
+  GArray *waiting = g_array_new (FALSE, FALSE, sizeof (waiting_step_t));
+
+  for (guint i = 0; i < scheduler->touched->len; i++)
+    add_if_waiting (scheduler, waiting, g_ptr_array_index (scheduler->touched, i), now_us);
+  g_array_sort (waiting, compare_by_key);
+  return waiting;
+}
+
+static void
+clear_touched (scheduler_t *scheduler)
+{
+  for (guint i = 0; i < scheduler->touched->len; i++)
+    ((step_t *) g_ptr_array_index (scheduler->touched, i))->is_touched = false;
+  g_ptr_array_set_size (scheduler->touched, 0);
+}
+
+static int
+compare_by_free_cpu (const void *a, const void *b)
+{
+  const executor_t *left = *(executor_t *const *) a;
+  const executor_t *right = *(executor_t *const *) b;
+  guint left_milli = scheduler_free_resources (left).cpu_milli;
+  guint right_milli = scheduler_free_resources (right).cpu_milli;
+
+  if (left_milli != right_milli)
+    return left_milli > right_milli ? -1 : 1;
+  return left->index < right->index ? -1 : left->index > right->index;
+}
+
+/* Lists the executors that can run a task, the emptiest first. */
+static void
+collect_open_executors (scheduler_t *scheduler, gint64 now_us)
+{
+  g_ptr_array_set_size (scheduler->open_executors, 0);
+  for (guint i = 0; i < scheduler->executor_list->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (scheduler->executor_list, i);
+
+      if (scheduler_executor_is_usable (executor, now_us))
+        g_ptr_array_add (scheduler->open_executors, executor);
+    }
+  g_ptr_array_sort (scheduler->open_executors, compare_by_free_cpu);
+}
+
 /* True if the step must not run next to a run on the executor.  Tasks that use spare CPU slow
  * down tasks that serve users with a response-time target.  Nothing throttles the former, so
  * the two kinds are not placed on the same executor. */
@@ -281,46 +332,81 @@
 }
 
 static void
-clear_reservations (scheduler_t *scheduler)
+release_reservations (scheduler_t *scheduler)
 {
-  for (guint i = 0; i < scheduler->executor_list->len; i++)
-    ((executor_t *) g_ptr_array_index (scheduler->executor_list, i))->reserved
-        = (resource_vector_t){ 0 };
+  while (scheduler->reserving->len > 0)
+    scheduler_release_reservation (scheduler, g_ptr_array_index (scheduler->reserving, 0));
 }
 
-/* Places the waiting steps in order.  Returns true if any step was waiting. */
-static bool
-dispatch (scheduler_t *scheduler, gint64 now_us)
+/* Places the waiting steps in order. */
+static void
+dispatch (scheduler_t *scheduler, GArray *waiting, gint64 now_us)
 {
-  g_autoptr (GArray) waiting = collect_waiting (scheduler, now_us);
-  guint reservations = 0;
+  guint plans = 0;
 
-  clear_reservations (scheduler);
   for (guint i = 0; i < waiting->len; i++)
     {
       step_t *step = g_array_index (waiting, waiting_step_t, i).step;
 
       if (step->spec->gang)
         {
-          if (!scheduler_place_gang (scheduler, step, reservations < RESERVATIONS_MAX, now_us))
-            reservations++;
+          bool had_reservation = step->reserved_on != NULL;
+
+          if (plans++ < GANG_PLANS_MAX)
+            (void) scheduler_place_gang (
+                scheduler, step, had_reservation || scheduler->reserving->len < RESERVATIONS_MAX,
+                now_us);
         }
       else if (!place_step (scheduler, step, now_us) && step->job->queue->advice.is_needed)
         (void) scheduler_request_advice (scheduler, step, now_us);
     }
-  clear_reservations (scheduler);
-  return waiting->len > 0;
 }
 
-gint64
-scheduler_run_round (scheduler_t *scheduler, gint64 now_us, gint64 unix_ms G_GNUC_UNUSED)
+/* Serves all waiting work.  Returns true if there is any. */
+static bool
+run_full_round (scheduler_t *scheduler, gint64 now_us)
 {
-  bool is_busy = false;
+  g_autoptr (GArray) waiting = NULL;
 
   scheduler_check_executors (scheduler, now_us);
   scheduler_retry_stops (scheduler, now_us);
+  clear_touched (scheduler);
+  if (scheduler->is_closed)
+    return false;
+  release_reservations (scheduler);
+  collect_open_executors (scheduler, now_us);
+  waiting = collect_waiting (scheduler, now_us);
+  dispatch (scheduler, waiting, now_us);
+  return waiting->len > 0;
+}
+
+/* Serves the work that has changed, between the reservations of the last full round. */
+static void
+run_small_round (scheduler_t *scheduler, gint64 now_us)
+{
+  g_autoptr (GArray) waiting = NULL;
+
+  if (scheduler->touched->len == 0)
+    return;
+  waiting = collect_touched (scheduler, now_us);
+  clear_touched (scheduler);
   if (!scheduler->is_closed)
-    is_busy = dispatch (scheduler, now_us);
+    dispatch (scheduler, waiting, now_us);
+}
+
+gint64
+scheduler_run_round (scheduler_t *scheduler, gint64 now_us, gint64 unix_ms G_GNUC_UNUSED)
+{
+  bool is_busy = true;
+
+  if (now_us < scheduler->next_full_us)
+    run_small_round (scheduler, now_us);
+  else
+    {
+      is_busy = run_full_round (scheduler, now_us);
+      scheduler->next_full_us = now_us + scheduler->limits.full_round_interval_us;
+      scheduler->next_round_us = now_us + (is_busy ? busy_interval_us : idle_interval_us);
+    }
   scheduler_store_planned (scheduler);
-  return now_us + (is_busy ? busy_interval_us : idle_interval_us);
+  return MAX (scheduler->next_round_us, scheduler->next_full_us);
 }
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -21,6 +21,7 @@
     return executor;
   executor = g_new0 (executor_t, 1);
   executor->id = g_strdup (id);
+  executor->index = scheduler->executor_list->len;
   executor->mark = 1;
   list_init (&executor->runs);
   g_queue_init (&executor->pending_acks);
@@ -36,6 +37,7 @@
 
   while ((ack = g_queue_pop_head (&executor->pending_acks)) != NULL)
     g_free (ack);
+  list_remove (&executor->ack_node);
 }
 
 void
@@ -356,6 +358,8 @@
       ack->batch = end->how == END_DONE || end->how == END_FAILED ? scheduler->batch
                                                                   : scheduler->stored_batch;
       g_queue_push_tail (&executor->pending_acks, ack);
+      if (!list_is_linked (&executor->ack_node))
+        list_push_back (&scheduler->acking, &executor->ack_node);
     }
 }
 
@@ -496,7 +500,7 @@
   scheduler_check_stalls (scheduler, executor, now_us);
   remove_stopped_runs (scheduler, executor, report, now_us);
   if (!g_queue_is_empty (&executor->pending_acks))
-    scheduler_batch_stored (scheduler, scheduler->stored_batch);
+    scheduler_acknowledge_stored (scheduler, executor);
 }
 
 void
--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -19,8 +19,7 @@
   /* Advice on more executors is requested until the allowed ones are expected to have slots for
    * this many gangs. */
   CANDIDATE_FACTOR = 2,
-  ADVICE_EXECUTORS_MAX = 100, /* executors per call */
-  SPARE_DIVISOR = 4 /* executors beyond the plan prolong a call by at most `call_us` / this */
+  ADVICE_EXECUTORS_MAX = 100 /* executors per call */
 };
 
 /* A place on an executor for one task of the gang. */
@@ -177,7 +176,7 @@
          && !scheduler_executor_interferes (executor, step);
 }
 
-/* Executors on which advice has not decided for this step. */
+/* Executors on which advice has not decided for this step.  Full ones may have room in time. */
 static GPtrArray *
 unknown_executors (const scheduler_t *scheduler, const step_t *step)
 {
@@ -301,26 +300,22 @@
 /* ---- Advice. */
 
 static void
-add_advice_executor (GPtrArray *ids, const char *id)
+add_advice_executor (GPtrArray *executors, executor_t *executor)
 {
-  if (ids->len < ADVICE_EXECUTORS_MAX
-      && !g_ptr_array_find_with_equal_func (ids, id, g_str_equal, NULL))
-    g_ptr_array_add (ids, g_strdup (id));
+  if (executors->len < ADVICE_EXECUTORS_MAX && !g_ptr_array_find (executors, executor, NULL))
+    g_ptr_array_add (executors, executor);
 }
 
 /* Adds the executors of the plan that have no ticket valid when their resources become free, and
  * a few beyond the plan.  Adds none while the start of the plan is too far ahead.  A ticket that
  * would expire before the call is answered is requested again in the same call. */
 static void
-add_planned_executors (GPtrArray *ids, const GArray *plan, const step_t *step, gint64 now_us)
+add_planned_executors (GPtrArray *executors, const GArray *plan, const step_t *step, gint64 now_us)
 {
-  const advice_terms_t *terms = &step->job->queue->advice;
   gint64 start_us = plan_start_us (plan, step);
   gint64 answer_us = now_us + scheduler_advice_call_us (step, MIN (plan->len, step->spec->count));
   guint planned = 0;
-  guint spare = terms->per_executor_us > 0
-                    ? (guint) (terms->call_us / SPARE_DIVISOR / terms->per_executor_us)
-                    : ADVICE_EXECUTORS_MAX;
+  guint spare = scheduler_advice_spare (step);
 
   if (is_complete (plan, step) && start_us > answer_us + advice_margin_us)
     return;
@@ -329,19 +324,22 @@
       const gang_slot_t *gang_slot = &g_array_index (plan, gang_slot_t, i);
 
       if (i == step->spec->count)
-        planned = ids->len;
+        planned = executors->len;
       /* Executors beyond the plan are added only to a call that the plan itself needs. */
-      if (i >= step->spec->count && (planned == 0 || ids->len - planned >= spare))
+      if (i >= step->spec->count && (planned == 0 || executors->len - planned >= spare))
         return;
       if (!scheduler_has_ticket_at (step, gang_slot->executor, MAX (gang_slot->at_us, answer_us)))
-        add_advice_executor (ids, gang_slot->executor->id);
+        add_advice_executor (executors, gang_slot->executor);
     }
 }
 
 /* Adds executors without a decision until advice is expected to allow enough of them. */
 static void
-add_unknown_executors (
-    const scheduler_t *scheduler, GPtrArray *ids, const step_t *step, guint known, gint64 now_us)
+add_unknown_executors (const scheduler_t *scheduler,
+                       GPtrArray *executors,
+                       const step_t *step,
+                       guint known,
+                       gint64 now_us)
 {
   g_autoptr (GPtrArray) unknown = NULL;
   g_autoptr (GArray) gang_slots = NULL;
@@ -354,7 +352,7 @@
   gang_slots = collect_gang_slots (unknown, step, now_us);
   for (guint i = 0; i < gang_slots->len && expected < CANDIDATE_FACTOR * step->spec->count; i++)
     {
-      add_advice_executor (ids, g_array_index (gang_slots, gang_slot_t, i).executor->id);
+      add_advice_executor (executors, g_array_index (gang_slots, gang_slot_t, i).executor);
       expected += share;
     }
 }
@@ -363,17 +361,17 @@
 request_gang_advice (
     scheduler_t *scheduler, step_t *step, const GArray *plan, guint known, gint64 now_us)
 {
-  g_autoptr (GPtrArray) ids = NULL;
+  g_autoptr (GPtrArray) executors = NULL;
 
   if (!step->job->queue->advice.is_needed
       || !scheduler_may_request_advice (scheduler, step, now_us))
     return;
-  ids = g_ptr_array_new_with_free_func (g_free);
+  executors = g_ptr_array_new ();
   if (plan != NULL)
-    add_planned_executors (ids, plan, step, now_us);
-  add_unknown_executors (scheduler, ids, step, known, now_us);
-  if (ids->len > 0)
-    scheduler_send_advice_call (scheduler, step, g_steal_pointer (&ids), now_us);
+    add_planned_executors (executors, plan, step, now_us);
+  add_unknown_executors (scheduler, executors, step, known, now_us);
+  if (executors->len > 0)
+    scheduler_send_advice_call (scheduler, step, g_steal_pointer (&executors), now_us);
 }
 
 /* ---- Starting. */
@@ -416,18 +414,38 @@
 }
 
 static void
-reserve (const GArray *plan, const step_t *step)
+reserve (scheduler_t *scheduler, const GArray *plan, step_t *step)
 {
+  step->reserved_on = g_ptr_array_new ();
+  g_ptr_array_add (scheduler->reserving, step);
   for (guint i = 0; i < MIN (plan->len, step->spec->count); i++)
     {
-      resource_vector_t *reserved = &g_array_index (plan, gang_slot_t, i).executor->reserved;
+      executor_t *executor = g_array_index (plan, gang_slot_t, i).executor;
 
-      reserved->cpu_milli += step->spec->need.cpu_milli;
-      reserved->mem_mb += step->spec->need.mem_mb;
-      reserved->gpu += step->spec->need.gpu;
+      executor->reserved.cpu_milli += step->spec->need.cpu_milli;
+      executor->reserved.mem_mb += step->spec->need.mem_mb;
+      executor->reserved.gpu += step->spec->need.gpu;
+      g_ptr_array_add (step->reserved_on, executor);
     }
 }
 
+void
+scheduler_release_reservation (scheduler_t *scheduler, step_t *step)
+{
+  if (step->reserved_on == NULL)
+    return;
+  for (guint i = 0; i < step->reserved_on->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (step->reserved_on, i);
+
+      executor->reserved.cpu_milli -= step->spec->need.cpu_milli;
+      executor->reserved.mem_mb -= step->spec->need.mem_mb;
+      executor->reserved.gpu -= step->spec->need.gpu;
+    }
+  g_clear_pointer (&step->reserved_on, g_ptr_array_unref);
+  (void) g_ptr_array_remove_fast (scheduler->reserving, step);
+}
+
 bool
 scheduler_place_gang (scheduler_t *scheduler, step_t *step, bool may_reserve, gint64 now_us)
 {
@@ -435,6 +453,7 @@
   g_autoptr (GArray) gang_slots = NULL;
   g_autoptr (GArray) plan = NULL;
 
+  scheduler_release_reservation (scheduler, step);
   if (step->unplaced_count < step->spec->count)
     return true; /* members of an earlier run are not yet known to be gone */
   allowed = scheduler_allowed_executors (scheduler, step);
@@ -447,6 +466,6 @@
     }
   request_gang_advice (scheduler, step, plan, gang_slots->len, now_us);
   if (may_reserve && plan != NULL)
-    reserve (plan, step);
+    reserve (scheduler, plan, step);
   return false;
 }
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -34,10 +34,11 @@
   run->resources = run_resources (scheduler, ref, executor);
   if (task != NULL)
     {
+      if (scheduler_task_is_unplaced (task))
+        task->step->unplaced_count--;
       task->last_run_number = MAX (task->last_run_number, number);
       list_push_back (&task->runs, &run->task_node);
       task->step->job->run_count++;
-      scheduler_count_unplaced (task->step);
     }
   executor->used.cpu_milli += run->resources.cpu_milli;
   executor->used.mem_mb += run->resources.mem_mb;
@@ -87,14 +88,22 @@
 /* ---- Placements. */
 
 static void
-release_placement (scheduler_t *scheduler, const run_t *run)
+delete_placement (scheduler_t *scheduler, placement_t *placement)
 {
-  placement_t *placement = g_hash_table_lookup (scheduler->placements, &run->placement);
+  scheduler->ops->delete_placement (placement->number, scheduler->data);
+  g_hash_table_remove (scheduler->placements, &placement->number);
+}
 
-  if (placement == NULL || --placement->run_count > 0)
+static void
+release_placement (scheduler_t *scheduler, run_t *run)
+{
+  placement_t *placement = run->placement;
+
+  if (placement == NULL)
     return;
-  scheduler->ops->delete_placement (placement->number, scheduler->data);
-  g_hash_table_remove (scheduler->placements, &run->placement);
+  list_remove (&run->placement_node);
+  if (list_is_empty (&placement->runs))
+    delete_placement (scheduler, placement);
 }
 
 static placement_t *
@@ -103,6 +112,7 @@
   placement_t *placement = g_new0 (placement_t, 1);
 
   placement->number = number;
+  list_init (&placement->runs);
   g_hash_table_insert (scheduler->placements, &placement->number, placement);
   return placement;
 }
@@ -130,8 +140,8 @@
     {
       run_t *run = g_array_index (scheduler->planned, run_t *, i);
 
-      run->placement = placement->number;
-      placement->run_count++;
+      run->placement = placement;
+      list_push_back (&placement->runs, &run->placement_node);
       placed[i] = (placed_run_t){ run->ref, run->number, run->executor->id };
     }
   scheduler->ops->place (placement->number, placed, scheduler->planned->len, scheduler->data);
@@ -166,30 +176,40 @@
   scheduler->ops->start (&order, scheduler->data);
 }
 
-void
-scheduler_placement_stored (scheduler_t *scheduler, guint64 placement, gint64 now_us)
+static run_t *
+find_withdrawn (const placement_t *placement)
 {
-  for (guint i = 0; i < scheduler->executor_list->len; i++)
+  for (list_node_t *node = placement->runs.next; node != &placement->runs; node = node->next)
     {
-      executor_t *executor = g_ptr_array_index (scheduler->executor_list, i);
+      run_t *run = LIST_ENTRY (node, run_t, placement_node);
+
+      if (run->state == RUN_WITHDRAWN)
+        return run;
+    }
+  return NULL;
+}
 
-      list_node_t *node = executor->runs.next;
+void
+scheduler_placement_stored (scheduler_t *scheduler, guint64 number, gint64 now_us)
+{
+  placement_t *placement = g_hash_table_lookup (scheduler->placements, &number);
+  run_t *withdrawn;
 
-      while (node != &executor->runs)
-        {
-          run_t *run = LIST_ENTRY (node, run_t, executor_node);
+  /* Removing a run withdraws the other members of its gang, and the last one removes the
+   * placement. */
+  while (placement != NULL && (withdrawn = find_withdrawn (placement)) != NULL)
+    {
+      scheduler_remove_run (scheduler, withdrawn, now_us);
+      placement = g_hash_table_lookup (scheduler->placements, &number);
+    }
+  if (placement == NULL)
+    return;
+  for (list_node_t *node = placement->runs.next; node != &placement->runs; node = node->next)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, placement_node);
 
-          node = node->next;
-          if (run->placement != placement)
-            continue;
-          if (run->state == RUN_PLANNED)
-            send_start (scheduler, run, now_us);
-          if (run->state != RUN_WITHDRAWN)
-            continue;
-          scheduler_remove_run (scheduler, run, now_us);
-          /* Removing the run may have changed the rest of the list: start over. */
-          node = executor->runs.next;
-        }
+      if (run->state == RUN_PLANNED)
+        send_start (scheduler, run, now_us);
     }
 }
 
@@ -212,15 +232,13 @@
         continue;
       run = scheduler_run_new (scheduler, task, &runs[i].task, executor, runs[i].run);
       run->state = RUN_RESTORED;
-      run->placement = placement;
-      restored->run_count++;
+      run->placement = restored;
+      list_push_back (&restored->runs, &run->placement_node);
       scheduler_extend_lease_expiry (scheduler, executor,
                                      now_us + scheduler->limits.leader_lease_us);
     }
-  if (restored->run_count > 0)
-    return;
-  scheduler->ops->delete_placement (placement, scheduler->data);
-  g_hash_table_remove (scheduler->placements, &placement);
+  if (list_is_empty (&restored->runs))
+    delete_placement (scheduler, restored);
 }
 
 /* Removes a run that is not alive and will not start, and releases its resources.  The other
@@ -244,7 +262,11 @@
   if (task == NULL)
     return;
   task->step->job->run_count--;
-  scheduler_count_unplaced (task->step);
+  if (scheduler_task_is_unplaced (task))
+    {
+      task->step->unplaced_count++;
+      scheduler_touch_step (scheduler, task->step);
+    }
   if (task->step->spec->gang && !task->is_done && !task->step->job->is_ended)
     scheduler_stop_gang (scheduler, task->step, number, now_us);
   if (task->step->job->is_ended)
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -10,6 +10,7 @@
 typedef struct run run_t;
 typedef struct executor executor_t;
 typedef struct queue queue_t;
+typedef struct placement placement_t;
 
 /* A queue and its learned statistics (moving averages), which are kept when the desired state
  * changes. */
@@ -56,7 +57,8 @@
   guint percent;           /* completed part of its work, as last reported */
   gint64 last_progress_us; /* when `percent` last changed; 0: never reported */
   guint64 mark; /* RUN_STOPPED: reports with at least this mark were requested after the stop */
-  guint64 placement; /* 0: none, the run was adopted from a report */
+  placement_t *placement; /* NULL: the run was adopted from a report */
+  list_node_t placement_node;
   list_node_t task_node;
   list_node_t executor_node;
 };
@@ -83,12 +85,12 @@
   ADVICE_DENIED
 } advice_decision_t;
 
-/* The decision of the advice service on one executor for one step. */
+/* An executor that advice has allowed for one step. */
 typedef struct
 {
-  advice_decision_t decision;
-  gint64 born; /* incarnation of the executor that the ticket is valid for */
-  char *ticket;
+  executor_t *executor;
+  gint64 born;  /* incarnation of the executor that the ticket is valid for */
+  char *ticket; /* NULL: the executor refused it */
   gint64 expires_us;
 } advice_t;
 
@@ -103,9 +105,14 @@
   guint unplaced_count; /* tasks that are not done and have no run */
   gint64 due_us;
   gint64 ready_us;      /* when it was due and its prerequisites done; 0: not yet */
-  GHashTable *advice;   /* executor id -> advice_t */
+  advice_t **advice;    /* by executor index; NULL: not asked about */
+  guint advice_size;    /* of that array */
+  GPtrArray *allowed;   /* advice_t; NULL: none */
   guint64 advice_order; /* call for advice in flight; 0: none */
   gint64 advice_retry_at_us;
+  GPtrArray
+      *reserved_on; /* executors with resources reserved for the gang, one per task; or NULL */
+  bool is_touched;  /* in the scheduler's list of touched steps */
 };
 
 struct job
@@ -115,9 +122,9 @@
   job_state_t state;
   bool is_ended; /* its end is stored or being stored */
   bool is_end_stored;
-  bool was_started;   /* a task has started, or the job has ended */
-  bool is_dirty;      /* its progress is to be stored with the current batch */
-  gint64 accepted_us; /* on this leader's clock */
+  bool was_started;       /* a task has started, or the job has ended */
+  list_node_t dirty_node; /* linked while its progress is to be stored with the current batch */
+  gint64 accepted_us;     /* on this leader's clock */
   gint64 began_us;
   step_t *steps; /* of all occurrences */
   guint step_total;
@@ -134,6 +141,7 @@
 
 struct executor
 {
+  guint index; /* in the scheduler's list */
   char *id;
   char *address;
   char *service;
@@ -158,25 +166,28 @@
   guint consecutive_failures; /* runs that failed since one succeeded */
   bool is_on_probation; /* after an ejection: one run at a time until one progresses or succeeds */
   gint64 ejected_until_us;
-  resource_vector_t reserved; /* in the current round, for gangs that go first */
+  resource_vector_t reserved; /* for gangs that go first */
+  guint asked_cpu_milli;      /* likely to be taken by steps whose calls for advice are in flight */
   list_node_t runs;
+  list_node_t ack_node; /* in the scheduler's list of executors with pending acks */
 };
 
 /* A call for advice in flight. */
 typedef struct
 {
-  step_t *step;         /* NULL: the answer is no longer needed */
-  GPtrArray *executors; /* ids, owned */
+  step_t *step;          /* NULL: the answer is no longer needed */
+  GPtrArray *executors;  /* executor_t, borrowed */
+  guint asked_cpu_milli; /* counted for each of them */
   gint64 sent_us;
   bool is_slow;
 } advice_call_t;
 
 /* A record of planned runs, which is stored before their start orders are sent. */
-typedef struct
+struct placement
 {
   guint64 number;
-  guint run_count; /* its runs that are not known to be gone */
-} placement_t;
+  list_node_t runs; /* that are not known to be gone */
+};
 
 struct scheduler
 {
@@ -190,9 +201,16 @@
   GHashTable *jobs;      /* id -> job_t */
   GHashTable *executors; /* id -> executor_t */
   GPtrArray *executor_list;
+  GPtrArray *open_executors; /* that could run a task in the last full round, most free CPU first */
+  GPtrArray *touched;        /* step_t that changed since; those that ended may be among them */
+  GPtrArray *reserving;      /* step_t of gangs that have resources reserved */
+  gint64 next_full_us;       /* no full round before this */
+  gint64 next_round_us;      /* when the next one is due if nothing happens */
+  list_node_t acking;        /* executors with pending acks */
   GHashTable *runs_by_order; /* order in flight -> run_t */
   GHashTable *advice_calls;  /* order -> advice_call_t */
   list_node_t job_list;
+  list_node_t dirty_jobs;
   GHashTable *placements; /* number -> placement_t */
   guint64 next_order;
   guint64 next_placement;
@@ -224,8 +242,11 @@
 void scheduler_task_done (scheduler_t *scheduler, task_t *task, gint64 now_us);
 void scheduler_task_failed (scheduler_t *scheduler, task_t *task, guint run, gint64 now_us);
 bool scheduler_task_is_unplaced (const task_t *task);
-void scheduler_count_unplaced (step_t *step);
+/* Has the next round serve the step even if it is not a full one. */
+void scheduler_touch_step (scheduler_t *scheduler, step_t *step);
 void scheduler_release_job (scheduler_t *scheduler, job_t *job);
+/* Acknowledges the executor's ends that are stored. */
+void scheduler_acknowledge_stored (scheduler_t *scheduler, executor_t *executor);
 
 /* scheduler_runs.c */
 run_t *scheduler_run_new (scheduler_t *scheduler,
@@ -271,6 +292,8 @@
 /* Starts the gang, or requests advice and, with `may_reserve`, reserves resources for it.  Returns
  * false if the gang waits for resources or tickets. */
 bool scheduler_place_gang (scheduler_t *scheduler, step_t *step, bool may_reserve, gint64 now_us);
+/* Gives up the resources that are reserved for the gang, if any. */
+void scheduler_release_reservation (scheduler_t *scheduler, step_t *step);
 
 /* scheduler_advice.c */
 /* Returns a ticket that can be used at `now_us`, "" if the queue needs none, or NULL.  Borrowed. */
@@ -281,14 +304,18 @@
 bool scheduler_may_request_advice (const scheduler_t *scheduler, const step_t *step, gint64 now_us);
 /* Expected duration of a call that asks about `count` executors; 0 if the queue needs none. */
 gint64 scheduler_advice_call_us (const step_t *step, guint count);
-/* Requests advice on the executors with these ids, and takes ownership of the array. */
-void
-scheduler_send_advice_call (scheduler_t *scheduler, step_t *step, GPtrArray *ids, gint64 now_us);
+/* Requests advice on these executors, and takes ownership of the array. */
+void scheduler_send_advice_call (scheduler_t *scheduler,
+                                 step_t *step,
+                                 GPtrArray *executors,
+                                 gint64 now_us);
 /* True if the step needs no ticket for the executor, or has one that is still valid at `at_us`. */
 bool scheduler_has_ticket_at (const step_t *step, const executor_t *executor, gint64 at_us);
-/* The known executors that advice has allowed for the step; all executors if its queue needs
- * no advice.  Free with g_ptr_array_unref(). */
+/* The executors that advice has allowed for the step; if its queue needs no advice, all that could
+ * run a task in the last full round.  Free with g_ptr_array_unref(). */
 GPtrArray *scheduler_allowed_executors (const scheduler_t *scheduler, const step_t *step);
+/* How many executors more than needed a call may ask about. */
+guint scheduler_advice_spare (const step_t *step);
 /* Share of the executors that advice is likely to allow, from 0.1 to 1. */
 double scheduler_allowed_share (const step_t *step);
 void scheduler_discard_advice (scheduler_t *scheduler, step_t *step);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -50,6 +50,7 @@
   DESIRED_WATCH_TIMEOUT_MS = 1000, /* longest wait of one watch */
   DRAIN_POLL_MS = 50,
   LEADER_CLOSE_TIMEOUT_MS = 400, /* limit for storing pending records before resigning */
+  FULL_ROUND_INTERVAL_MS = 25,   /* bounds the leader's work for what waits long anyway */
   RESIGN_NOTICE_MS = 50,         /* time to send the resignation to the other VMs */
   METRICS_CONNECTIONS = 16,
   PREVIOUS_DESIRED_MAX = 2
@@ -179,7 +180,8 @@
     = { .executor_lease_us = MIN (entry->options.hold_ms, entry->options.hold_max_ms) * 1000,
         .leader_lease_us = entry->options.claim_ttl_ms * 1000,
         .remote_factor = (double) entry->options.remote_factor_milli / 1000.0,
-        .gang_wait_us = entry->options.gang_wait_ms * 1000 },
+        .gang_wait_us = entry->options.gang_wait_ms * 1000,
+        .full_round_interval_us = FULL_ROUND_INTERVAL_MS * 1000 },
   };
 
   if (entry->leader_free_timer != 0)
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -20,6 +20,7 @@
   bool is_leaving;
   bool is_store_reachable; /* by this VM */
   guint executor_count;
+  guint balance_row;    /* its row while executors are assigned */
   guint64 advice_order; /* order of its advice call in flight; 0: none */
   bool is_advice_slow;
 } vm_t;
@@ -77,6 +78,7 @@
   void *on_closed_data;
   guint close_timer;
   guint pending_call_count;  /* callbacks that keep this struct alive after leader_free() */
+  guint balance_group;       /* counts the calls that assign executors */
   guint pending_relay_count; /* store calls in flight for other VMs */
   bool is_freed;
 };
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -13,7 +13,8 @@
 
 enum
 {
-  ASSIGN_DELAY_MS = 250 /* lets the VMs connect before executors are assigned */
+  ASSIGN_DELAY_MS = 250, /* lets the VMs connect before executors are assigned */
+  BALANCE_GROUP = 64     /* executors among which one call looks for one to move */
 };
 
 /* The leader steps down when the store has not answered it for this long, but answers other
@@ -44,6 +45,7 @@
       if (vm->name == NULL)
         continue;
       balance_vm.is_leader = strcmp (vm->name, leader->config.vm) == 0;
+      vm->balance_row = balance_vms->len;
       g_array_append_val (balance_vms, balance_vm);
       g_ptr_array_add (vms, vm);
     }
@@ -66,6 +68,9 @@
   g_autoptr (GPtrArray) vms = g_ptr_array_new ();
   g_autoptr (GArray) balance_vms = collect_balance_vms (leader, vms);
   balance_vm_t *rows = (balance_vm_t *) (void *) balance_vms->data;
+  guint group_count = MAX (g_hash_table_size (leader->assignments) / BALANCE_GROUP, 1);
+  guint group = leader->balance_group++ % group_count;
+  guint position = 0;
   bool has_moved = false;
   GHashTableIter iter;
   gpointer value;
@@ -74,16 +79,18 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       assignment_t *assignment = value;
-      guint from = 0;
+      bool is_in_group = position++ % group_count == group;
       int to;
 
       if (assignment->vm != NULL)
         {
-          /* Each call moves at most one executor for balance, but all executors of leaving VMs. */
-          while (from < vms->len && g_ptr_array_index (vms, from) != assignment->vm)
-            from++;
-          if (from == vms->len || !balance_should_move (rows, vms->len, assignment->zone, from)
-              || (has_moved && !rows[from].is_leaving))
+          guint from = assignment->vm->balance_row;
+
+          /* Each call moves all executors of leaving VMs, but at most one for balance: it looks
+           * for that one in a part of the fleet. */
+          if (!rows[from].is_leaving && (has_moved || !is_in_group))
+            continue;
+          if (!balance_should_move (rows, vms->len, assignment->zone, from))
             continue;
           has_moved = true;
           rows[from].held--;
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -34,6 +34,7 @@
 {
   EXECUTOR_COUNT = 3,
   JOB_COUNT = 4,
+  SMALL_ROUNDS_BIT = 3, /* of the seed */
   TASKS_MAX = 4,
   LEADER_COUNT = 3, /* the current leader and former ones that may still act */
   EVENTS_MAX = 512,
@@ -46,6 +47,7 @@
 
 #define MS ((gint64) 1000)
 
+static const gint64 full_round_interval_us = 25 * MS;
 static const gint64 executor_lease_us = 5000 * MS;
 static const gint64 leader_lease_us = 2000 * MS;
 static const gint64 fault_period_us = 12000 * MS;
@@ -1319,6 +1321,10 @@
   scheduler_limits_t limits
       = { .executor_lease_us = executor_lease_us, .leader_lease_us = leader_lease_us };
 
+  /* In half of the schedules, rounds between full ones serve only what has changed. */
+  if ((sim->seed >> SMALL_ROUNDS_BIT & 1) != 0)
+    limits.full_round_interval_us = full_round_interval_us;
+
   former->is_elected = false;
   if (!former_keeps_lease)
     former->valid_until_us = sim->now_us;
