Links without an operation for each frame, a paced main loop of the leader, and a full backlog

Change: links read and write without blocking from one source each; the leader's loop lets events gather for 2 ms; peer/listener.c accepts with a backlog of 4,096; a full queue is reported from the main loop; up to a hundredth of the fleet moves for balance per call. Urgent work in rounds between full ones may take what is reserved for gangs, as it goes first in full rounds too.

Shown by tests/peer: 300 VMs connect within 700 ms (red with a backlog of 10); a full queue is reported after link_send() has returned (it was reported inside); random bytes end their own connection only.

--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -34,6 +34,12 @@
   return (queue_order_key_t){ .group = GROUP_LOST, .slack_us = job->accepted_us };
 }
 
+bool
+queue_order_is_urgent (const queue_order_key_t *key)
+{
+  return key->group == GROUP_URGENT;
+}
+
 int
 queue_order_compare (const queue_order_key_t *a, const queue_order_key_t *b)
 {
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <glib.h>
+#include <stdbool.h>
 
 typedef struct
 {
@@ -37,5 +38,8 @@
 extern const queue_order_policy_t queue_order_by_slack; /* queue_order_key() */
 extern const queue_order_policy_t queue_order_fifo;     /* first in, first out */
 
+/* True for the keys that go before all others. */
+bool queue_order_is_urgent (const queue_order_key_t *key);
+
 /* Compares like strcmp(): negative when `a` goes first. */
 int queue_order_compare (const queue_order_key_t *a, const queue_order_key_t *b);
--- a/src/decide/scheduler_advice.c
+++ b/src/decide/scheduler_advice.c
@@ -114,7 +114,7 @@
 static guint
 tasks_that_fit_on (const step_t *step, const executor_t *executor, bool is_shared)
 {
-  resource_vector_t resources = scheduler_free_resources (executor);
+  resource_vector_t resources = scheduler_free_resources (step, executor);
 
   if (!is_shared)
     resources.cpu_milli -= MIN (resources.cpu_milli, executor->asked_cpu_milli);
@@ -229,7 +229,7 @@
   for (guint i = 0; step->allowed != NULL && i < step->allowed->len; i++)
     {
       const advice_t *advice = g_ptr_array_index (step->allowed, i);
-      resource_vector_t resources = scheduler_free_resources (advice->executor);
+      resource_vector_t resources = scheduler_free_resources (step, advice->executor);
 
       if (is_ticket_valid (advice, now_us)
           && scheduler_executor_is_usable (advice->executor, now_us))
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -108,6 +108,7 @@
   if (step->job->is_ended || step->unplaced_count == 0 || !is_ready (step, now_us))
     return;
   entry.key = step_key (scheduler, step, now_us);
+  step->overrides_reservations = false;
   g_array_append_val (waiting, entry);
 }
 
@@ -149,16 +150,20 @@
   g_ptr_array_set_size (scheduler->touched, 0);
 }
 
+static gint64
+free_cpu_milli (const executor_t *executor)
+{
+  return (gint64) executor->capacity.cpu_milli - executor->used.cpu_milli;
+}
+
 static int
 compare_by_free_cpu (const void *a, const void *b)
 {
   const executor_t *left = *(executor_t *const *) a;
   const executor_t *right = *(executor_t *const *) b;
-  guint left_milli = scheduler_free_resources (left).cpu_milli;
-  guint right_milli = scheduler_free_resources (right).cpu_milli;
 
-  if (left_milli != right_milli)
-    return left_milli > right_milli ? -1 : 1;
+  if (free_cpu_milli (left) != free_cpu_milli (right))
+    return free_cpu_milli (left) > free_cpu_milli (right) ? -1 : 1;
   return left->index < right->index ? -1 : left->index > right->index;
 }
 
@@ -183,6 +188,8 @@
 bool
 scheduler_executor_interferes (const executor_t *executor, const step_t *step)
 {
+  if (!step->spec->fills && step->spec->target_ms == 0)
+    return false;
   for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
     {
       const run_t *run = LIST_ENTRY (node, run_t, executor_node);
@@ -237,7 +244,7 @@
           || scheduler_find_ticket (step, executor, now_us) == NULL
           || scheduler_executor_interferes (executor, step))
         continue;
-      slot.resources = scheduler_free_resources (executor);
+      slot.resources = scheduler_free_resources (step, executor);
       if (!scheduler_resources_fit (step->spec->need, slot.resources))
         continue;
       if (step->spec->max_per_executor > 0)
@@ -390,6 +397,12 @@
     return;
   waiting = collect_touched (scheduler, now_us);
   clear_touched (scheduler);
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      const waiting_step_t *entry = &g_array_index (waiting, waiting_step_t, i);
+
+      entry->step->overrides_reservations = queue_order_is_urgent (&entry->key);
+    }
   if (!scheduler->is_closed)
     dispatch (scheduler, waiting, now_us);
 }
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -70,12 +70,14 @@
 }
 
 resource_vector_t
-scheduler_free_resources (const executor_t *executor)
+scheduler_free_resources (const step_t *step, const executor_t *executor)
 {
+  static const resource_vector_t none;
   resource_vector_t resources = { 0 };
-  guint cpu = executor->used.cpu_milli + executor->reserved.cpu_milli;
-  guint mem = executor->used.mem_mb + executor->reserved.mem_mb;
-  guint gpu = executor->used.gpu + executor->reserved.gpu;
+  const resource_vector_t *reserved = step->overrides_reservations ? &none : &executor->reserved;
+  guint cpu = executor->used.cpu_milli + reserved->cpu_milli;
+  guint mem = executor->used.mem_mb + reserved->mem_mb;
+  guint gpu = executor->used.gpu + reserved->gpu;
 
   if (executor->capacity.cpu_milli > cpu)
     resources.cpu_milli = executor->capacity.cpu_milli - cpu;
--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -69,11 +69,12 @@
 } signed_resources_t;
 
 static signed_resources_t
-available_on (const executor_t *executor)
+available_on (const step_t *step, const executor_t *executor)
 {
+  static const resource_vector_t none;
   const resource_vector_t *all = &executor->capacity;
   const resource_vector_t *used = &executor->used;
-  const resource_vector_t *reserved = &executor->reserved;
+  const resource_vector_t *reserved = step->overrides_reservations ? &none : &executor->reserved;
 
   return (signed_resources_t){
     .cpu_milli = (gint64) all->cpu_milli - used->cpu_milli - reserved->cpu_milli,
@@ -141,7 +142,7 @@
 {
   g_autoptr (GArray) releases = releases_of (executor, now_us);
   const resource_vector_t *need = &step->spec->need;
-  signed_resources_t available = available_on (executor);
+  signed_resources_t available = available_on (step, executor);
   gang_slot_t gang_slot
       = { .executor = executor, .at_us = now_us, .cost = cost_of (step, executor) };
   guint limit = step->spec->count;
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -113,6 +113,8 @@
   GPtrArray
       *reserved_on; /* executors with resources reserved for the gang, one per task; or NULL */
   bool is_touched;  /* in the scheduler's list of touched steps */
+  /* Its tasks may take resources that are reserved: it goes before all gangs with reservations. */
+  bool overrides_reservations;
 };
 
 struct job
@@ -270,7 +272,8 @@
 bool scheduler_executor_is_usable (const executor_t *executor, gint64 now_us);
 void scheduler_check_executors (scheduler_t *scheduler, gint64 now_us);
 bool scheduler_executor_has_label (const executor_t *executor, const char *label);
-resource_vector_t scheduler_free_resources (const executor_t *executor);
+/* What is free for tasks of the step, and not reserved for gangs that go before it. */
+resource_vector_t scheduler_free_resources (const step_t *step, const executor_t *executor);
 bool scheduler_resources_fit (resource_vector_t need, resource_vector_t resources);
 void scheduler_executor_free (gpointer data);
 executor_t *scheduler_ensure_executor (scheduler_t *scheduler, const char *id);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/http_server.h"
 #include "base/log.h"
+#include "base/loop.h"
 #include "base/metrics.h"
 #include "base/program.h"
 #include "entry/election.h"
@@ -12,6 +13,7 @@
 #include "entry/leader.h"
 #include "entry/relay.h"
 #include "entry/uplink.h"
+#include "peer/listener.h"
 #include "platform/documents.h"
 #include "platform/job_api.h"
 #include "platform/store_kv.h"
@@ -34,7 +36,7 @@
   election_t *election;
   leader_t *leader;        /* NULL: not the leader; remains until leader_free_timer fires */
   guint leader_free_timer; /* frees a former leader outside its callbacks; 0: none */
-  GSocketService *peer_service;
+  listener_t *listener;    /* for other entry VMs */
   http_server_t *metrics_server;
   watcher_t *desired_watcher;
   desired_state_t *desired;
@@ -50,6 +52,7 @@
   DESIRED_WATCH_TIMEOUT_MS = 1000, /* longest wait of one watch */
   DRAIN_POLL_MS = 50,
   LEADER_CLOSE_TIMEOUT_MS = 400, /* limit for storing pending records before resigning */
+  LEADER_PACE_US = 2000,         /* small beside the round trips of the orders */
   FULL_ROUND_INTERVAL_MS = 25,   /* bounds the leader's work for what waits long anyway */
   RESIGN_NOTICE_MS = 50,         /* time to send the resignation to the other VMs */
   METRICS_CONNECTIONS = 16,
@@ -140,6 +143,7 @@
   entry->leader_free_timer = 0;
   leader_free (entry->leader);
   entry->leader = NULL;
+  loop_set_pace_us (0);
   return G_SOURCE_REMOVE;
 }
 
@@ -189,6 +193,7 @@
       g_source_remove (entry->leader_free_timer);
       (void) free_leader (entry);
     }
+  loop_set_pace_us (LEADER_PACE_US);
   entry->leader = leader_new (entry->store, entry->election, &config, entry->desired,
                               entry->metrics, verify_leadership, step_down, entry);
 }
@@ -242,11 +247,8 @@
   entry->election = election_new (entry->store, &config, &election_events, entry);
 }
 
-static gboolean
-accept_peer (GSocketService *service G_GNUC_UNUSED,
-             GSocketConnection *connection,
-             GObject *source G_GNUC_UNUSED,
-             gpointer data)
+static void
+accept_peer (GSocketConnection *connection, void *data)
 {
   entry_t *entry = data;
 
@@ -254,29 +256,6 @@
     leader_accept (entry->leader, connection);
   else
     (void) g_io_stream_close (G_IO_STREAM (connection), NULL, NULL);
-  return TRUE;
-}
-
-static bool
-listen_for_peers (entry_t *entry, error_info_t *error)
-{
-  g_autofree char *host = NULL;
-  guint16 port = 0;
-  g_autoptr (GSocketAddress) address = NULL;
-  g_autoptr (GError) problem = NULL;
-
-  if (settings_split_address (entry->options.peer_listen, &host, &port))
-    address = g_inet_socket_address_new_from_string (host, port);
-  entry->peer_service = g_socket_service_new ();
-  if (address == NULL
-      || !g_socket_listener_add_address (G_SOCKET_LISTENER (entry->peer_service), address,
-                                         G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
-                                         &problem))
-    return error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s",
-                      entry->options.peer_listen,
-                      problem != NULL ? problem->message : "not an IP address and port");
-  g_signal_connect (entry->peer_service, "incoming", G_CALLBACK (accept_peer), entry);
-  return true;
 }
 
 /* ---- Metrics. */
@@ -396,7 +375,8 @@
                            .body_bytes = 0,
                            .read_timeout_ms = 5000 };
 
-  if (!listen_for_peers (entry, error))
+  entry->listener = listener_new (entry->options.peer_listen, accept_peer, entry, error);
+  if (entry->listener == NULL)
     return false;
   entry->api = job_api_new (&api, entry->intake, can_accept_jobs, entry, error);
   if (entry->api == NULL)
@@ -471,11 +451,7 @@
   election_free (entry->election);
   job_api_free (entry->api);
   http_server_free (entry->metrics_server);
-  if (entry->peer_service != NULL)
-    {
-      g_socket_service_stop (entry->peer_service);
-      g_object_unref (entry->peer_service);
-    }
+  listener_free (entry->listener);
   intake_free (entry->intake);
   uplink_free (entry->uplink);
   entry->request_store->calls->free (entry->request_store);
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -14,7 +14,8 @@
 enum
 {
   ASSIGN_DELAY_MS = 250, /* lets the VMs connect before executors are assigned */
-  BALANCE_GROUP = 64     /* executors among which one call looks for one to move */
+  BALANCE_GROUP = 64,    /* executors among which one call looks for those to move */
+  MOVES_DIVISOR = 100    /* a call moves this part of the fleet for balance, or one executor */
 };
 
 /* The leader steps down when the store has not answered it for this long, but answers other
@@ -71,7 +72,7 @@
   guint group_count = MAX (g_hash_table_size (leader->assignments) / BALANCE_GROUP, 1);
   guint group = leader->balance_group++ % group_count;
   guint position = 0;
-  bool has_moved = false;
+  guint moves_left = MAX (g_hash_table_size (leader->assignments) / MOVES_DIVISOR, 1);
   GHashTableIter iter;
   gpointer value;
 
@@ -86,13 +87,13 @@
         {
           guint from = assignment->vm->balance_row;
 
-          /* Each call moves all executors of leaving VMs, but at most one for balance: it looks
-           * for that one in a part of the fleet. */
-          if (!rows[from].is_leaving && (has_moved || !is_in_group))
+          /* Each call moves all executors of leaving VMs, but few for balance, which it looks for
+           * in a part of the fleet. */
+          if (!rows[from].is_leaving && (moves_left == 0 || !is_in_group))
             continue;
           if (!balance_should_move (rows, vms->len, assignment->zone, from))
             continue;
-          has_moved = true;
+          moves_left -= MIN (moves_left, 1);
           rows[from].held--;
           leader_send_assignment (assignment, assignment->vm, true);
           leader_unassign_executor (assignment);
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -13,28 +13,36 @@
   void *data;
   GSocketClient *client;
   GSocketConnection *connection;
-  GCancellable *cancellable;
-  GByteArray *queued;  /* frames that are not being written yet */
-  GByteArray *writing; /* NULL while no write is in progress */
+  GCancellable *cancellable; /* of the connection attempt */
+  GByteArray *unwritten;     /* frames that are not written yet */
+  guint written_bytes;       /* of `unwritten` */
+  GByteArray *received;      /* bytes after the last complete frame */
+  GSource *read_source;
+  GSource *write_source; /* NULL: the connection takes all that is written, or nothing waits */
   guint flush_source;
-  guint8 *body;      /* of the frame that is being read */
-  gsize frame_bytes; /* 0 while the header is being read */
-  guint8 header[4];
+  guint broken_source; /* reports a full queue */
   gint64 last_received_us;
-  guint pending_operation_count; /* asynchronous calls; the link is freed after the last one */
+  guint pending_operation_count; /* operations and callbacks that keep this struct allocated */
   bool is_broken;
   bool is_freed;
 };
 
 enum
 {
+  HEADER_BYTES = 4, /* length of the frame, big-endian */
+  READ_BYTES = 64 * 1024,
   FRAME_MAX_BYTES = 8 * 1024 * 1024,
   QUEUE_MAX_BYTES = 16 * 1024 * 1024, /* a peer that does not read in time is disconnected */
   CONNECT_TIMEOUT_S = 1
 };
 
-static void read_header (link_t *link);
-static void write_queued (link_t *link);
+static void
+clear_source (GSource **source)
+{
+  if (*source != NULL)
+    g_source_destroy (*source);
+  g_clear_pointer (source, g_source_unref);
+}
 
 static void
 destroy (link_t *link)
@@ -42,9 +50,8 @@
   g_clear_object (&link->client);
   g_clear_object (&link->connection);
   g_object_unref (link->cancellable);
-  g_byte_array_unref (link->queued);
-  g_clear_pointer (&link->writing, g_byte_array_unref);
-  g_free (link->body);
+  g_byte_array_unref (link->unwritten);
+  g_byte_array_unref (link->received);
   g_free (link);
 }
 
@@ -54,8 +61,8 @@
   link->pending_operation_count++;
 }
 
-/* Accounts for a finished asynchronous call.  Returns false when the link is broken or link_free()
- * was called meanwhile; in the latter case the last call frees the memory. */
+/* Accounts for a finished operation.  Returns false when the link is broken or link_free() was
+ * called meanwhile; in the latter case the last one frees the memory. */
 static bool
 finish_operation (link_t *link)
 {
@@ -79,110 +86,149 @@
   link->events->broken (link, reason, link->data);
 }
 
-static void
-handle_frame (link_t *link)
+/* ---- Reading. */
+
+static guint32
+frame_length (const guint8 *header)
+{
+  guint32 length;
+
+  memcpy (&length, header, sizeof length);
+  return g_ntohl (length);
+}
+
+/* Returns the number of bytes that the frame took; 0 if it is incomplete or the link is broken. */
+static gsize
+handle_frame (link_t *link, const guint8 *bytes, gsize size)
 {
-  Mimosastair__Frame *frame = mimosastair__frame__unpack (NULL, link->frame_bytes, link->body);
+  Mimosastair__Frame *frame;
+  guint32 length;
 
-  g_clear_pointer (&link->body, g_free);
-  link->frame_bytes = 0;
+  if (size < HEADER_BYTES)
+    return 0;
+  length = frame_length (bytes);
+  if (length == 0 || length > FRAME_MAX_BYTES)
+    {
+      report_broken (link, "bad_length");
+      return 0;
+    }
+  if (size < HEADER_BYTES + length)
+    return 0;
+  frame = mimosastair__frame__unpack (NULL, length, bytes + HEADER_BYTES);
   if (frame == NULL)
     {
       report_broken (link, "bad_frame");
-      return;
+      return 0;
     }
   link->last_received_us = clock_now_us ();
   link->events->received (link, frame, link->data);
   mimosastair__frame__free_unpacked (frame, NULL);
+  return HEADER_BYTES + length;
 }
 
-static void
-body_read (GObject *stream, GAsyncResult *result, gpointer data)
+/* Hands over the complete frames.  Returns false if the link is broken or freed. */
+static bool
+handle_received (link_t *link)
 {
-  link_t *link = data;
-  gsize size = 0;
-  gboolean ok = g_input_stream_read_all_finish (G_INPUT_STREAM (stream), result, &size, NULL);
+  gsize done = 0;
+  gsize taken;
 
-  if (!finish_operation (link))
-    return;
-  if (!ok || size < link->frame_bytes)
+  /* The callbacks may free the link; the extra operation keeps it allocated until then. */
+  begin_operation (link);
+  do
     {
-      report_broken (link, "closed");
-      return;
+      taken = handle_frame (link, link->received->data + done, link->received->len - done);
+      done += taken;
     }
-  /* The callback may free the link; the extra operation keeps it allocated until then. */
-  begin_operation (link);
-  handle_frame (link);
-  if (finish_operation (link))
-    read_header (link);
+  while (taken > 0 && !link->is_broken && !link->is_freed);
+  g_byte_array_remove_range (link->received, 0, (guint) done);
+  return finish_operation (link);
 }
 
-static void
-header_read (GObject *stream, GAsyncResult *result, gpointer data)
+static gboolean
+on_readable (GObject *stream, gpointer data)
 {
   link_t *link = data;
-  gsize size = 0;
-  gboolean ok = g_input_stream_read_all_finish (G_INPUT_STREAM (stream), result, &size, NULL);
-  guint32 length;
+  guint8 buffer[READ_BYTES];
+  g_autoptr (GError) error = NULL;
+  gssize size = g_pollable_input_stream_read_nonblocking (G_POLLABLE_INPUT_STREAM (stream), buffer,
+                                                          sizeof buffer, NULL, &error);
 
-  if (!finish_operation (link))
-    return;
-  if (!ok || size < sizeof link->header)
+  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    return G_SOURCE_CONTINUE;
+  if (size <= 0)
     {
       report_broken (link, "closed");
-      return;
-    }
-  memcpy (&length, link->header, sizeof length);
-  link->frame_bytes = g_ntohl (length);
-  if (link->frame_bytes == 0 || link->frame_bytes > FRAME_MAX_BYTES)
-    {
-      report_broken (link, "bad_length");
-      return;
+      return G_SOURCE_REMOVE;
     }
-  link->body = g_malloc (link->frame_bytes);
-  begin_operation (link);
-  g_input_stream_read_all_async (G_INPUT_STREAM (stream), link->body, link->frame_bytes,
-                                 G_PRIORITY_DEFAULT, link->cancellable, body_read, link);
+  g_byte_array_append (link->received, buffer, (guint) size);
+  return handle_received (link) ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
 static void
-read_header (link_t *link)
+start_reading (link_t *link)
 {
   GInputStream *in = g_io_stream_get_input_stream (G_IO_STREAM (link->connection));
 
-  begin_operation (link);
-  g_input_stream_read_all_async (in, link->header, sizeof link->header, G_PRIORITY_DEFAULT,
-                                 link->cancellable, header_read, link);
+  link->read_source = g_pollable_input_stream_create_source (G_POLLABLE_INPUT_STREAM (in), NULL);
+  g_source_set_callback (link->read_source, G_SOURCE_FUNC (on_readable), link, NULL);
+  g_source_attach (link->read_source, g_main_context_get_thread_default ());
 }
 
+/* ---- Writing. */
+
+static gboolean on_writable (GObject *stream, gpointer data);
+
 static void
-write_finished (GObject *stream, GAsyncResult *result, gpointer data)
+wait_until_writable (link_t *link, GPollableOutputStream *out)
 {
-  link_t *link = data;
-  gboolean ok = g_output_stream_write_all_finish (G_OUTPUT_STREAM (stream), result, NULL, NULL);
-
-  g_clear_pointer (&link->writing, g_byte_array_unref);
-  if (!finish_operation (link))
+  if (link->write_source != NULL)
     return;
-  if (!ok)
-    report_broken (link, "write_failed");
-  else
-    write_queued (link);
+  link->write_source = g_pollable_output_stream_create_source (out, NULL);
+  g_source_set_callback (link->write_source, G_SOURCE_FUNC (on_writable), link, NULL);
+  g_source_attach (link->write_source, g_main_context_get_thread_default ());
 }
 
+/* Writes what the connection takes now. */
 static void
-write_queued (link_t *link)
+write_unwritten (link_t *link)
 {
-  GOutputStream *out;
+  GPollableOutputStream *out
+      = G_POLLABLE_OUTPUT_STREAM (g_io_stream_get_output_stream (G_IO_STREAM (link->connection)));
 
-  if (link->writing != NULL || link->connection == NULL || link->queued->len == 0)
-    return;
-  out = g_io_stream_get_output_stream (G_IO_STREAM (link->connection));
-  link->writing = link->queued;
-  link->queued = g_byte_array_new ();
-  begin_operation (link);
-  g_output_stream_write_all_async (out, link->writing->data, link->writing->len, G_PRIORITY_DEFAULT,
-                                   link->cancellable, write_finished, link);
+  while (link->written_bytes < link->unwritten->len)
+    {
+      g_autoptr (GError) error = NULL;
+      gssize size = g_pollable_output_stream_write_nonblocking (
+          out, link->unwritten->data + link->written_bytes,
+          link->unwritten->len - link->written_bytes, NULL, &error);
+
+      if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        {
+          g_byte_array_remove_range (link->unwritten, 0, link->written_bytes);
+          link->written_bytes = 0;
+          wait_until_writable (link, out);
+          return;
+        }
+      if (size < 0)
+        {
+          report_broken (link, "write_failed");
+          return;
+        }
+      link->written_bytes += (guint) size;
+    }
+  g_byte_array_set_size (link->unwritten, 0);
+  link->written_bytes = 0;
+}
+
+static gboolean
+on_writable (GObject *stream G_GNUC_UNUSED, gpointer data)
+{
+  link_t *link = data;
+
+  clear_source (&link->write_source);
+  write_unwritten (link);
+  return G_SOURCE_REMOVE;
 }
 
 static gboolean
@@ -191,7 +237,17 @@
   link_t *link = data;
 
   link->flush_source = 0;
-  write_queued (link);
+  write_unwritten (link);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+report_full_queue (gpointer data)
+{
+  link_t *link = data;
+
+  link->broken_source = 0;
+  report_broken (link, "queue_full");
   return G_SOURCE_REMOVE;
 }
 
@@ -200,23 +256,26 @@
 {
   gsize size = mimosastair__frame__get_packed_size (frame);
   guint32 length = g_htonl ((guint32) size);
-  guint start = link->queued->len;
+  guint start = link->unwritten->len;
 
-  if (link->is_broken || link->connection == NULL || size == 0)
+  if (link->is_broken || link->broken_source != 0 || link->connection == NULL || size == 0)
     return false;
-  if (link->queued->len + size > QUEUE_MAX_BYTES)
+  if (start - link->written_bytes + size > QUEUE_MAX_BYTES)
     {
-      report_broken (link, "queue_full");
+      /* Not reported from here: the caller goes on to use what the report may free. */
+      link->broken_source = g_idle_add_full (G_PRIORITY_DEFAULT, report_full_queue, link, NULL);
       return false;
     }
-  g_byte_array_append (link->queued, (const guint8 *) &length, sizeof length);
-  g_byte_array_set_size (link->queued, link->queued->len + (guint) size);
-  mimosastair__frame__pack (frame, link->queued->data + start + sizeof length);
-  if (link->flush_source == 0 && link->writing == NULL)
+  g_byte_array_append (link->unwritten, (const guint8 *) &length, sizeof length);
+  g_byte_array_set_size (link->unwritten, link->unwritten->len + (guint) size);
+  mimosastair__frame__pack (frame, link->unwritten->data + start + sizeof length);
+  if (link->flush_source == 0 && link->write_source == NULL)
     link->flush_source = g_idle_add_full (G_PRIORITY_DEFAULT, flush, link, NULL);
   return true;
 }
 
+/* ---- Connection. */
+
 static void
 set_socket_options (GSocketConnection *connection)
 {
@@ -252,7 +311,7 @@
   begin_operation (link);
   link->events->opened (link, link->data);
   if (finish_operation (link))
-    read_header (link);
+    start_reading (link);
 }
 
 static link_t *
@@ -263,7 +322,8 @@
   link->events = events;
   link->data = data;
   link->cancellable = g_cancellable_new ();
-  link->queued = g_byte_array_new ();
+  link->unwritten = g_byte_array_new ();
+  link->received = g_byte_array_new ();
   link->last_received_us = clock_now_us ();
   return link;
 }
@@ -297,7 +357,7 @@
 
   link->connection = g_object_ref (connection);
   set_socket_options (connection);
-  read_header (link);
+  start_reading (link);
   return link;
 }
 
@@ -307,8 +367,12 @@
   if (link == NULL || link->is_freed)
     return;
   link->is_freed = true;
+  clear_source (&link->read_source);
+  clear_source (&link->write_source);
   if (link->flush_source != 0)
     g_source_remove (link->flush_source);
+  if (link->broken_source != 0)
+    g_source_remove (link->broken_source);
   g_cancellable_cancel (link->cancellable);
   if (link->connection != NULL)
     (void) g_io_stream_close (G_IO_STREAM (link->connection), NULL, NULL);
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -31,7 +31,7 @@
 void link_free (link_t *link);
 
 /* Queues a frame; returns false when the link is not open or its queue is full.  A full queue is
- * also reported as broken, before this function returns. */
+ * also reported as broken, after this function has returned. */
 bool link_send (link_t *link, const Mimosastair__Frame *frame);
 
 /* Returns when the last frame was received, as a clock_now_us() time; before the first frame, when
--- /dev/null
+++ b/src/peer/listener.h
@@ -0,0 +1,24 @@
+/* Accepts the connections of other entry VMs.
+ *
+ * All VMs of a fleet connect to a new leader at the same moment, so many connections may wait.
+ */
+#pragma once
+
+#include "base/error.h"
+
+#include <gio/gio.h>
+
+typedef struct listener listener_t;
+
+typedef void (*listener_accepted_t) (GSocketConnection *connection, void *data);
+
+/* Listens on "IP:PORT"; port 0 chooses a free port.  `accepted` borrows the connection.  Returns
+ * NULL and sets ERROR_BAD_SETTING on failure. */
+listener_t *
+listener_new (const char *address, listener_accepted_t accepted, void *data, error_info_t *error);
+
+/* Stops listening; NULL is allowed. */
+void listener_free (listener_t *listener);
+
+/* Returns the port that it listens on. */
+guint16 listener_port (const listener_t *listener);
