Gangs in a large fleet: more reservations, free executors asked, lost work by size

Lookups that had been lost in a flood waited behind gangs of a thousand core-seconds.

Change: one reservation for each 64 executors, eight at least, and four plans for each; free executors are asked about while the allowed ones are occupied; lost work goes by acceptance plus a second for each 100 core-seconds; in small rounds what goes before all gangs with reservations may take their room.

--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -215,16 +215,16 @@
     {
       const model_class_result_t *class = &result->classes[i];
 
-      (void) printf ("pattern=%s policy=%s class=%s jobs=%u in_time=%u late=%u earned=%.3f"
-                     " largest_tenth=%.3f next_fifth=%.3f first_start_ms=%" G_GINT64_FORMAT
-                     " first_start_p95_ms=%" G_GINT64_FORMAT " last_start_ms=%" G_GINT64_FORMAT
-                     "\n",
-                     pattern, policy, config->classes[i].name, class->jobs, class->in_time,
-                     class->late, share_of (class->earned, class->owed),
-                     share_of (class->earned_by_size[0], class->owed_by_size[0]),
-                     share_of (class->earned_by_size[1], class->owed_by_size[1]),
-                     class->median_first_start_us / 1000, class->p95_first_start_us / 1000,
-                     class->median_last_start_us / 1000);
+      (void) printf (
+          "pattern=%s policy=%s class=%s jobs=%u in_time=%u late=%u unfinished=%u earned=%.3f"
+          " largest_tenth=%.3f next_fifth=%.3f first_start_ms=%" G_GINT64_FORMAT
+          " first_start_p95_ms=%" G_GINT64_FORMAT " last_start_ms=%" G_GINT64_FORMAT "\n",
+          pattern, policy, config->classes[i].name, class->jobs, class->in_time, class->late,
+          class->unfinished, share_of (class->earned, class->owed),
+          share_of (class->earned_by_size[0], class->owed_by_size[0]),
+          share_of (class->earned_by_size[1], class->owed_by_size[1]),
+          class->median_first_start_us / 1000, class->p95_first_start_us / 1000,
+          class->median_last_start_us / 1000);
     }
 }
 
--- a/bench/fleet_model.c
+++ b/bench/fleet_model.c
@@ -933,6 +933,7 @@
       earned = class->late_worth;
       result->late++;
     }
+  result->unfinished += !job->is_ended;
   result->jobs++;
   result->owed += weight * class->worth;
   result->earned += weight * earned;
--- a/bench/fleet_model.h
+++ b/bench/fleet_model.h
@@ -86,6 +86,7 @@
   guint jobs;
   guint in_time;
   guint late;
+  guint unfinished; /* at the end of the run */
   double owed;
   double earned;
   double owed_by_size[MODEL_SIZE_GROUPS];
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -4,7 +4,8 @@
  * constant), late until three times the objective, and lost after that.  Urgent work that
  * can still be on time goes first, then other work that can, by its slack (least first).  Work
  * that will be late anyway waits until it would otherwise be lost.  Lost work goes last, in the
- * order of acceptance.
+ * order of acceptance, but a large job behind small ones that were accepted a little later: after
+ * an overload, what takes little is not kept waiting by what takes long.
  */
 #pragma once
 
@@ -17,12 +18,13 @@
   gint64 accepted_us;
   gint64 objective_us; /* time from acceptance until the job is late */
   gint64 remaining_us; /* estimated critical path of the work still to be done */
+  gint64 core_us;      /* estimated processor time of the job, in core-microseconds */
 } queue_order_job_t;
 
 typedef struct
 {
   guint group;     /* the lowest goes first */
-  gint64 slack_us; /* the least goes first within a group; for lost jobs the acceptance time */
+  gint64 slack_us; /* the least goes first within a group; for lost jobs a time after acceptance */
 } queue_order_key_t;
 
 /* Returns the sort key of the job at `now_us`. */
@@ -38,8 +40,5 @@
 extern const queue_order_policy_t queue_order_by_slack; /* queue_order_key() */
 extern const queue_order_policy_t queue_order_fifo;     /* first in, first out */
 
-/* True for the keys that go before all others. */
-bool queue_order_is_urgent (const queue_order_key_t *key);
-
 /* Compares like strcmp(): negative when `a` goes first. */
 int queue_order_compare (const queue_order_key_t *a, const queue_order_key_t *b);
--- a/src/decide/scheduler_advice.c
+++ b/src/decide/scheduler_advice.c
@@ -121,6 +121,12 @@
   return tasks_that_fit (step, &resources);
 }
 
+guint
+scheduler_tasks_that_fit (const step_t *step, const executor_t *executor)
+{
+  return tasks_that_fit_on (step, executor, true);
+}
+
 static bool
 is_candidate (const step_t *step, const executor_t *executor, gint64 now_us)
 {
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -9,8 +9,10 @@
 
 enum
 {
-  RESERVATIONS_MAX = 8, /* gangs for which resources are reserved at a time */
-  GANG_PLANS_MAX = 32   /* gangs that are planned in one round */
+  CORE_MILLI = 1000,
+  RESERVATIONS_MIN = 8,           /* gangs for which resources may be reserved at a time */
+  EXECUTORS_PER_RESERVATION = 64, /* in a larger fleet, one for each of these */
+  PLANS_PER_RESERVATION = 4       /* gangs that are planned in one round */
 };
 
 typedef struct
@@ -78,6 +80,23 @@
   return longest;
 }
 
+/* Estimated processor time of an occurrence, in core-microseconds. */
+static gint64
+core_time_us (const job_t *job, guint occurrence)
+{
+  const step_t *steps = &job->steps[occurrence * job->spec->step_count];
+  double core_us = 0.0;
+
+  for (guint i = 0; i < job->spec->step_count; i++)
+    {
+      const step_spec_t *spec = steps[i].spec;
+
+      core_us += (double) spec->count * (double) spec->need.cpu_milli / CORE_MILLI
+                 * (double) spec->est_runtime_us;
+    }
+  return (gint64) (core_us * job->queue->runtime_ratio);
+}
+
 static queue_order_key_t
 step_key (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
 {
@@ -88,6 +107,7 @@
     .accepted_us = job->spec->times > 0 ? step->due_us : job->accepted_us,
     .objective_us = (gint64) (job->queue->stretch * (double) path_us) + job->queue->objective_us,
     .remaining_us = critical_path_us (job, step->occurrence, true),
+    .core_us = core_time_us (job, step->occurrence),
   };
 
   return scheduler->limits.order->key (&order, now_us);
@@ -349,6 +369,8 @@
 static void
 dispatch (scheduler_t *scheduler, GArray *waiting, gint64 now_us)
 {
+  guint max_reservations
+      = MAX (RESERVATIONS_MIN, scheduler->executor_list->len / EXECUTORS_PER_RESERVATION);
   guint plans = 0;
 
   for (guint i = 0; i < waiting->len; i++)
@@ -357,12 +379,14 @@
 
       if (step->spec->gang)
         {
-          bool had_reservation = step->reserved_on != NULL;
-
-          if (plans++ < GANG_PLANS_MAX)
-            (void) scheduler_place_gang (
-                scheduler, step, had_reservation || scheduler->reserving->len < RESERVATIONS_MAX,
-                now_us);
+          bool may_reserve
+              = step->reserved_on != NULL || scheduler->reserving->len < max_reservations;
+
+          if (plans++ >= max_reservations * PLANS_PER_RESERVATION)
+            continue;
+          (void) scheduler_place_gang (scheduler, step, may_reserve, now_us);
+          if (step->reserved_on != NULL && scheduler->reserving->len == 1)
+            scheduler->first_reserving_key = g_array_index (waiting, waiting_step_t, i).key;
         }
       else if (!place_step (scheduler, step, now_us) && step->job->queue->advice.is_needed)
         (void) scheduler_request_advice (scheduler, step, now_us);
@@ -401,7 +425,8 @@
     {
       const waiting_step_t *entry = &g_array_index (waiting, waiting_step_t, i);
 
-      entry->step->overrides_reservations = queue_order_is_urgent (&entry->key);
+      entry->step->overrides_reservations
+          = queue_order_compare (&entry->key, &scheduler->first_reserving_key) < 0;
     }
   if (!scheduler->is_closed)
     dispatch (scheduler, waiting, now_us);
--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -334,23 +334,31 @@
     }
 }
 
-/* Adds executors without a decision until advice is expected to allow enough of them. */
+/* Number of slots that are expected to be free when a call sent now is answered. */
+static guint
+count_slots_soon (const GArray *gang_slots, const step_t *step, gint64 now_us)
+{
+  gint64 answer_us = now_us + scheduler_advice_call_us (step, ADVICE_EXECUTORS_MAX);
+  guint count = 0;
+
+  for (guint i = 0; i < gang_slots->len; i++)
+    count += g_array_index (gang_slots, gang_slot_t, i).at_us <= answer_us;
+  return count;
+}
+
+/* Adds executors without a decision until advice is expected to allow enough slots, whenever they
+ * are free. */
 static void
 add_unknown_executors (const scheduler_t *scheduler,
                        GPtrArray *executors,
                        const step_t *step,
-                       guint known,
+                       double expected,
                        gint64 now_us)
 {
-  g_autoptr (GPtrArray) unknown = NULL;
-  g_autoptr (GArray) gang_slots = NULL;
+  g_autoptr (GPtrArray) unknown = unknown_executors (scheduler, step);
+  g_autoptr (GArray) gang_slots = collect_gang_slots (unknown, step, now_us);
   double share = scheduler_allowed_share (step);
-  double expected = known;
 
-  if (known >= CANDIDATE_FACTOR * step->spec->count)
-    return;
-  unknown = unknown_executors (scheduler, step);
-  gang_slots = collect_gang_slots (unknown, step, now_us);
   for (guint i = 0; i < gang_slots->len && expected < CANDIDATE_FACTOR * step->spec->count; i++)
     {
       add_advice_executor (executors, g_array_index (gang_slots, gang_slot_t, i).executor);
@@ -358,9 +366,58 @@
     }
 }
 
+/* Adds executors without a decision that have room now, until advice is expected to allow enough.
+ */
+static void
+add_free_executors (const scheduler_t *scheduler,
+                    GPtrArray *executors,
+                    const step_t *step,
+                    double expected,
+                    gint64 now_us)
+{
+  double share = scheduler_allowed_share (step);
+
+  for (guint i = 0; i < scheduler->open_executors->len; i++)
+    {
+      executor_t *executor = g_ptr_array_index (scheduler->open_executors, i);
+      guint fits;
+
+      if (expected >= CANDIDATE_FACTOR * step->spec->count)
+        return;
+      if (scheduler_advice_decision (step, executor) != ADVICE_UNKNOWN
+          || !is_candidate (step, executor, now_us))
+        continue;
+      fits = scheduler_tasks_that_fit (step, executor);
+      if (fits == 0)
+        continue;
+      add_advice_executor (executors, executor);
+      expected += fits * share;
+    }
+}
+
+/* While the allowed executors are occupied, others that have room are asked about, however many
+ * are known. */
+static void
+add_more_executors (const scheduler_t *scheduler,
+                    GPtrArray *executors,
+                    const step_t *step,
+                    const GArray *known_slots,
+                    gint64 now_us)
+{
+  guint soon = count_slots_soon (known_slots, step, now_us);
+
+  if (known_slots->len < CANDIDATE_FACTOR * step->spec->count)
+    add_unknown_executors (scheduler, executors, step, known_slots->len, now_us);
+  else if (soon < step->spec->count)
+    add_free_executors (scheduler, executors, step, soon, now_us);
+}
+
 static void
-request_gang_advice (
-    scheduler_t *scheduler, step_t *step, const GArray *plan, guint known, gint64 now_us)
+request_gang_advice (scheduler_t *scheduler,
+                     step_t *step,
+                     const GArray *plan,
+                     const GArray *gang_slots,
+                     gint64 now_us)
 {
   g_autoptr (GPtrArray) executors = NULL;
 
@@ -370,7 +427,7 @@
   executors = g_ptr_array_new ();
   if (plan != NULL)
     add_planned_executors (executors, plan, step, now_us);
-  add_unknown_executors (scheduler, executors, step, known, now_us);
+  add_more_executors (scheduler, executors, step, gang_slots, now_us);
   if (executors->len > 0)
     scheduler_send_advice_call (scheduler, step, g_steal_pointer (&executors), now_us);
 }
@@ -465,7 +522,7 @@
       start_gang (scheduler, step, plan);
       return true;
     }
-  request_gang_advice (scheduler, step, plan, gang_slots->len, now_us);
+  request_gang_advice (scheduler, step, plan, gang_slots, now_us);
   if (may_reserve && plan != NULL)
     reserve (scheduler, plan, step);
   return false;
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -206,11 +206,12 @@
   GPtrArray *open_executors; /* that could run a task in the last full round, most free CPU first */
   GPtrArray *touched;        /* step_t that changed since; those that ended may be among them */
   GPtrArray *reserving;      /* step_t of gangs that have resources reserved */
-  gint64 next_full_us;       /* no full round before this */
-  gint64 next_round_us;      /* when the next one is due if nothing happens */
-  list_node_t acking;        /* executors with pending acks */
-  GHashTable *runs_by_order; /* order in flight -> run_t */
-  GHashTable *advice_calls;  /* order -> advice_call_t */
+  queue_order_key_t first_reserving_key; /* of the first of them in the order of work */
+  gint64 next_full_us;                   /* no full round before this */
+  gint64 next_round_us;                  /* when the next one is due if nothing happens */
+  list_node_t acking;                    /* executors with pending acks */
+  GHashTable *runs_by_order;             /* order in flight -> run_t */
+  GHashTable *advice_calls;              /* order -> advice_call_t */
   list_node_t job_list;
   list_node_t dirty_jobs;
   GHashTable *placements; /* number -> placement_t */
@@ -317,6 +318,8 @@
 /* The executors that advice has allowed for the step; if its queue needs no advice, all that could
  * run a task in the last full round.  Free with g_ptr_array_unref(). */
 GPtrArray *scheduler_allowed_executors (const scheduler_t *scheduler, const step_t *step);
+/* Number of tasks of the step that fit on the executor now. */
+guint scheduler_tasks_that_fit (const step_t *step, const executor_t *executor);
 /* How many executors more than needed a call may ask about. */
 guint scheduler_advice_spare (const step_t *step);
 /* Share of the executors that advice is likely to allow, from 0.1 to 1. */
