Tests that replay load patterns; the model draws within its limits

tests/load_patterns plays urgent work in steady load, after a flood and while executors are lost, and large gangs in an empty fleet. Bounds: half of the urgent jobs started within 150 ms and 95 of 100 within 1.5 s (the target), nine tenths of their credit, nothing left unfinished. Two were red at first: CLAMP evaluated its draw three times, so that the model drew tasks larger than an executor; mended.

--- a/bench/fleet_model.c
+++ b/bench/fleet_model.c
@@ -416,6 +416,14 @@
   return (guint) CLAMP (drawn + 0.5, 1.0, (double) most);
 }
 
+static guint
+draw_between (model_t *model, double mean, double spread, double least, double most)
+{
+  double drawn = log_normal (model, mean, spread);
+
+  return (guint) CLAMP (drawn, least, most);
+}
+
 /* Steps form a chain.  Returns the longest chain of work, in us. */
 static double
 draw_steps (model_t *model, model_job_t *job, job_spec_t *spec)
@@ -437,11 +445,10 @@
 
       step->count
           = draw_count (model, class->width, class->width_spread, 5 * (guint) class->width + 1);
-      step->need.cpu_milli
-          = (guint) CLAMP (log_normal (model, class->cpu_milli, class->cpu_spread), 100,
-                           MIN (class->cpu_milli * 3, model->config->cpu_milli));
-      step->need.mem_mb = (guint) CLAMP (log_normal (model, class->mem_mb, class->mem_spread), 16,
-                                         model->config->mem_mb / 2.0);
+      step->need.cpu_milli = draw_between (model, class->cpu_milli, class->cpu_spread, 100,
+                                           MIN (class->cpu_milli * 3, model->config->cpu_milli));
+      step->need.mem_mb
+          = draw_between (model, class->mem_mb, class->mem_spread, 16, model->config->mem_mb / 2.0);
       step->gang = uniform (model) < class->gang_share && step->count > 1;
       step->checkpointing = uniform (model) < class->checkpoint_share;
       step->after = i > 0 ? (guint64) 1 << (i - 1) : 0;
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -967,6 +967,32 @@
   return queue_order_key (&job, 1000000 * MS);
 }
 
+/* Key of a job that was accepted at this time and has long been lost. */
+static queue_order_key_t
+make_lost_key (gint64 accepted_ms, gint64 core_s)
+{
+  queue_order_job_t job = { .priority = 1,
+                            .accepted_us = accepted_ms * MS,
+                            .objective_us = 1000 * MS,
+                            .remaining_us = 1000 * MS,
+                            .core_us = core_s * 1000 * MS };
+
+  return queue_order_key (&job, 1000000 * MS);
+}
+
+/* After an overload, small jobs go before a large one that was accepted a little earlier, but not
+ * before one that has waited long. */
+static void
+test_order_of_lost_work (void)
+{
+  queue_order_key_t large = make_lost_key (10000, 2000);
+  queue_order_key_t small_later = make_lost_key (15000, 30);
+  queue_order_key_t small_much_later = make_lost_key (40000, 30);
+
+  CU_ASSERT (queue_order_compare (&small_later, &large) < 0);
+  CU_ASSERT (queue_order_compare (&large, &small_much_later) < 0);
+}
+
 static void
 test_queue_order (void)
 {
@@ -1408,6 +1434,7 @@
                test_expiring_ticket_requested_again);
   CU_add_test (suite, "a slow call for advice needs a slow slot", test_slow_advice_needs_slow_slot);
   CU_add_test (suite, "waiting work is ordered by urgency and slack", test_queue_order);
+  CU_add_test (suite, "lost work is ordered by acceptance and size", test_order_of_lost_work);
   CU_add_test (suite, "executors are assigned by the load of VMs", test_executor_assignment);
   CU_add_test (suite, "a larger VM takes a vacant leadership first", test_election_delays);
   CU_add_test (suite, "leadership is valid while renewed and confirmed",
--- /dev/null
+++ b/tests/load_patterns.c
@@ -0,0 +1,194 @@
+/* Replays load patterns against the scheduler in virtual time (bench/fleet_model.h), and checks
+ * what callers get. */
+#include "bench/fleet_model.h"
+
+#include "harness.h"
+
+#define SECOND ((gint64) G_USEC_PER_SEC)
+
+enum
+{
+  LOOKUP,
+  RECON,
+  SWEEP
+};
+
+/* A third of the large deployment, one entry VM in eight, and three classes of work like its own:
+ * urgent lookups, patient gangs and patient sweeps. */
+static model_config_t
+make_config (void)
+{
+  static char names[][8] = { "lookup", "recon", "sweep" };
+  model_config_t config = {
+    .executors = 360,
+    .vms = 48,
+    .cpu_milli = 32000,
+    .mem_mb = 131072,
+    .rack_size = 8,
+    .order_us = 3000,
+    .store_us = 8000,
+    .full_round_us = 25000,
+    .length_us = 30 * SECOND,
+    .settle_us = 20 * SECOND,
+    .seed = 1,
+    .class_count = 3,
+    .classes = {
+      [LOOKUP] = { .priority = 0, .attempts = 3, .stretch = 1.5, .objective_us = 300000,
+        .worth = 0.4, .late_worth = 0.08, .jobs_per_s = 41, .steps = 1, .width = 4.5,
+        .width_spread = 0.8, .runtime_us = 1e6, .runtime_spread = 0.5, .cpu_milli = 7800,
+        .cpu_spread = 0.45, .mem_mb = 22000, .mem_spread = 0.6, .task_spread = 0.3,
+        .estimate_spread = 0.9, .gang_share = 0.3, .allowed_share = 0.7,
+        .advice = { true, 18200, 260, 2 * SECOND } },
+      [RECON] = { .priority = 1, .attempts = 2, .stretch = 2.2, .objective_us = SECOND,
+        .worth = 7.8, .late_worth = 1.6, .jobs_per_s = 1.6, .steps = 1.2, .width = 32,
+        .width_spread = 0.6, .runtime_us = 6.2e6, .runtime_spread = 0.5, .cpu_milli = 9000,
+        .cpu_spread = 0.4, .mem_mb = 26000, .mem_spread = 0.5, .task_spread = 0.15,
+        .estimate_spread = 0.5, .gang_share = 1, .allowed_share = 0.3,
+        .advice = { true, 637000, 9100, 2 * SECOND } },
+      [SWEEP] = { .priority = 2, .attempts = 3, .stretch = 4, .objective_us = 3 * SECOND,
+        .worth = 2.9, .late_worth = 0.6, .jobs_per_s = 4, .steps = 1.5, .width = 40,
+        .width_spread = 0.6, .runtime_us = 2.7e6, .runtime_spread = 0.5, .cpu_milli = 5500,
+        .cpu_spread = 0.45, .mem_mb = 11000, .mem_spread = 0.6, .task_spread = 0.15,
+        .estimate_spread = 0.2, .allowed_share = 0.45,
+        .advice = { true, 182000, 2600, 2 * SECOND } },
+    },
+  };
+
+  for (guint i = 0; i < config.class_count; i++)
+    config.classes[i].name = names[i];
+  return config;
+}
+
+static double
+earned_share (const model_class_result_t *class)
+{
+  return class->owed > 0.0 ? class->earned / class->owed : 1.0;
+}
+
+/* A steady load that the fleet can take: half of the urgent jobs start within 150 ms, 95 of 100
+ * within 1.5 s. */
+static void
+test_urgent_work_starts_at_once (void)
+{
+  model_config_t config = make_config ();
+  model_result_t result;
+
+  model_run (&config, &queue_order_by_slack, &result);
+  CU_ASSERT (result.classes[LOOKUP].jobs > 1000);
+  CU_ASSERT (result.classes[LOOKUP].median_first_start_us < 150 * 1000);
+  CU_ASSERT (result.classes[LOOKUP].p95_first_start_us < 1500 * 1000);
+  CU_ASSERT (earned_share (&result.classes[LOOKUP]) > 0.9);
+}
+
+/* Urgent jobs flood in for four seconds, more than the fleet can take.  Those that are lost take
+ * little, so none of them waits until the end for patient work that takes long. */
+static void
+test_small_work_after_a_flood (void)
+{
+  model_config_t config = make_config ();
+  model_result_t result;
+
+  config.events[config.event_count++] = (model_event_t){ .kind = MODEL_BURST,
+                                                         .class_index = LOOKUP,
+                                                         .from_us = 8 * SECOND,
+                                                         .until_us = 12 * SECOND,
+                                                         .factor = 9 };
+  model_run (&config, &queue_order_by_slack, &result);
+  CU_ASSERT_EQUAL (result.classes[LOOKUP].unfinished, 0);
+}
+
+/* Patient work keeps coming while a part of the executors is lost: urgent work keeps nine tenths of
+ * its credit, and the fleet stays in use. */
+static void
+test_urgent_work_while_executors_are_lost (void)
+{
+  model_config_t config = make_config ();
+  model_result_t result;
+
+  config.events[config.event_count++]
+      = (model_event_t){ .kind = MODEL_LOSS, .from_us = 10 * SECOND, .share = 0.14 };
+  config.events[config.event_count++] = (model_event_t){ .kind = MODEL_BURST,
+                                                         .class_index = SWEEP,
+                                                         .from_us = 4 * SECOND,
+                                                         .until_us = 9 * SECOND,
+                                                         .factor = 2.2 };
+  model_run (&config, &queue_order_by_slack, &result);
+  CU_ASSERT (earned_share (&result.classes[LOOKUP]) > 0.9);
+}
+
+/* Gangs of 60 tasks that need a third of an executor each come to a fleet that is nearly empty:
+ * each of them is done, although advice allows only three executors in ten. */
+static void
+test_large_gangs_in_an_empty_fleet (void)
+{
+  model_config_t config = make_config ();
+  model_result_t result;
+
+  config.classes[LOOKUP].jobs_per_s = 0.1;
+  config.classes[SWEEP].jobs_per_s = 0.1;
+  config.classes[RECON].jobs_per_s = 0.4;
+  config.classes[RECON].width = 60;
+  config.classes[RECON].width_spread = 0.1;
+  model_run (&config, &queue_order_by_slack, &result);
+  CU_ASSERT (result.classes[RECON].jobs > 5);
+  CU_ASSERT_EQUAL (result.classes[RECON].unfinished, 0);
+  CU_ASSERT (earned_share (&result.classes[RECON]) > 0.9);
+}
+
+/* The same seed gives the same run, so that policies are compared under the same load. */
+static void
+test_runs_repeat (void)
+{
+  model_config_t config = make_config ();
+  model_result_t first;
+  model_result_t second;
+
+  config.length_us = 5 * SECOND;
+  model_run (&config, &queue_order_fifo, &first);
+  model_run (&config, &queue_order_fifo, &second);
+  CU_ASSERT_EQUAL (first.starts, second.starts);
+  CU_ASSERT_EQUAL (first.advice_calls, second.advice_calls);
+  CU_ASSERT_DOUBLE_EQUAL (first.earned_share, second.earned_share, 1e-12);
+}
+
+/* One start costs no more than twice the rounds and calls in a fleet ten times as large: work per
+ * start is counted, not timed. */
+static void
+test_calls_grow_with_starts (void)
+{
+  model_config_t config = make_config ();
+  model_result_t small;
+  model_result_t large;
+
+  config.length_us = 10 * SECOND;
+  config.executors = 1100;
+  config.vms = 147;
+  for (guint i = 0; i < config.class_count; i++)
+    config.classes[i].jobs_per_s *= 1100.0 / 360.0;
+  model_run (&config, &queue_order_by_slack, &large);
+  config.executors = 110;
+  config.vms = 15;
+  for (guint i = 0; i < config.class_count; i++)
+    config.classes[i].jobs_per_s /= 10.0;
+  model_run (&config, &queue_order_by_slack, &small);
+  CU_ASSERT (large.starts > 5 * small.starts);
+  CU_ASSERT ((double) large.advice_calls / (double) large.starts
+             < 2.0 * (double) small.advice_calls / (double) small.starts);
+  CU_ASSERT ((double) large.rounds / (double) large.starts
+             < 2.0 * (double) small.rounds / (double) small.starts);
+}
+
+int
+main (void)
+{
+  static const test_case_t tests[] = {
+    { "urgent_work_starts_at_once", test_urgent_work_starts_at_once },
+    { "small_work_after_a_flood", test_small_work_after_a_flood },
+    { "urgent_work_while_executors_are_lost", test_urgent_work_while_executors_are_lost },
+    { "large_gangs_in_an_empty_fleet", test_large_gangs_in_an_empty_fleet },
+    { "runs_repeat", test_runs_repeat },
+    { "calls_grow_with_starts", test_calls_grow_with_starts },
+  };
+
+  return run_suite ("load_patterns", tests, G_N_ELEMENTS (tests));
+}
