--- a/bench/fleet_model.c
+++ b/bench/fleet_model.c
@@ -565,6 +565,13 @@
                           .number = run->life });
 }
 
+static bool
+is_same_task (const task_ref_t *a, const task_ref_t *b)
+{
+  return a->occurrence == b->occurrence && a->step == b->step && a->index == b->index
+         && strcmp (a->job, b->job) == 0;
+}
+
 static machine_run_t *
 find_run (const machine_t *machine, const task_ref_t *task, guint number)
 {
@@ -572,7 +579,7 @@
     {
       machine_run_t *run = LIST_ENTRY (node, machine_run_t, node);
 
-      if (run->run == number && memcmp (&run->task, task, sizeof *task) == 0)
+      if (run->run == number && is_same_task (&run->task, task))
         return run;
     }
   return NULL;
--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -48,11 +48,17 @@
   return 0;
 }
 
-static queue_order_key_t
-fifo_key (const queue_order_job_t *job, gint64 now_us G_GNUC_UNUSED)
+static void
+set_key_by_slack (queue_order_key_t *key, const queue_order_job_t *job, gint64 now_us)
 {
-  return (queue_order_key_t){ .group = GROUP_ON_TIME, .slack_us = job->accepted_us };
+  *key = queue_order_key (job, now_us);
 }
 
-const queue_order_policy_t queue_order_by_slack = { "slack", queue_order_key };
-const queue_order_policy_t queue_order_fifo = { "fifo", fifo_key };
+static void
+set_key_fifo (queue_order_key_t *key, const queue_order_job_t *job, gint64 now_us G_GNUC_UNUSED)
+{
+  *key = (queue_order_key_t){ .group = GROUP_ON_TIME, .slack_us = job->accepted_us };
+}
+
+const queue_order_policy_t queue_order_by_slack = { "slack", set_key_by_slack };
+const queue_order_policy_t queue_order_fifo = { "fifo", set_key_fifo };
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -34,7 +34,7 @@
 typedef struct
 {
   const char *name;
-  queue_order_key_t (*key) (const queue_order_job_t *job, gint64 now_us);
+  void (*set_key) (queue_order_key_t *key, const queue_order_job_t *job, gint64 now_us);
 } queue_order_policy_t;
 
 extern const queue_order_policy_t queue_order_by_slack; /* queue_order_key() */
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -280,7 +280,7 @@
                                   gint64 now_us);
 
 /* To be called when the placement is stored; issues its start orders. */
-void scheduler_placement_stored (scheduler_t *scheduler, guint64 placement, gint64 now_us);
+void scheduler_placement_stored (scheduler_t *scheduler, guint64 number, gint64 now_us);
 
 void
 scheduler_executor_listed (scheduler_t *scheduler, const executor_entry_t *entry, gint64 now_us);
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -97,8 +97,11 @@
   return (gint64) (core_us * job->queue->runtime_ratio);
 }
 
-static queue_order_key_t
-step_key (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
+static void
+set_step_key (queue_order_key_t *key,
+              const scheduler_t *scheduler,
+              const step_t *step,
+              gint64 now_us)
 {
   const job_t *job = step->job;
   gint64 path_us = critical_path_us (job, step->occurrence, false);
@@ -110,7 +113,7 @@
     .core_us = core_time_us (job, step->occurrence),
   };
 
-  return scheduler->limits.order->key (&order, now_us);
+  scheduler->limits.order->set_key (key, &order, now_us);
 }
 
 static int
@@ -127,7 +130,7 @@
 
   if (step->job->is_ended || step->unplaced_count == 0 || !is_ready (step, now_us))
     return;
-  entry.key = step_key (scheduler, step, now_us);
+  set_step_key (&entry.key, scheduler, step, now_us);
   step->overrides_reservations = false;
   g_array_append_val (waiting, entry);
 }
