--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1189,6 +1189,74 @@
   fixture_free (fixture);
 }
 
+/* A call that is slow only because it asks about many executors may be sent without a slow slot; it
+ * must not open one for calls that are slow in themselves. */
+static void
+test_slow_slots_stay_closed (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  queue_spec_t *slow_queue;
+  job_spec_t *slow = make_job_spec (2, 1, 1000);
+
+  add_queue_without_advice (fixture);
+  require_advice (fixture);
+  fixture_queue (fixture)->advice.call_us = 100 * MS;
+  fixture_queue (fixture)->advice.per_executor_us = 100 * MS;
+  slow_queue = g_ptr_array_index (fixture->desired->queues, 1);
+  slow_queue->advice = fixture_queue (fixture)->advice;
+  slow_queue->advice.call_us = 700 * MS;
+  slow_queue->objective_us = 5000 * MS; /* served last */
+  scheduler_set_desired (fixture->scheduler, fixture->desired);
+  add_ready_executor (fixture, "e1");
+  add_job (fixture, make_job_spec (1, 1, 1000), false);
+  g_free (slow->queue);
+  slow->queue = g_strdup (slow_queue->name);
+  add_job (fixture, slow, false);
+  scheduler_set_advice_slots (fixture->scheduler, 2, 0);
+  step (fixture);
+  CU_ASSERT_STRING_EQUAL (expect_issued (fixture, 'a')->job, "0000000000000001");
+  CU_ASSERT_PTR_NULL (next_issued (fixture, 'a'));
+  fixture_free (fixture);
+}
+
+/* Guards against gangs that wait in a fleet with room for them.  Advice had allowed enough
+ * executors, but those are occupied for long; others have room, and the gang asks about them. */
+static void
+test_gang_asks_about_free_executors (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  ticket_t tickets[] = { { "e1", "t-1" }, { "e2", "t-2" }, { "e3", "t-3" }, { "e4", "t-4" } };
+  job_spec_t *gang = make_job_spec (9, 2, 4000);
+  const issued_order_t *call;
+
+  add_queue_without_advice (fixture);
+  require_advice (fixture);
+  scheduler_set_desired (fixture->scheduler, fixture->desired);
+  for (guint i = 0; i < G_N_ELEMENTS (tickets); i++)
+    {
+      add_ready_executor (fixture, tickets[i].executor);
+      start_task_in (fixture, "plain", i + 1, 4000, 30000);
+    }
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  scheduler_set_advice_slots (fixture->scheduler, 2, 2);
+  step (fixture);
+  call = expect_issued (fixture, 'a');
+  CU_ASSERT_EQUAL (call->candidate_count, 4);
+  fixture->now_us += 15 * MS;
+  scheduler_advice_result (fixture->scheduler, call->order, true, tickets, 4, fixture->now_us);
+  list_executor (fixture, "e5", 1, false);
+  report (fixture, "e5", 1, 0, NULL, 0, NULL, 0);
+  list_executor (fixture, "e6", 1, false);
+  report (fixture, "e6", 1, 0, NULL, 0, NULL, 0);
+  fixture->now_us += 200 * MS;
+  scheduler_set_advice_slots (fixture->scheduler, 2, 2);
+  step (fixture);
+  call = expect_issued (fixture, 'a');
+  CU_ASSERT_EQUAL (call->candidate_count, 2);
+  fixture_free (fixture);
+}
+
 /* Guards against large gangs that do not start at peak load.  Each call for advice renewed only
  * the tickets that had just expired, so that the gang never had all tickets at the same time.  A
  * call must include the tickets that expire while it is under way. */
@@ -1404,6 +1472,10 @@
                test_executor_with_new_address_keeps_lease);
   CU_add_test (suite, "a gang requests advice before resources are free",
                test_gang_requests_advice_early);
+  CU_add_test (suite, "a call slow by its executors opens no slow slot",
+               test_slow_slots_stay_closed);
+  CU_add_test (suite, "a gang asks about free executors while the allowed ones are occupied",
+               test_gang_asks_about_free_executors);
   CU_add_test (suite, "a gang's tickets are requested together",
                test_gang_tickets_requested_together);
   CU_add_test (suite, "a gang reserves the resources that are free first",
