--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -110,9 +110,8 @@
   GPtrArray *allowed;   /* advice_t; NULL: none */
   guint64 advice_order; /* call for advice in flight; 0: none */
   gint64 advice_retry_at_us;
-  GPtrArray
-      *reserved_on; /* executors with resources reserved for the gang, one per task; or NULL */
-  bool is_touched;  /* in the scheduler's list of touched steps */
+  GPtrArray *reserved_on; /* executors reserved for the gang, one per task; NULL: none */
+  bool is_touched;        /* in the scheduler's list of touched steps */
   /* Its tasks may take resources that are reserved: it goes before all gangs with reservations. */
   bool overrides_reservations;
 };
