--- a/src/base/http_call.h
+++ b/src/base/http_call.h
@@ -28,10 +28,10 @@
   char *body;          /* JSON text, ownership is taken; NULL: no body */
   const char *header;  /* name of one extra header, or NULL */
   const char *header_value;
-  guint
-      timeout_ms; /* until the complete response, or until its first byte if stall_timeout_ms > 0 */
-  /* From each part of the response to the next; 0: timeout_ms limits the whole call.  For large
-   * responses, whose duration depends on the link. */
+  /* Until the complete response; with stall_timeout_ms, until its first byte. */
+  guint timeout_ms;
+  /* From each part of the response to the next, for large responses, whose duration depends on the
+   * link; 0: timeout_ms limits the whole call. */
   guint stall_timeout_ms;
 } http_call_t;
 
