CONFIG: a VM that the store turns away learns the desired state from the leader

Callers saw 404 for routes whose version had been confirmed up to 16 s before, on VMs that the store turned away while it served the others.

Cause: jobs had two ways to the store, the VM's own calls and the leader's; the desired state had the first only. A VM that could still store jobs went on routing by its last version without any bound on its age.

Change: pings and pongs carry the version in force; whoever is behind reads the document through the path that jobs use (entry/desired_follower, taken out of entry.c). A route is called unknown only while the version was known to be the newest at most 2 s ago; else the answer is 503 with Retry-After.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -11,6 +11,9 @@
 static const gint64 hedge_factor = 2;
 static const gint64 mean_divisor = 4; /* a new sample counts for 1/4 */
 
+/* Longer than a watch without changes and a retry take. */
+static const gint64 desired_age_max_us = 2000 * 1000;
+
 enum
 {
   MAX_OPEN_RELAYS = 8
@@ -40,6 +43,12 @@
   return mean_us == 0 ? sample_us : mean_us + (sample_us - mean_us) / mean_divisor;
 }
 
+bool
+admission_may_say_not_found (gint64 desired_age_us)
+{
+  return desired_age_us >= 0 && desired_age_us <= desired_age_max_us;
+}
+
 bool
 admission_may_relay (guint open_count)
 {
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -1,4 +1,4 @@
-/* Admission of jobs while the key-value service is unavailable, whatever the load.
+/* Admission of requests while the key-value service is unavailable, whatever the load.
  *
  * A job whose record cannot be sent is refused at once.  The Retry-After time is the time
  * that the outage has lasted, within limits, since an outage lasts on average as long again
@@ -29,6 +29,11 @@
 /* Returns the moving mean `mean_us` (0: no sample yet) updated with a new sample. */
 gint64 admission_mean_latency_us (gint64 mean_us, gint64 sample_us);
 
+/* True when a route that the desired state lacks may be answered as not existing: the state was
+ * known to be the newest one `desired_age_us` ago (-1: not known).  Otherwise the route may have
+ * been added since. */
+bool admission_may_say_not_found (gint64 desired_age_us);
+
 /* True when the leader may relay one more call for another VM while `open_count` relayed
  * calls are in progress.  The limit keeps the leader's own calls from waiting behind them. */
 bool admission_may_relay (guint open_count);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,20 +8,18 @@
 #include "base/loop.h"
 #include "base/metrics.h"
 #include "base/program.h"
+#include "entry/desired_follower.h"
 #include "entry/election.h"
 #include "entry/intake.h"
 #include "entry/leader.h"
 #include "entry/relay.h"
 #include "entry/uplink.h"
 #include "peer/listener.h"
-#include "platform/documents.h"
 #include "platform/job_api.h"
 #include "platform/store_kv.h"
-#include "store/watcher.h"
 
 #include <glib-unix.h>
 #include <signal.h>
-#include <string.h>
 
 struct entry
 {
@@ -38,10 +36,7 @@
   guint leader_free_timer; /* frees a former leader outside its callbacks; 0: none */
   listener_t *listener;    /* for other entry VMs */
   http_server_t *metrics_server;
-  watcher_t *desired_watcher;
-  desired_state_t *desired;
-  GQueue previous_desired; /* versions that may still be referenced */
-  gint64 desired_confirmed_us;
+  desired_follower_t *desired;
   bool is_stopping;
   gint64 drain_until_us;
   guint drain_timer;
@@ -49,90 +44,62 @@
 
 enum
 {
-  DESIRED_WATCH_TIMEOUT_MS = 1000, /* longest wait of one watch */
   DRAIN_POLL_MS = 50,
   LEADER_CLOSE_TIMEOUT_MS = 400, /* limit for storing pending records before resigning */
   LEADER_PACE_US = 2000,         /* small beside the round trips of the orders */
   FULL_ROUND_INTERVAL_MS = 25,   /* bounds the leader's work for what waits long anyway */
   RESIGN_NOTICE_MS = 50,         /* time to send the resignation to the other VMs */
-  METRICS_CONNECTIONS = 16,
-  PREVIOUS_DESIRED_MAX = 2
+  METRICS_CONNECTIONS = 16
 };
 
 /* ---- Desired state. */
 
-static void
-apply_desired (entry_t *entry, desired_state_t *desired)
-{
-  LOG_INFO ("desired_state",
-            "version=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT " queues=%u services=%u",
-            desired->version, entry->desired != NULL ? entry->desired->version : 0,
-            desired->queues->len, desired->services->len);
-  if (entry->desired != NULL)
-    g_queue_push_tail (&entry->previous_desired, entry->desired);
-  entry->desired = desired;
-  job_api_set_desired (entry->api, desired);
-  if (entry->leader != NULL)
-    leader_set_desired (entry->leader, desired);
-  while (g_queue_get_length (&entry->previous_desired) > PREVIOUS_DESIRED_MAX)
-    desired_state_free (g_queue_pop_head (&entry->previous_desired));
-}
-
 static void join_election (entry_t *entry);
 
 static void
-desired_state_changed (const store_item_t *item, void *data)
+desired_state_changed (const desired_state_t *desired, void *data)
 {
   entry_t *entry = data;
-  error_info_t error = { .kind = ERROR_NONE };
-  desired_state_t *desired;
 
-  if (item->deleted || strcmp (item->key, documents_desired_key) != 0)
-    return;
-  desired = documents_parse_desired ((const char *) item->value, item->value_bytes, &error);
-  if (desired == NULL)
-    {
-      LOG_WARN ("desired_state_malformed", "revision=%" G_GINT64_FORMAT " reason=\"%s\"",
-                item->revision, error.detail);
-      return;
-    }
-  if (entry->desired != NULL && desired->version <= entry->desired->version)
-    {
-      desired_state_free (desired);
-      return;
-    }
-  apply_desired (entry, desired);
+  job_api_set_desired (entry->api, desired);
+  if (entry->leader != NULL)
+    leader_apply_desired (entry->leader);
   if (entry->election == NULL && !entry->is_stopping)
     join_election (entry);
 }
 
-static void
-desired_state_confirmed (void *data)
+static gint64
+get_desired_version (void *data)
 {
-  entry_t *entry = data;
+  const entry_t *entry = data;
 
-  entry->desired_confirmed_us = clock_now_us ();
+  return desired_follower_version (entry->desired);
 }
 
-/* Returns the time since the store last confirmed the desired state; -1 before that. */
 static gint64
-desired_age_ms (const entry_t *entry)
+get_desired_age_us (void *data)
 {
-  return entry->desired_confirmed_us > 0 ? (clock_now_us () - entry->desired_confirmed_us) / 1000
-                                         : -1;
+  const entry_t *entry = data;
+
+  return desired_follower_age_us (entry->desired, clock_now_us ());
+}
+
+static gint64
+desired_age_ms (entry_t *entry)
+{
+  gint64 age_us = get_desired_age_us (entry);
+
+  return age_us >= 0 ? age_us / 1000 : -1;
 }
 
 static void
-desired_state_lost (void *data)
+leader_desired_reported (gint64 version, gint64 confirmed_us, void *data)
 {
   entry_t *entry = data;
 
-  LOG_WARN ("store_lost", "of=desired_state age_ms=%" G_GINT64_FORMAT, desired_age_ms (entry));
+  desired_follower_peer_reported (entry->desired, version, confirmed_us);
 }
 
-static const watcher_events_t desired_state_events
-    = { desired_state_changed, desired_state_confirmed, desired_state_lost };
-
 /* ---- Leader election. */
 
 static gboolean
@@ -275,7 +242,7 @@
   g_string_append_printf (out, "mimosastair_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
                           log_dropped_line_count ());
   g_string_append_printf (out, "mimosastair_desired_version %" G_GINT64_FORMAT "\n",
-                          entry->desired != NULL ? entry->desired->version : 0);
+                          desired_follower_version (entry->desired));
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
                           desired_age_ms (entry));
   if (entry->leader != NULL)
@@ -362,6 +329,8 @@
          && (store_is_healthy (entry->store, clock_now_us ()) || uplink_is_ready (entry->uplink));
 }
 
+static const job_api_callbacks_t job_api_callbacks = { can_accept_jobs, get_desired_age_us };
+
 static bool
 start_servers (entry_t *entry, error_info_t *error)
 {
@@ -378,7 +347,7 @@
   entry->listener = listener_new (entry->options.peer_listen, accept_peer, entry, error);
   if (entry->listener == NULL)
     return false;
-  entry->api = job_api_new (&api, entry->intake, can_accept_jobs, entry, error);
+  entry->api = job_api_new (&api, entry->intake, &job_api_callbacks, entry, error);
   if (entry->api == NULL)
     return false;
   entry->metrics_server
@@ -398,6 +367,8 @@
     .advice_address = options->advice,
     .leader_resigned = leader_resigned,
     .largest_cpu_reported = largest_cpu_reported,
+    .desired_version = get_desired_version,
+    .desired_reported = leader_desired_reported,
     .data = entry,
   };
 
@@ -409,14 +380,13 @@
   entry->uplink = uplink_new (&uplink);
   entry->request_store = relay_new (entry->store, entry->uplink);
   entry->intake = intake_new (entry->request_store, entry->uplink, entry->metrics);
-  g_queue_init (&entry->previous_desired);
+  entry->desired
+      = desired_follower_new (entry->store, entry->request_store, desired_state_changed, entry);
   if (!start_servers (entry, error))
     {
       entry_free (entry);
       return NULL;
     }
-  entry->desired_watcher = watcher_new (entry->store, documents_operator_prefix,
-                                        DESIRED_WATCH_TIMEOUT_MS, &desired_state_events, entry);
   (void) g_unix_signal_add (SIGTERM, stop_requested, entry);
   (void) g_unix_signal_add (SIGINT, stop_requested, entry);
   (void) g_unix_signal_add (SIGHUP, reload_requested, entry);
@@ -446,10 +416,10 @@
     g_source_remove (entry->drain_timer);
   if (entry->leader_free_timer != 0)
     g_source_remove (entry->leader_free_timer);
-  watcher_free (entry->desired_watcher);
   leader_free (entry->leader);
   election_free (entry->election);
   job_api_free (entry->api);
+  desired_follower_free (entry->desired);
   http_server_free (entry->metrics_server);
   listener_free (entry->listener);
   intake_free (entry->intake);
@@ -457,8 +427,6 @@
   entry->request_store->calls->free (entry->request_store);
   entry->store->calls->free (entry->store);
   metrics_free (entry->metrics);
-  desired_state_free (entry->desired);
-  g_queue_clear_full (&entry->previous_desired, (GDestroyNotify) desired_state_free);
   g_main_loop_unref (entry->loop);
   g_free (entry);
 }
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -121,7 +121,7 @@
 leader_new (store_t *store,
             election_t *election,
             const leader_config_t *config,
-            const desired_state_t *desired,
+            desired_follower_t *desired,
             metrics_t *metrics,
             void (*on_deposed) (void *data),
             void (*on_step_down) (void *data),
@@ -153,7 +153,7 @@
   g_queue_init (&leader->ended_job_order);
   leader->scheduler = scheduler_new (&config->limits, config->epoch, leader->started_us,
                                      &leader_scheduler_ops, leader);
-  scheduler_set_desired (leader->scheduler, desired);
+  scheduler_set_desired (leader->scheduler, desired_follower_state (desired));
   leader->recorder = recorder_new (store, election_key (election), config->fence, leader->scheduler,
                                    &leader_recorder_events, leader);
   leader->placement_writer = placement_writer_new (store, election_key (election), config->fence,
@@ -193,10 +193,9 @@
 }
 
 void
-leader_set_desired (leader_t *leader, const desired_state_t *desired)
+leader_apply_desired (leader_t *leader)
 {
-  leader->desired = desired;
-  scheduler_set_desired (leader->scheduler, desired);
+  scheduler_set_desired (leader->scheduler, desired_follower_state (leader->desired));
   /* The registry is read again for entries of services that were unknown until now. */
   if (leader->registry_watcher != NULL)
     {
--- a/src/entry/leader.h
+++ b/src/entry/leader.h
@@ -8,6 +8,7 @@
 
 #include "base/metrics.h"
 #include "decide/scheduler.h"
+#include "entry/desired_follower.h"
 #include "entry/election.h"
 
 #include <gio/gio.h>
@@ -26,12 +27,12 @@
 /* `on_deposed` is called at most once, when a refused write or an executor's answer shows that
  * another VM may be the leader.  `on_step_down` is called when the store answers other VMs but not
  * this one, or when another VM is clearly larger; the VMs have then been told that this VM has
- * resigned.  All pointers, also the one in `config`, are borrowed; `desired` until the next
- * leader_set_desired(). */
+ * resigned.  All pointers, also the one in `config`, are borrowed.  `desired` is told the versions
+ * of the other VMs. */
 leader_t *leader_new (store_t *store,
                       election_t *election,
                       const leader_config_t *config,
-                      const desired_state_t *desired,
+                      desired_follower_t *desired,
                       metrics_t *metrics,
                       void (*on_deposed) (void *data),
                       void (*on_step_down) (void *data),
@@ -41,7 +42,8 @@
  * the leader's callbacks. */
 void leader_free (leader_t *leader);
 
-void leader_set_desired (leader_t *leader, const desired_state_t *desired);
+/* The desired state has changed. */
+void leader_apply_desired (leader_t *leader);
 
 /* Serves an entry VM's connection. */
 void leader_accept (leader_t *leader, GSocketConnection *connection);
--- a/src/entry/leader_load.c
+++ b/src/entry/leader_load.c
@@ -263,7 +263,8 @@
       return;
     }
   if (documents_parse_executor (id, (const char *) item->value, item->value_bytes, &entry, &error)
-      && desired_state_find_service (leader->desired, entry.entry.service) != NULL)
+      && desired_state_find_service (desired_follower_state (leader->desired), entry.entry.service)
+             != NULL)
     {
       scheduler_executor_listed (leader->scheduler, &entry.entry, clock_now_us ());
       {
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -43,7 +43,7 @@
   store_t *store;
   election_t *election;
   leader_config_t config;
-  const desired_state_t *desired;
+  desired_follower_t *desired;
   metrics_t *metrics;
   void (*on_deposed) (void *data);
   void (*on_step_down) (void *data);
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -205,6 +205,7 @@
   Mimosastair__Pong pong = MIMOSASTAIR__PONG__INIT;
 
   vm->is_store_reachable = ping->store_ok;
+  desired_follower_peer_reported (leader->desired, ping->desired_version, 0);
   pong.sent_us = ping->sent_us;
   pong.valid_us
       = leader->is_deposed ? 0 : election_remaining_us (leader->election, clock_now_us ());
@@ -212,6 +213,8 @@
   pong.ready = leader->is_loaded && !leader->is_closing;
   pong.store_ok = store_is_healthy (leader->store, clock_now_us ());
   pong.cpu_most_milli = MAX (leader->config.cpu_milli, largest_vm_cpu_milli (leader));
+  pong.desired_version = desired_follower_version (leader->desired);
+  pong.desired_age_us = desired_follower_age_us (leader->desired, clock_now_us ());
   frame.pong = &pong;
   (void) link_send (vm->link, &frame);
 }
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -121,6 +121,7 @@
 
   ping.sent_us = clock_now_us ();
   ping.store_ok = store_is_healthy (uplink->config.store, ping.sent_us);
+  ping.desired_version = uplink->config.desired_version (uplink->config.data);
   frame.ping = &ping;
   (void) send_frame (&frame, uplink);
 }
@@ -203,6 +204,9 @@
   uplink->valid_until_us = pong->valid_us > 0 ? pong->sent_us + pong->valid_us : 0;
   agent_set_leadership (uplink->agent, pong->fence, uplink->valid_until_us);
   uplink->config.largest_cpu_reported (pong->cpu_most_milli, uplink->config.data);
+  uplink->config.desired_reported (
+      pong->desired_version, pong->desired_age_us >= 0 ? pong->sent_us - pong->desired_age_us : 0,
+      uplink->config.data);
 }
 
 static void
--- a/src/entry/uplink.h
+++ b/src/entry/uplink.h
@@ -25,6 +25,11 @@
   /* CPU of the largest VM that the leader knows, in thousandths of a core; called after
    * every pong. */
   void (*largest_cpu_reported) (guint cpu_milli, void *data);
+  /* Returns the version of the desired state in force on this VM; 0: none. */
+  gint64 (*desired_version) (void *data);
+  /* The leader has this version of the desired state, which was the newest one at `confirmed_us`
+   * (0: not known); called after every pong. */
+  void (*desired_reported) (gint64 version, gint64 confirmed_us, void *data);
   void *data;
 } uplink_config_t;
 
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2605,7 +2605,7 @@
   (ProtobufCMessageInit) mimosastair__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__ping__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mimosastair__ping__field_descriptors[3] =
 {
   {
     "sent_us",
@@ -2631,15 +2631,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "desired_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Ping, desired_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__ping__field_indices_by_name[] = {
+  2,   /* field[2] = desired_version */
   0,   /* field[0] = sent_us */
   1,   /* field[1] = store_ok */
 };
 static const ProtobufCIntRange mimosastair__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mimosastair__ping__descriptor =
 {
@@ -2649,14 +2662,14 @@
   "Mimosastair__Ping",
   "mimosastair",
   sizeof(Mimosastair__Ping),
-  2,
+  3,
   mimosastair__ping__field_descriptors,
   mimosastair__ping__field_indices_by_name,
   1,  mimosastair__ping__number_ranges,
   (ProtobufCMessageInit) mimosastair__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__pong__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mimosastair__pong__field_descriptors[8] =
 {
   {
     "sent_us",
@@ -2730,9 +2743,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "desired_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Pong, desired_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "desired_age_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Pong, desired_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__pong__field_indices_by_name[] = {
   5,   /* field[5] = cpu_most_milli */
+  7,   /* field[7] = desired_age_us */
+  6,   /* field[6] = desired_version */
   2,   /* field[2] = fence */
   3,   /* field[3] = ready */
   0,   /* field[0] = sent_us */
@@ -2742,7 +2781,7 @@
 static const ProtobufCIntRange mimosastair__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mimosastair__pong__descriptor =
 {
@@ -2752,7 +2791,7 @@
   "Mimosastair__Pong",
   "mimosastair",
   sizeof(Mimosastair__Pong),
-  6,
+  8,
   mimosastair__pong__field_descriptors,
   mimosastair__pong__field_indices_by_name,
   1,  mimosastair__pong__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -307,10 +307,14 @@
    * the key-value service answers the VM's own calls
    */
   protobuf_c_boolean store_ok;
+  /*
+   * desired state in force on the VM; 0: none
+   */
+  int64_t desired_version;
 };
 #define MIMOSASTAIR__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__ping__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -340,10 +344,18 @@
    * CPU of the largest VM that the leader knows
    */
   uint32_t cpu_most_milli;
+  /*
+   * desired state in force on the leader; 0: none
+   */
+  int64_t desired_version;
+  /*
+   * since it was last known to be the newest; -1: not known
+   */
+  int64_t desired_age_us;
 };
 #define MIMOSASTAIR__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__pong__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
