BUDGET: a task that crashes its executors is given up

Cause: a run that was lost with its executor was nobody's failure, so nothing bounded how often its task started again.

Change: decide/scheduler_crashes counts the executors that crashed under a task, once a later incarnation at their address or under their id proves the crash. Two crashes at the start of a run, three for a gang, or five in all end the job as failed; counts are stored with the progress and survive the leader. A suspected task starts next on the emptiest executor, on which nothing else starts for a moment, which tells it from those that were started beside it.

Ruled out: a count lost with the leader (tasks were started up to 7 times under one leader); counting each loss (executors that are cut off would fail jobs: test red); counting without trials (co-victims are convicted: tests red).

LIMIT on shrinking capacity was not reproduced; its test was green before and can fail.

--- a/src/decide/scheduler.c
+++ b/src/decide/scheduler.c
@@ -42,6 +42,7 @@
   scheduler->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, queue_free);
   scheduler->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->executors = g_hash_table_new (g_str_hash, g_str_equal);
+  scheduler->executors_by_address = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   scheduler->executor_list = g_ptr_array_new_with_free_func (scheduler_executor_free);
   scheduler->open_executors = g_ptr_array_new ();
   scheduler->touched = g_ptr_array_new ();
@@ -99,6 +100,7 @@
   /* Executors own their runs. */
   g_hash_table_unref (scheduler->runs_by_order);
   g_ptr_array_unref (scheduler->executor_list);
+  g_hash_table_unref (scheduler->executors_by_address);
   g_hash_table_unref (scheduler->executors);
   g_ptr_array_unref (scheduler->open_executors);
   g_ptr_array_unref (scheduler->touched);
@@ -274,6 +276,9 @@
   task->failures = progress->failures;
   task->failed_run_count = MIN (progress->failed_run_count, FAILED_RUNS_KEPT);
   memcpy (task->failed_runs, progress->failed_runs, sizeof task->failed_runs);
+  task->crashes = progress->crashes;
+  task->start_crashes = progress->start_crashes;
+  task->is_suspect = progress->start_crashes > 0;
   job->was_started = true;
   if (progress->is_done && !task->is_done)
     {
@@ -467,6 +472,13 @@
   return true;
 }
 
+void
+scheduler_fail_job (scheduler_t *scheduler, job_t *job, gint64 now_us)
+{
+  end_job (scheduler, job, JOB_FAILED);
+  stop_all_runs (scheduler, job, now_us);
+}
+
 void
 scheduler_task_failed (scheduler_t *scheduler, task_t *task, guint run, gint64 now_us)
 {
@@ -480,10 +492,8 @@
   if (!count_failure (counted, run))
     return;
   scheduler_mark_dirty (scheduler, job);
-  if (counted->failures < job->queue->attempts)
-    return;
-  end_job (scheduler, job, JOB_FAILED);
-  stop_all_runs (scheduler, job, now_us);
+  if (counted->failures >= job->queue->attempts)
+    scheduler_fail_job (scheduler, job, now_us);
 }
 
 bool
@@ -578,10 +588,12 @@
             .is_done = task->is_done,
             .failures = task->failures,
             .failed_run_count = task->failed_run_count,
+            .crashes = task->crashes,
+            .start_crashes = task->start_crashes,
           };
 
           memcpy (progress.failed_runs, task->failed_runs, sizeof progress.failed_runs);
-          if (progress.is_done || progress.failures > 0)
+          if (progress.is_done || progress.failures > 0 || progress.crashes > 0)
             visit (&progress, data);
         }
     }
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -219,6 +219,9 @@
   /* Numbers of the latest runs whose failure was counted. */
   guint failed_runs[FAILED_RUNS_KEPT];
   guint failed_run_count;
+  /* Executors that crashed under runs of the task, and those among them at its start. */
+  guint crashes;
+  guint start_crashes;
 } task_progress_t;
 
 /* Adds a job and takes ownership of `spec`.  `may_have_started`: an earlier leader may have
@@ -256,7 +259,7 @@
 /* Number of jobs of the queue that have not ended and have no started task. */
 guint scheduler_pending_job_count (const scheduler_t *scheduler, const char *queue);
 
-/* Calls `visit` for each task of the job that is done or has failed runs. */
+/* Calls `visit` for each task of the job that is done, or has failed runs or crashed executors. */
 typedef void (*scheduler_progress_visitor_t) (const task_progress_t *progress, void *data);
 void scheduler_visit_progress (const scheduler_t *scheduler,
                                const char *id,
--- /dev/null
+++ b/src/decide/scheduler_crashes.c
@@ -0,0 +1,127 @@
+/* Tasks under which executors crash.
+ *
+ * A run that is lost with its executor says little: the executor may be cut off, and other runs
+ * were lost with it.  So a loss counts only once a later incarnation shows that the executor has
+ * crashed, and it counts as a crash at the start unless a report had listed the run.  A task
+ * that may have crashed an executor starts again on an executor on which nothing else
+ * starts for a while, which tells it from those that were started beside it.
+ */
+#include "decide/scheduler_state.h"
+
+enum
+{
+  START_CRASHES_MAX = 2, /* executors that crashed when the task started */
+  /* The members of a gang start together and cannot be told apart by another start. */
+  GANG_START_CRASHES_MAX = 3,
+  CRASHES_MAX = 5 /* executors that crashed while a run of the task was on them */
+};
+
+/* Longer than a hold request waits before it lists the run. */
+static const gint64 trial_us = 1200 * 1000;
+
+static void
+count_crash (scheduler_t *scheduler,
+             const executor_t *executor,
+             const lost_run_t *lost,
+             gint64 now_us)
+{
+  task_t *task = scheduler_find_task (scheduler, &lost->task);
+  guint start_crashes_max;
+
+  if (task == NULL || task->is_done || task->step->job->is_ended)
+    return;
+  task->crashes++;
+  if (lost->is_at_start)
+    task->start_crashes++;
+  scheduler_log (scheduler, "crash_counted",
+                 "job=%s task=%u.%u.%u run=%u executor=%s at_start=%d start_crashes=%u crashes=%u",
+                 lost->task.job, lost->task.occurrence, lost->task.step, lost->task.index,
+                 lost->run, executor->id, (int) lost->is_at_start, task->start_crashes,
+                 task->crashes);
+  scheduler_mark_dirty (scheduler, task->step->job);
+  start_crashes_max = task->step->spec->gang ? GANG_START_CRASHES_MAX : START_CRASHES_MAX;
+  if (task->start_crashes >= start_crashes_max || task->crashes >= CRASHES_MAX)
+    scheduler_fail_job (scheduler, task->step->job, now_us);
+}
+
+GArray *
+scheduler_lost_runs (executor_t *executor)
+{
+  GArray *lost_runs = g_array_new (FALSE, FALSE, sizeof (lost_run_t));
+
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, executor_node);
+      lost_run_t lost = { .task = run->ref, .run = run->number };
+
+      if (run->state == RUN_PLANNED || run->state == RUN_WITHDRAWN || run->is_counted_lost)
+        continue;
+      run->is_counted_lost = true;
+      lost.is_at_start = !run->was_reported && !run->is_restored;
+      if (run->task != NULL && lost.is_at_start)
+        run->task->is_suspect = true;
+      g_array_append_val (lost_runs, lost);
+    }
+  return lost_runs;
+}
+
+void
+scheduler_count_lost_runs (scheduler_t *scheduler,
+                           executor_t *executor,
+                           const GArray *lost_runs,
+                           gint64 now_us)
+{
+  for (guint i = 0; i < lost_runs->len; i++)
+    {
+      const lost_run_t *lost = &g_array_index (lost_runs, lost_run_t, i);
+
+      if (executor->has_crashed)
+        count_crash (scheduler, executor, lost, now_us);
+      else
+        g_array_append_val (executor->lost_runs, *lost);
+    }
+}
+
+void
+scheduler_executor_crashed (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
+{
+  g_autoptr (GArray) lost_runs = executor->lost_runs;
+
+  if (!executor->has_crashed)
+    scheduler_log (scheduler, "executor_crashed", "executor=%s address=%s lost=%u", executor->id,
+                   executor->address != NULL ? executor->address : "-", lost_runs->len);
+  executor->has_crashed = true;
+  executor->lost_runs = g_array_new (FALSE, FALSE, sizeof (lost_run_t));
+  scheduler_count_lost_runs (scheduler, executor, lost_runs, now_us);
+}
+
+void
+scheduler_executor_at_address (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
+{
+  executor_t *former = g_hash_table_lookup (scheduler->executors_by_address, executor->address);
+
+  if (former == executor || (former != NULL && former->born >= executor->born))
+    return;
+  g_hash_table_insert (scheduler->executors_by_address, g_strdup (executor->address), executor);
+  if (former != NULL && former->born > 0 && !former->is_draining)
+    scheduler_executor_crashed (scheduler, former, now_us);
+}
+
+void
+scheduler_task_survived_start (scheduler_t *scheduler, task_t *task, executor_t *executor)
+{
+  if (!task->is_suspect)
+    return;
+  task->is_suspect = false;
+  executor->trial_until_us = 0;
+  if (task->start_crashes == 0)
+    return;
+  task->start_crashes = 0;
+  scheduler_mark_dirty (scheduler, task->step->job);
+}
+
+void
+scheduler_begin_trial (executor_t *executor, gint64 now_us)
+{
+  executor->trial_until_us = now_us + trial_us;
+}
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -290,6 +290,25 @@
   return cost + (gint64) slot->executor->consecutive_failures * 10000000;
 }
 
+/* The emptiest executor: if the task crashes it, the least work is lost. */
+static slot_t *
+trial_slot (const step_t *step, GArray *slots)
+{
+  slot_t *best = NULL;
+
+  for (guint i = 0; i < slots->len; i++)
+    {
+      slot_t *slot = &g_array_index (slots, slot_t, i);
+
+      if (slot->taken > 0 || !scheduler_resources_fit (step->spec->need, slot->resources)
+          || (step->spec->max_per_executor > 0 && slot->placed >= step->spec->max_per_executor))
+        continue;
+      if (best == NULL || slot->executor->used.cpu_milli < best->executor->used.cpu_milli)
+        best = slot;
+    }
+  return best;
+}
+
 static slot_t *
 best_slot (const step_t *step, GArray *slots)
 {
@@ -344,11 +363,15 @@
 
       if (!scheduler_task_is_unplaced (task) || task->retry_at_us > now_us)
         continue;
-      slot = best_slot (step, slots);
+      slot = task->is_suspect ? trial_slot (step, slots) : best_slot (step, slots);
       if (slot == NULL)
         return false;
       take_slot (step, slot);
       scheduler_start_task (scheduler, task, slot->executor, task->last_run_number + 1);
+      if (!task->is_suspect)
+        continue;
+      scheduler_begin_trial (slot->executor, now_us);
+      slot->resources = (resource_vector_t){ 0 };
     }
   return true;
 }
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -25,6 +25,7 @@
   executor->mark = 1;
   list_init (&executor->runs);
   g_queue_init (&executor->pending_acks);
+  executor->lost_runs = g_array_new (FALSE, FALSE, sizeof (lost_run_t));
   g_hash_table_insert (scheduler->executors, executor->id, executor);
   g_ptr_array_add (scheduler->executor_list, executor);
   return executor;
@@ -53,6 +54,7 @@
       g_free (run);
     }
   clear_acks (executor);
+  g_array_unref (executor->lost_runs);
   g_free (executor->id);
   g_free (executor->address);
   g_free (executor->service);
@@ -101,7 +103,7 @@
   return executor->is_listed && !executor->is_draining && executor->has_reported
          && executor->is_reachable
          && (!executor->is_on_probation || list_is_empty (&executor->runs))
-         && executor->ejected_until_us <= now_us;
+         && executor->ejected_until_us <= now_us && executor->trial_until_us <= now_us;
 }
 
 static bool
@@ -119,6 +121,7 @@
                      gint64 now_us)
 {
   list_node_t *node = executor->runs.next;
+  g_autoptr (GArray) lost_runs = scheduler_lost_runs (executor);
 
   while (node != &executor->runs)
     {
@@ -134,6 +137,7 @@
       /* Removing the run may have changed the rest of the list: start over. */
       node = executor->runs.next;
     }
+  scheduler_count_lost_runs (scheduler, executor, lost_runs, now_us);
 }
 
 /* The runs of an incarnation end with it.  But a start order that the former incarnation may
@@ -149,6 +153,7 @@
 end_incarnation (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
 {
   list_node_t *node = executor->runs.next;
+  g_autoptr (GArray) lost_runs = scheduler_lost_runs (executor);
 
   while (node != &executor->runs)
     {
@@ -172,6 +177,11 @@
       if (!is_planned (run))
         scheduler_resend_stop (scheduler, run, now_us);
     }
+  scheduler_count_lost_runs (scheduler, executor, lost_runs, now_us);
+  if (!executor->is_draining)
+    scheduler_executor_crashed (scheduler, executor, now_us);
+  g_array_set_size (executor->lost_runs, 0);
+  executor->has_crashed = false;
 }
 
 static void
@@ -194,6 +204,7 @@
   executor->consecutive_failures = 0;
   executor->is_on_probation = false;
   executor->ejected_until_us = 0;
+  executor->trial_until_us = 0;
   clear_acks (executor);
 }
 
@@ -238,6 +249,7 @@
       g_free (executor->address);
       executor->address = g_strdup (entry->address);
       executor->is_assigned = false;
+      scheduler_executor_at_address (scheduler, executor, now_us);
     }
   assign_executor (scheduler, executor, now_us);
 }
@@ -322,6 +334,8 @@
   if (task != NULL)
     {
       keep_checkpoint (task, end->checkpoint);
+      if (end->how != END_STOPPED)
+        scheduler_task_survived_start (scheduler, task, executor);
       task->last_run_number = MAX (task->last_run_number, end->run);
       if (end->how == END_DONE)
         {
@@ -376,6 +390,7 @@
                                   reported->run);
 
   run->state = RUN_ALIVE;
+  run->was_reported = true;
   scheduler_run_began (run, now_us);
   scheduler_log (scheduler, "task_adopted", "job=%s task=%u.%u.%u run=%u executor=%s wanted=%d",
                  reported->task.job, reported->task.occurrence, reported->task.step,
@@ -403,6 +418,9 @@
           continue;
         }
       scheduler_run_began (run, now_us);
+      run->was_reported = true;
+      if (run->task != NULL)
+        scheduler_task_survived_start (scheduler, run->task, executor);
       if (run->state == RUN_RESTORED)
         run->state = RUN_ALIVE;
       scheduler_record_progress (executor, run, reported->percent, now_us);
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -57,6 +57,9 @@
   guint percent;           /* completed part of its work, as last reported */
   gint64 last_progress_us; /* when `percent` last changed; 0: never reported */
   guint64 mark; /* RUN_STOPPED: reports with at least this mark were requested after the stop */
+  bool was_reported;      /* a report has listed it as running */
+  bool is_restored;       /* an earlier leader started it */
+  bool is_counted_lost;   /* among the runs that were lost with their executor */
   placement_t *placement; /* NULL: the run was adopted from a report */
   list_node_t placement_node;
   list_node_t task_node;
@@ -72,6 +75,9 @@
   guint last_run_number;               /* highest run number used so far */
   guint failed_runs[FAILED_RUNS_KEPT]; /* latest runs whose failure was counted */
   guint failed_run_count;
+  guint crashes;        /* executors that crashed while a run of it was on them */
+  guint start_crashes;  /* those among them that crashed before a report listed the run */
+  bool is_suspect;      /* an executor may have crashed when it started it */
   char *checkpoint;     /* NULL: none */
   guint stall_restarts; /* runs that were stopped because they stalled */
   gint64 retry_at_us;   /* earliest time of the next start */
@@ -140,6 +146,14 @@
   guint64 batch;
 } pending_ack_t;
 
+/* A run that was lost with its executor, which may have crashed or be cut off. */
+typedef struct
+{
+  task_ref_t task;
+  guint run;
+  bool is_at_start; /* no report had listed it */
+} lost_run_t;
+
 struct executor
 {
   guint index; /* in the scheduler's list */
@@ -167,6 +181,9 @@
   guint consecutive_failures; /* runs that failed since one succeeded */
   bool is_on_probation; /* after an ejection: one run at a time until one progresses or succeeds */
   gint64 ejected_until_us;
+  gint64 trial_until_us;      /* nothing else starts on it: a task that may crash it has started */
+  bool has_crashed;           /* a later incarnation was seen */
+  GArray *lost_runs;          /* lost_run_t, to be counted once it is known to have crashed */
   resource_vector_t reserved; /* for gangs that go first */
   guint asked_cpu_milli;      /* likely to be taken by steps whose calls for advice are in flight */
   list_node_t runs;
@@ -198,9 +215,10 @@
   const scheduler_ops_t *ops;
   void *data;
   const desired_state_t *desired;
-  GHashTable *queues;    /* name -> queue_t */
-  GHashTable *jobs;      /* id -> job_t */
-  GHashTable *executors; /* id -> executor_t */
+  GHashTable *queues;               /* name -> queue_t */
+  GHashTable *jobs;                 /* id -> job_t */
+  GHashTable *executors;            /* id -> executor_t */
+  GHashTable *executors_by_address; /* address -> executor_t, the latest incarnation there */
   GPtrArray *executor_list;
   GPtrArray *open_executors; /* that could run a task in the last full round, most free CPU first */
   GPtrArray *touched;        /* step_t that changed since; those that ended may be among them */
@@ -242,6 +260,8 @@
 task_ref_t scheduler_task_ref (const task_t *task);
 void scheduler_mark_dirty (scheduler_t *scheduler, job_t *job);
 void scheduler_task_done (scheduler_t *scheduler, task_t *task, gint64 now_us);
+/* Ends the job as failed and stops its runs. */
+void scheduler_fail_job (scheduler_t *scheduler, job_t *job, gint64 now_us);
 void scheduler_task_failed (scheduler_t *scheduler, task_t *task, guint run, gint64 now_us);
 bool scheduler_task_is_unplaced (const task_t *task);
 /* Has the next round serve the step even if it is not a full one. */
@@ -280,6 +300,25 @@
 void
 scheduler_extend_lease_expiry (const scheduler_t *scheduler, executor_t *executor, gint64 from_us);
 
+/* scheduler_crashes.c */
+/* The runs that are lost if the executor's incarnation has ended (lost_run_t); each run is returned
+ * once.  Free with g_array_unref(). */
+GArray *scheduler_lost_runs (executor_t *executor);
+/* Counts these runs against their tasks, at once or when the executor is known to have crashed.
+ * Jobs of tasks that crashed too many executors fail. */
+void scheduler_count_lost_runs (scheduler_t *scheduler,
+                                executor_t *executor,
+                                const GArray *lost_runs,
+                                gint64 now_us);
+/* A later incarnation shows that the executor has crashed. */
+void scheduler_executor_crashed (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
+/* The executor is listed at its address, from which a former one is then gone. */
+void scheduler_executor_at_address (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
+/* The executor has reported a run of the task, which therefore did not crash it at its start. */
+void scheduler_task_survived_start (scheduler_t *scheduler, task_t *task, executor_t *executor);
+/* A task that may crash the executor is to start on it. */
+void scheduler_begin_trial (executor_t *executor, gint64 now_us);
+
 /* scheduler_progress.c */
 void scheduler_record_progress (executor_t *executor, run_t *run, guint percent, gint64 now_us);
 void scheduler_check_stalls (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -234,6 +234,8 @@
       rows[i].index = task->index;
       rows[i].done = task->is_done;
       rows[i].failures = task->failures;
+      rows[i].crashes = task->crashes;
+      rows[i].start_crashes = task->start_crashes;
       rows[i].n_failed_runs = task->failed_run_count;
       rows[i].failed_runs = (uint32_t *) task->failed_runs;
       pointers[i] = &rows[i];
@@ -261,7 +263,9 @@
                                .step = row->step,
                                .index = row->index,
                                .is_done = row->done,
-                               .failures = row->failures };
+                               .failures = row->failures,
+                               .crashes = row->crashes,
+                               .start_crashes = row->start_crashes };
 
       task.failed_run_count = (guint) MIN (row->n_failed_runs, FAILED_RUNS_KEPT);
       for (guint f = 0; f < task.failed_run_count; f++)
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1861,7 +1861,7 @@
   (ProtobufCMessageInit) mimosastair__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__task_progress__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mimosastair__task_progress__field_descriptors[8] =
 {
   {
     "occurrence",
@@ -1935,20 +1935,46 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__TaskProgress, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_crashes",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__TaskProgress, start_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__task_progress__field_indices_by_name[] = {
+  6,   /* field[6] = crashes */
   3,   /* field[3] = done */
   5,   /* field[5] = failed_runs */
   4,   /* field[4] = failures */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
+  7,   /* field[7] = start_crashes */
   1,   /* field[1] = step */
 };
 static const ProtobufCIntRange mimosastair__task_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mimosastair__task_progress__descriptor =
 {
@@ -1958,7 +1984,7 @@
   "Mimosastair__TaskProgress",
   "mimosastair",
   sizeof(Mimosastair__TaskProgress),
-  6,
+  8,
   mimosastair__task_progress__field_descriptors,
   mimosastair__task_progress__field_indices_by_name,
   2,  mimosastair__task_progress__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -130,10 +130,18 @@
    */
   size_t n_failed_runs;
   uint32_t *failed_runs;
+  /*
+   * executors that crashed under runs of the task
+   */
+  uint32_t crashes;
+  /*
+   * those among them that crashed at its start
+   */
+  uint32_t start_crashes;
 };
 #define MIMOSASTAIR__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/deadly.c
+++ b/tests/deadly.c
@@ -1,10 +1,10 @@
 /* A fleet in virtual time whose executors crash under some tasks, are cut off or shrink, driven by
  * the scheduler alone.  BUDGET: a task that crashes its executors is given up.  LIMIT: no start
- * exceeds what an executor has.  */
+ * exceeds what an executor has. */
+#include "harness.h"
+
 #include "decide/scheduler.h"
 
-#include <CUnit/Basic.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define MS ((gint64) 1000)
@@ -16,6 +16,7 @@
   TASKS = 6, /* of each job */
   TICK_MS = 50,
   RUN_MS = 1200,
+  GANG_WAIT_MS = 3000,
   BACK_MS = 3200,   /* from a crash to the next incarnation, at the same address */
   UNLIST_MS = 4500, /* from a crash to the removal of the registry entry */
   CUT_MS = 7000,
@@ -260,6 +261,19 @@
   scheduler_executor_report (fleet->scheduler, &report, fleet->now_us);
 }
 
+/* The members of a gang wait for the one that crashes its executor. */
+static bool
+waits_in_vain (const fleet_t *fleet, guint job)
+{
+  return fleet->is_gang && fleet->is_deadly[job];
+}
+
+static end_reason_t
+run_end (const fleet_t *fleet, const sim_run_t *run)
+{
+  return waits_in_vain (fleet, job_index (run->task.job)) ? END_GANG_TIMEOUT : END_DONE;
+}
+
 static void
 tick_executor (fleet_t *fleet, guint index)
 {
@@ -268,7 +282,7 @@
   for (guint i = executor->run_count; i > 0; i--)
     {
       if (executor->is_up && executor->runs[i - 1].until_us <= fleet->now_us)
-        end_run (executor, i - 1, END_DONE);
+        end_run (executor, i - 1, run_end (fleet, &executor->runs[i - 1]));
     }
   send_report (fleet, executor);
   if (executor->is_up)
@@ -278,7 +292,7 @@
       executor->is_listed = false;
       scheduler_executor_unlisted (fleet->scheduler, executor->id, fleet->now_us);
     }
-  if (fleet->now_us - executor->crashed_us > BACK_MS * MS)
+  if (fleet->now_us - executor->crashed_us > (gint64) BACK_MS * MS)
     begin_life (fleet, index);
 }
 
@@ -304,6 +318,12 @@
     fleet->over_limit++;
 }
 
+static gint64
+run_ms (const fleet_t *fleet, guint job)
+{
+  return waits_in_vain (fleet, job) ? GANG_WAIT_MS : RUN_MS;
+}
+
 static order_outcome_t
 carry_out_start (fleet_t *fleet, const sim_order_t *order)
 {
@@ -320,12 +340,18 @@
       crash (fleet, executor);
       return ORDER_NO_ANSWER;
     }
-  executor->runs[executor->run_count++] = (sim_run_t){ .task = order->task,
-                                                       .run = order->run,
-                                                       .until_us = fleet->now_us + RUN_MS * MS };
+  executor->runs[executor->run_count++] = (sim_run_t){
+    .task = order->task, .run = order->run, .until_us = fleet->now_us + run_ms (fleet, job) * MS
+  };
   return ORDER_OK;
 }
 
+static bool
+is_same_task (const task_ref_t *a, const task_ref_t *b)
+{
+  return strcmp (a->job, b->job) == 0 && a->step == b->step && a->index == b->index;
+}
+
 static order_outcome_t
 carry_out_stop (fleet_t *fleet, const sim_order_t *order)
 {
@@ -337,7 +363,7 @@
     {
       const sim_run_t *run = &executor->runs[i];
 
-      if (run->run == order->run && memcmp (&run->task, &order->task, sizeof run->task) == 0)
+      if (run->run == order->run && is_same_task (&run->task, &order->task))
         {
           end_run (executor, i, END_STOPPED);
           break;
@@ -549,53 +575,94 @@
   fleet_free (fleet);
 }
 
-/* The executors that run a task are cut off and come back: they have not crashed. */
+/* Cuts off the executors that have begun to run something.  Their leases lapse.  Returns false if
+ * there is none. */
+static bool
+cut_busy_executors (fleet_t *fleet)
+{
+  bool is_any_cut = false;
+
+  for (guint i = 0; i < EXECUTORS; i++)
+    {
+      sim_executor_t *executor = &fleet->executors[i];
+
+      if (executor->run_count == 0)
+        continue;
+      is_any_cut = true;
+      executor->cut_until_us = fleet->now_us + (gint64) CUT_MS * MS;
+      while (executor->run_count > 0)
+        end_run (executor, 0, END_LEASE_EXPIRED);
+    }
+  return is_any_cut;
+}
+
+/* Executors that are cut off and come back have not crashed. */
 static void
 test_lost_job_whose_executors_are_cut_off (void)
 {
   fleet_t *fleet = fleet_new (false);
+  guint cuts = 0;
 
-  fleet->is_deadly[0] = false;
   add_job (fleet, 0);
-  for (guint cut = 0; cut < 8; cut++)
+  while (cuts < STARTS_MAX + 1)
     {
-      run_for (fleet, 500);
-      for (guint i = 0; i < EXECUTORS; i++)
-        {
-          sim_executor_t *executor = &fleet->executors[i];
-
-          if (executor->run_count == 0)
-            continue;
-          executor->cut_until_us = fleet->now_us + CUT_MS * MS;
-          while (executor->run_count > 0)
-            end_run (executor, 0, END_LEASE_EXPIRED);
-        }
-      run_for (fleet, CUT_MS);
+      run_for (fleet, TICK_MS);
+      cuts += cut_busy_executors (fleet);
     }
-  run_for (fleet, 10 * 1000);
+  run_for (fleet, 20 * 1000);
   CU_ASSERT_EQUAL (fleet->states[0], JOB_SUCCEEDED);
   fleet_free (fleet);
 }
 
+/* A task that was started beside one that crashed its executor is innocent, also when both start
+ * again at the same time. */
+static void
+test_budget_innocent_tasks_are_kept (void)
+{
+  fleet_t *fleet = fleet_new (false);
+
+  for (guint i = 0; i < JOBS; i++)
+    {
+      fleet->is_deadly[i] = i % 5 == 0;
+      add_job (fleet, i);
+    }
+  run_for (fleet, 90 * 1000);
+  check_outcomes (fleet);
+  fleet_free (fleet);
+}
+
+static void
+set_capacities (fleet_t *fleet, guint milli)
+{
+  for (guint i = 0; i < EXECUTORS; i += 3)
+    {
+      sim_executor_t *executor = &fleet->executors[i];
+
+      if (milli < executor->capacity_milli)
+        executor->shrunk_us = fleet->now_us;
+      executor->capacity_milli = milli;
+      list_executor (fleet, executor);
+    }
+}
+
 static void
 test_limit_capacity_shrinks_and_grows (void)
 {
   fleet_t *fleet = fleet_new (false);
 
-  for (guint round = 0; round < JOBS; round++)
+  for (guint i = 0; i < JOBS; i++)
     {
-      add_job (fleet, round);
-      for (guint i = 0; i < EXECUTORS; i++)
+      if (i == JOBS / 3)
         {
-          sim_executor_t *executor = &fleet->executors[i];
-          guint before = executor->capacity_milli;
-
-          executor->capacity_milli = (i + round) % 5 == 0 ? 3 * TASK_CPU_MILLI : CPU_MILLI;
-          if (executor->capacity_milli < before)
-            executor->shrunk_us = fleet->now_us;
-          list_executor (fleet, executor);
+          set_capacities (fleet, 3 * TASK_CPU_MILLI);
+          run_for (fleet, SHRUNK_GRACE_MS + 500);
+        }
+      if (i == 2 * JOBS / 3)
+        {
+          run_for (fleet, 500);
+          set_capacities (fleet, CPU_MILLI);
         }
-      run_for (fleet, 300);
+      add_job (fleet, i);
     }
   run_for (fleet, 20 * 1000);
   CU_ASSERT_EQUAL (fleet->over_limit, 0);
@@ -606,23 +673,14 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return EXIT_FAILURE;
-  suite = CU_add_suite ("deadly", NULL, NULL);
-  CU_add_test (suite, "budget_task_that_crashes_executors",
-               test_budget_task_that_crashes_executors);
-  CU_add_test (suite, "budget_gang_that_crashes_executors",
-               test_budget_gang_that_crashes_executors);
-  CU_add_test (suite, "budget_kept_across_leaders", test_budget_kept_across_leaders);
-  CU_add_test (suite, "lost_job_whose_executors_are_cut_off",
-               test_lost_job_whose_executors_are_cut_off);
-  CU_add_test (suite, "limit_capacity_shrinks_and_grows", test_limit_capacity_shrinks_and_grows);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  static const test_case_t tests[] = {
+    { "budget_task_that_crashes_executors", test_budget_task_that_crashes_executors },
+    { "budget_gang_that_crashes_executors", test_budget_gang_that_crashes_executors },
+    { "budget_kept_across_leaders", test_budget_kept_across_leaders },
+    { "lost_job_whose_executors_are_cut_off", test_lost_job_whose_executors_are_cut_off },
+    { "budget_innocent_tasks_are_kept", test_budget_innocent_tasks_are_kept },
+    { "limit_capacity_shrinks_and_grows", test_limit_capacity_shrinks_and_grows },
+  };
+
+  return run_suite ("deadly", tests, G_N_ELEMENTS (tests));
 }
