TWICE: a start order grants a lease, and the scheduler counts it

Cause: the scheduler took an executor's lease from its reports only. A start order grants one too. When an executor had answered a hold request that asked for no renewal, runs that were started then counted as lapsed by the renewal before it.

Change: a start's result counts as a lease from then on, and while a start order is in flight nothing has expired, until a lease granted at the end of its VM's leadership would have.

--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -483,13 +483,19 @@
     }
 }
 
+/* When a lease that was granted at `from_us` has certainly expired. */
+static gint64
+lease_end_us (const scheduler_t *scheduler, gint64 from_us)
+{
+  gint64 lease_us = (gint64) ((double) scheduler->limits.executor_lease_us * CLOCK_DRIFT_FACTOR);
+
+  return from_us + lease_us + lease_margin_us;
+}
+
 void
 scheduler_extend_lease_expiry (const scheduler_t *scheduler, executor_t *executor, gint64 from_us)
 {
-  gint64 lease_expiry_us
-      = from_us + (gint64) ((double) scheduler->limits.executor_lease_us * CLOCK_DRIFT_FACTOR);
-
-  executor->lease_expiry_us = MAX (executor->lease_expiry_us, lease_expiry_us + lease_margin_us);
+  executor->lease_expiry_us = MAX (executor->lease_expiry_us, lease_end_us (scheduler, from_us));
 }
 
 void
@@ -545,6 +551,21 @@
     scheduler_extend_lease_expiry (scheduler, executor, now_us + scheduler->limits.leader_lease_us);
 }
 
+/* A start order in flight may renew the executor's lease, until its VM's leadership expires. */
+static bool
+has_start_in_flight (const scheduler_t *scheduler, const executor_t *executor, gint64 now_us)
+{
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      const run_t *run = LIST_ENTRY (node, run_t, executor_node);
+      gint64 sent_until_us = run->start_sent_us + scheduler->limits.leader_lease_us;
+
+      if (run->state == RUN_STARTING && now_us < lease_end_us (scheduler, sent_until_us))
+        return true;
+    }
+  return false;
+}
+
 /* Removes the runs of an unreachable executor once its leases have expired, and ends the hold
  * requests to an unlisted executor once it has no runs and its leases have expired or it is
  * unreachable. */
@@ -552,7 +573,7 @@
 check_executor (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
 {
   if (!executor->is_reachable && !list_is_empty (&executor->runs)
-      && executor->lease_expiry_us <= now_us)
+      && executor->lease_expiry_us <= now_us && !has_start_in_flight (scheduler, executor, now_us))
     remove_expired_runs (scheduler, executor, "lease_lapsed", now_us);
   if (!list_is_empty (&executor->runs))
     return;
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -165,6 +165,7 @@
   };
 
   run->state = RUN_STARTING;
+  run->start_sent_us = now_us;
   scheduler_log (scheduler, "task_start",
                  "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT
                  " queue=%s waited_ms=%" G_GINT64_FORMAT " cpu=%u free=%u checkpoint=%d",
@@ -320,7 +321,13 @@
       run->state = RUN_WITHDRAWN;
       return;
     case RUN_STARTING:
-      /* A stop order that arrives before the start order prevents the start. */
+      /* The result of the start is not awaited, but it may renew the lease.  A stop order that
+       * arrives before the start order prevents the start. */
+      scheduler_extend_lease_expiry (scheduler, run->executor,
+                                     now_us + scheduler->limits.leader_lease_us);
+      run->state = RUN_STOPPING;
+      send_stop (scheduler, run, now_us);
+      return;
     case RUN_RESTORED:
     case RUN_START_UNCONFIRMED:
     case RUN_ALIVE:
@@ -368,6 +375,9 @@
   executor_t *executor = run->executor;
   task_t *task = run->task;
 
+  /* A start renews the executor's lease, also one that is refused or gets no answer. */
+  if (outcome != ORDER_NOT_SENT && outcome != ORDER_EXECUTOR_RESTARTED)
+    scheduler_extend_lease_expiry (scheduler, executor, now_us);
   switch (outcome)
     {
     case ORDER_OK:
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -52,6 +52,7 @@
   run_state_t state;
   resource_vector_t resources;
   guint64 order;           /* start or stop order in flight; 0: none */
+  gint64 start_sent_us;    /* when the start order was sent; 0: not by this leader */
   gint64 running_since_us; /* when it was first known to run; 0: not known to have started */
   gint64 retry_at_us;      /* when to send a failed stop order again; 0: none has failed */
   guint percent;           /* completed part of its work, as last reported */
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -438,6 +438,70 @@
   fixture_free (fixture);
 }
 
+/* A report without a lease: the hold request asked for none. */
+static void
+report_without_lease (fixture_t *fixture, const char *id, bool is_reachable)
+{
+  executor_report_t message = { .executor = id, .is_reachable = is_reachable, .born = 1 };
+
+  scheduler_executor_report (fixture->scheduler, &message, fixture->now_us);
+}
+
+/* Starts a task on e1, 4 s after the last lease that a report showed was granted. */
+static const issued_order_t *
+start_long_after_lease (fixture_t *fixture)
+{
+  add_ready_executor (fixture, "e1");
+  fixture->now_us += 4000 * MS;
+  report_without_lease (fixture, "e1", true);
+  add_job (fixture, make_job_spec (1, 1, 1000), false);
+  step (fixture);
+  return expect_issued (fixture, 's');
+}
+
+/* A start grants a lease.  TWICE: a run that started long after the last renewal was taken as
+ * lapsed by that renewal. */
+static void
+test_twice_start_grants_lease (void)
+{
+  fixture_t *fixture = fixture_new (0, 2000 * MS);
+  const issued_order_t *start = start_long_after_lease (fixture);
+
+  fixture->now_us += 500 * MS;
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  report_without_lease (fixture, "e1", false);
+  add_ready_executor (fixture, "e2");
+  fixture->now_us += 5000 * MS;
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next_issued (fixture, 's'));
+  fixture->now_us += 600 * MS;
+  step (fixture);
+  CU_ASSERT_PTR_NOT_NULL (next_issued (fixture, 's'));
+  fixture_free (fixture);
+}
+
+/* While a start order is in flight, a lease may be granted at any time. */
+static void
+test_twice_start_in_flight_keeps_run (void)
+{
+  fixture_t *fixture = fixture_new (0, 2000 * MS);
+  const issued_order_t *start = start_long_after_lease (fixture);
+
+  report_without_lease (fixture, "e1", false);
+  add_ready_executor (fixture, "e2");
+  fixture->now_us += 3500 * MS;
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next_issued (fixture, 's'));
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_NO_ANSWER, fixture->now_us);
+  fixture->now_us += 5000 * MS;
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next_issued (fixture, 's'));
+  fixture->now_us += 600 * MS;
+  step (fixture);
+  CU_ASSERT_PTR_NOT_NULL (next_issued (fixture, 's'));
+  fixture_free (fixture);
+}
+
 static void
 test_end_acknowledged_when_stored (void)
 {
@@ -1455,6 +1519,9 @@
   CU_add_test (suite, "a stale registry entry ends no run", test_stale_registry_entry_ends_no_run);
   CU_add_test (suite, "lease expiry allows for clock drift",
                test_lease_expiry_allows_for_clock_drift);
+  CU_add_test (suite, "TWICE: a start grants a lease", test_twice_start_grants_lease);
+  CU_add_test (suite, "TWICE: a start in flight may grant a lease",
+               test_twice_start_in_flight_keeps_run);
   CU_add_test (suite, "an end is acknowledged only once it is stored",
                test_end_acknowledged_when_stored);
   CU_add_test (suite, "a job has started once a run is confirmed",
