Crashes are counted for the run that was lost, and shown by registry entries in any order

A stop that another incarnation refuses marked all runs of the executor as lost, those of the new incarnation too; it now removes its own run only, as before. And a new leader that reads the entry of the later incarnation first never learned that the earlier one had crashed: tests/cell has a test, red before.

--- a/src/decide/scheduler_crashes.c
+++ b/src/decide/scheduler_crashes.c
@@ -44,24 +44,27 @@
     scheduler_fail_job (scheduler, task->step->job, now_us);
 }
 
+static void
+add_lost_run (GArray *lost_runs, run_t *run)
+{
+  lost_run_t lost = { .task = run->ref, .run = run->number };
+
+  if (run->state == RUN_PLANNED || run->state == RUN_WITHDRAWN || run->is_counted_lost)
+    return;
+  run->is_counted_lost = true;
+  lost.is_at_start = !run->was_reported && !run->is_restored;
+  if (run->task != NULL && lost.is_at_start)
+    run->task->is_suspect = true;
+  g_array_append_val (lost_runs, lost);
+}
+
 GArray *
 scheduler_lost_runs (executor_t *executor)
 {
   GArray *lost_runs = g_array_new (FALSE, FALSE, sizeof (lost_run_t));
 
   for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
-    {
-      run_t *run = LIST_ENTRY (node, run_t, executor_node);
-      lost_run_t lost = { .task = run->ref, .run = run->number };
-
-      if (run->state == RUN_PLANNED || run->state == RUN_WITHDRAWN || run->is_counted_lost)
-        continue;
-      run->is_counted_lost = true;
-      lost.is_at_start = !run->was_reported && !run->is_restored;
-      if (run->task != NULL && lost.is_at_start)
-        run->task->is_suspect = true;
-      g_array_append_val (lost_runs, lost);
-    }
+    add_lost_run (lost_runs, LIST_ENTRY (node, run_t, executor_node));
   return lost_runs;
 }
 
@@ -98,11 +101,15 @@
 void
 scheduler_executor_at_address (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
 {
-  executor_t *former = g_hash_table_lookup (scheduler->executors_by_address, executor->address);
+  executor_t *other = g_hash_table_lookup (scheduler->executors_by_address, executor->address);
+  executor_t *former = other;
 
-  if (former == executor || (former != NULL && former->born >= executor->born))
+  if (other == executor)
     return;
-  g_hash_table_insert (scheduler->executors_by_address, g_strdup (executor->address), executor);
+  if (other == NULL || other->born < executor->born)
+    g_hash_table_insert (scheduler->executors_by_address, g_strdup (executor->address), executor);
+  else
+    former = executor;
   if (former != NULL && former->born > 0 && !former->is_draining)
     scheduler_executor_crashed (scheduler, former, now_us);
 }
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -410,18 +410,6 @@
   scheduler_remove_run (scheduler, run, now_us);
 }
 
-/* A run ends with the incarnation of its executor.  The other runs on it are lost as well, and
- * removed as their stops are refused or their leases expire. */
-static void
-remove_run_of_former_incarnation (scheduler_t *scheduler, run_t *run, gint64 now_us)
-{
-  executor_t *executor = run->executor;
-  g_autoptr (GArray) lost_runs = scheduler_lost_runs (executor);
-
-  scheduler_remove_run (scheduler, run, now_us);
-  scheduler_count_lost_runs (scheduler, executor, lost_runs, now_us);
-}
-
 static void
 handle_stop_result (scheduler_t *scheduler, run_t *run, order_outcome_t outcome, gint64 now_us)
 {
@@ -438,7 +426,8 @@
       scheduler->ops->deposed (scheduler->data);
       return;
     case ORDER_EXECUTOR_RESTARTED:
-      remove_run_of_former_incarnation (scheduler, run, now_us);
+      /* A run ends with the incarnation of its executor. */
+      scheduler_remove_run (scheduler, run, now_us);
       return;
     case ORDER_NO_ANSWER:
     case ORDER_NOT_SENT:
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -313,7 +313,7 @@
                                 gint64 now_us);
 /* A later incarnation shows that the executor has crashed. */
 void scheduler_executor_crashed (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
-/* The executor is listed at its address, from which a former one is then gone. */
+/* The executor is listed at its address: of two that are listed there, the former one is gone. */
 void scheduler_executor_at_address (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
 /* The executor has reported a run of the task, which therefore did not crash it at its start. */
 void scheduler_task_survived_start (scheduler_t *scheduler, task_t *task, executor_t *executor);
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -438,6 +438,38 @@
   fixture_free (fixture);
 }
 
+static void
+count_crashes (const task_progress_t *progress, void *data)
+{
+  *(guint *) data += progress->crashes;
+}
+
+/* A new leader may read the entry of the later incarnation first. */
+static void
+test_budget_crash_shown_by_entries_in_any_order (void)
+{
+  fixture_t *fixture = fixture_new (1, 0);
+  job_spec_t *spec = make_job_spec (1, 1, 1000);
+  placed_run_t placed = { .run = 1, .executor = "e1" };
+  executor_entry_t entry = { .address = "a", .service = "s", .zone = "z" };
+  guint crashes = 0;
+
+  g_strlcpy (placed.task.job, spec->id, sizeof placed.task.job);
+  add_job (fixture, spec, true);
+  scheduler_restore_placement (fixture->scheduler, 1, &placed, 1, fixture->now_us);
+  entry.id = "e2";
+  entry.born = 2;
+  scheduler_executor_listed (fixture->scheduler, &entry, fixture->now_us);
+  entry.id = "e1";
+  entry.born = 1;
+  scheduler_executor_listed (fixture->scheduler, &entry, fixture->now_us);
+  fixture->now_us += 10000 * MS;
+  step (fixture);
+  scheduler_visit_progress (fixture->scheduler, "0000000000000001", count_crashes, &crashes);
+  CU_ASSERT_EQUAL (crashes, 1);
+  fixture_free (fixture);
+}
+
 /* A report without a lease: the hold request asked for none. */
 static void
 report_without_lease (fixture_t *fixture, const char *id, bool is_reachable)
@@ -1519,6 +1551,8 @@
   CU_add_test (suite, "a stale registry entry ends no run", test_stale_registry_entry_ends_no_run);
   CU_add_test (suite, "lease expiry allows for clock drift",
                test_lease_expiry_allows_for_clock_drift);
+  CU_add_test (suite, "BUDGET: registry entries show a crash in any order",
+               test_budget_crash_shown_by_entries_in_any_order);
   CU_add_test (suite, "TWICE: a start grants a lease", test_twice_start_grants_lease);
   CU_add_test (suite, "TWICE: a start in flight may grant a lease",
                test_twice_start_in_flight_keeps_run);
