LOST: a start that was not answered counts for less as a crash

Cause: a start that got no answer may not have come, since its executor had crashed before; it counted like a start that the executor confirmed.

Change: a confirmed start counts 3 points and an unanswered one 2; 6 points end the job (9 for a gang).

--- a/src/decide/scheduler.c
+++ b/src/decide/scheduler.c
@@ -277,8 +277,8 @@
   task->failed_run_count = MIN (progress->failed_run_count, FAILED_RUNS_KEPT);
   memcpy (task->failed_runs, progress->failed_runs, sizeof task->failed_runs);
   task->crashes = progress->crashes;
-  task->start_crashes = progress->start_crashes;
-  task->is_suspect = progress->start_crashes > 0;
+  task->crash_points = progress->crash_points;
+  task->is_suspect = progress->crash_points > 0;
   job->was_started = true;
   if (progress->is_done && !task->is_done)
     {
@@ -589,7 +589,7 @@
             .failures = task->failures,
             .failed_run_count = task->failed_run_count,
             .crashes = task->crashes,
-            .start_crashes = task->start_crashes,
+            .crash_points = task->crash_points,
           };
 
           memcpy (progress.failed_runs, task->failed_runs, sizeof progress.failed_runs);
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -219,9 +219,9 @@
   /* Numbers of the latest runs whose failure was counted. */
   guint failed_runs[FAILED_RUNS_KEPT];
   guint failed_run_count;
-  /* Executors that crashed under runs of the task, and those among them at its start. */
+  /* Executors that crashed under runs of the task, and points for those that did at its start. */
   guint crashes;
-  guint start_crashes;
+  guint crash_points;
 } task_progress_t;
 
 /* Adds a job and takes ownership of `spec`.  `may_have_started`: an earlier leader may have
--- a/src/decide/scheduler_crashes.c
+++ b/src/decide/scheduler_crashes.c
@@ -2,17 +2,22 @@
  *
  * A run that is lost with its executor says little: the executor may be cut off, and other runs
  * were lost with it.  So a loss counts only once a later incarnation shows that the executor has
- * crashed, and it counts as a crash at the start unless a report had listed the run.  A task
- * that may have crashed an executor starts again on an executor on which nothing else
- * starts for a while, which tells it from those that were started beside it.
+ * crashed.  It counts as a crash at the start unless a report had listed the run; and for less if
+ * the executor had not answered the start.  A task that may have crashed an executor starts again
+ * on an executor on which nothing else starts for a while, which tells it from those that were
+ * started beside it.
  */
 #include "decide/scheduler_state.h"
 
 enum
 {
-  START_CRASHES_MAX = 2, /* executors that crashed when the task started */
+  /* What a crash at the start of a run counts.  An executor that did not answer the start may have
+   * crashed before it came. */
+  CONFIRMED_POINTS = 3,
+  UNCONFIRMED_POINTS = 2,
+  POINTS_MAX = 6, /* the job fails: two confirmed ones, or three */
   /* The members of a gang start together and cannot be told apart by another start. */
-  GANG_START_CRASHES_MAX = 3,
+  GANG_POINTS_MAX = 9,
   CRASHES_MAX = 5 /* executors that crashed while a run of the task was on them */
 };
 
@@ -26,21 +31,22 @@
              gint64 now_us)
 {
   task_t *task = scheduler_find_task (scheduler, &lost->task);
-  guint start_crashes_max;
+  guint points_max;
 
   if (task == NULL || task->is_done || task->step->job->is_ended)
     return;
   task->crashes++;
   if (lost->is_at_start)
-    task->start_crashes++;
+    task->crash_points += lost->is_start_confirmed ? CONFIRMED_POINTS : UNCONFIRMED_POINTS;
   scheduler_log (scheduler, "crash_counted",
-                 "job=%s task=%u.%u.%u run=%u executor=%s at_start=%d start_crashes=%u crashes=%u",
+                 "job=%s task=%u.%u.%u run=%u executor=%s at_start=%d confirmed=%d "
+                 "crash_points=%u crashes=%u",
                  lost->task.job, lost->task.occurrence, lost->task.step, lost->task.index,
-                 lost->run, executor->id, (int) lost->is_at_start, task->start_crashes,
-                 task->crashes);
+                 lost->run, executor->id, (int) lost->is_at_start, (int) lost->is_start_confirmed,
+                 task->crash_points, task->crashes);
   scheduler_mark_dirty (scheduler, task->step->job);
-  start_crashes_max = task->step->spec->gang ? GANG_START_CRASHES_MAX : START_CRASHES_MAX;
-  if (task->start_crashes >= start_crashes_max || task->crashes >= CRASHES_MAX)
+  points_max = task->step->spec->gang ? GANG_POINTS_MAX : POINTS_MAX;
+  if (task->crash_points >= points_max || task->crashes >= CRASHES_MAX)
     scheduler_fail_job (scheduler, task->step->job, now_us);
 }
 
@@ -53,6 +59,7 @@
     return;
   run->is_counted_lost = true;
   lost.is_at_start = !run->was_reported && !run->is_restored;
+  lost.is_start_confirmed = run->running_since_us > 0;
   if (run->task != NULL && lost.is_at_start)
     run->task->is_suspect = true;
   g_array_append_val (lost_runs, lost);
@@ -121,9 +128,9 @@
     return;
   task->is_suspect = false;
   executor->trial_until_us = 0;
-  if (task->start_crashes == 0)
+  if (task->crash_points == 0)
     return;
-  task->start_crashes = 0;
+  task->crash_points = 0;
   scheduler_mark_dirty (scheduler, task->step->job);
 }
 
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -77,7 +77,7 @@
   guint failed_runs[FAILED_RUNS_KEPT]; /* latest runs whose failure was counted */
   guint failed_run_count;
   guint crashes;        /* executors that crashed while a run of it was on them */
-  guint start_crashes;  /* those among them that crashed before a report listed the run */
+  guint crash_points;   /* for those that crashed before a report listed the run */
   bool is_suspect;      /* an executor may have crashed when it started it */
   char *checkpoint;     /* NULL: none */
   guint stall_restarts; /* runs that were stopped because they stalled */
@@ -152,7 +152,8 @@
 {
   task_ref_t task;
   guint run;
-  bool is_at_start; /* no report had listed it */
+  bool is_at_start;        /* no report had listed it */
+  bool is_start_confirmed; /* the executor had confirmed the start */
 } lost_run_t;
 
 struct executor
--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -235,7 +235,7 @@
       rows[i].done = task->is_done;
       rows[i].failures = task->failures;
       rows[i].crashes = task->crashes;
-      rows[i].start_crashes = task->start_crashes;
+      rows[i].crash_points = task->crash_points;
       rows[i].n_failed_runs = task->failed_run_count;
       rows[i].failed_runs = (uint32_t *) task->failed_runs;
       pointers[i] = &rows[i];
@@ -265,7 +265,7 @@
                                .is_done = row->done,
                                .failures = row->failures,
                                .crashes = row->crashes,
-                               .start_crashes = row->start_crashes };
+                               .crash_points = row->crash_points };
 
       task.failed_run_count = (guint) MIN (row->n_failed_runs, FAILED_RUNS_KEPT);
       for (guint f = 0; f < task.failed_run_count; f++)
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1948,12 +1948,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "start_crashes",
+    "crash_points",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mimosastair__TaskProgress, start_crashes),
+    offsetof(Mimosastair__TaskProgress, crash_points),
     NULL,
     NULL,
     0,             /* flags */
@@ -1961,13 +1961,13 @@
   },
 };
 static const unsigned mimosastair__task_progress__field_indices_by_name[] = {
+  7,   /* field[7] = crash_points */
   6,   /* field[6] = crashes */
   3,   /* field[3] = done */
   5,   /* field[5] = failed_runs */
   4,   /* field[4] = failures */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
-  7,   /* field[7] = start_crashes */
   1,   /* field[1] = step */
 };
 static const ProtobufCIntRange mimosastair__task_progress__number_ranges[2 + 1] =
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -135,9 +135,9 @@
    */
   uint32_t crashes;
   /*
-   * those among them that crashed at its start
+   * points for those that crashed at its start
    */
-  uint32_t start_crashes;
+  uint32_t crash_points;
 };
 #define MIMOSASTAIR__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__task_progress__descriptor) \
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -470,6 +470,41 @@
   fixture_free (fixture);
 }
 
+/* LOST: executors crash before they receive the start of an innocent task. */
+static void
+test_lost_job_whose_starts_were_not_received (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  executor_report_t unreachable = { .is_reachable = false };
+
+  add_job (fixture, make_job_spec (1, 1, 1000), false);
+  for (guint life = 1; life <= 3; life++)
+    {
+      g_autofree char *id = g_strdup_printf ("e%u", life);
+      executor_entry_t entry = { .id = id,
+                                 .address = "a",
+                                 .service = "s",
+                                 .zone = "z",
+                                 .capacity = { .cpu_milli = 4000, .mem_mb = 1000 },
+                                 .born = life };
+      const issued_order_t *start;
+
+      scheduler_executor_listed (fixture->scheduler, &entry, fixture->now_us);
+      report (fixture, id, life, 0, NULL, 0, NULL, 0);
+      if (life == 3)
+        break; /* its entry shows that the second one has crashed */
+      step (fixture);
+      start = expect_issued (fixture, 's');
+      scheduler_order_result (fixture->scheduler, start->order, ORDER_NO_ANSWER, fixture->now_us);
+      unreachable.executor = id;
+      scheduler_executor_report (fixture->scheduler, &unreachable, fixture->now_us);
+      fixture->now_us += 6000 * MS;
+      step (fixture);
+    }
+  CU_ASSERT_EQUAL (fixture->finish_count, 0);
+  fixture_free (fixture);
+}
+
 /* A report without a lease: the hold request asked for none. */
 static void
 report_without_lease (fixture_t *fixture, const char *id, bool is_reachable)
@@ -1553,6 +1588,8 @@
                test_lease_expiry_allows_for_clock_drift);
   CU_add_test (suite, "BUDGET: registry entries show a crash in any order",
                test_budget_crash_shown_by_entries_in_any_order);
+  CU_add_test (suite, "LOST: starts that were not received are no crashes",
+               test_lost_job_whose_starts_were_not_received);
   CU_add_test (suite, "TWICE: a start grants a lease", test_twice_start_grants_lease);
   CU_add_test (suite, "TWICE: a start in flight may grant a lease",
                test_twice_start_in_flight_keeps_run);
