Model: jobs are as old as they are

Cause: the model gave the scheduler jobs without the time of their acceptance, which then counted as the start of the run. From a few seconds on every job was ordered as lost: by its processor time alone, the smallest first. Slack, which is what the order is about, played no part.

Change: a job carries the time at which it was drawn.

Ruled out: the daemon. Its intake sets the time (platform/job_api.c), and a record keeps it.

--- a/bench/fleet_model.c
+++ b/bench/fleet_model.c
@@ -497,6 +497,7 @@
   spec->queue = g_strdup (class->name);
   spec->service = g_strdup ("s");
   spec->spec = g_strdup ("");
+  spec->accepted_ms = model->now_us / 1000;
   job->objective_us
       = (gint64) (class->stretch * draw_steps (model, job, spec)) + class->objective_us;
   job->accepted_us = model->now_us;
