Logs and `mimosastair trace waits` show what gangs wait for

Change: the scheduler counts for each gang the rounds in which it was considered, those without a plan and those without a reservation, its calls for advice and the tickets that were renewed. It logs them each second that the gang waits (gang_waits) and when it starts (gang_placed), with its group in the order of work. `trace waits` sums them up by queue and width.

Ruled out: a line for each round (40 a second for each of up to 300 gangs).

--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -197,6 +197,12 @@
   return whole > 0.0 ? part / whole : 0.0;
 }
 
+static double
+share_served (const model_class_result_t *class, guint size_group)
+{
+  return share_of (class->served_by_size[size_group], class->jobs_by_size[size_group]);
+}
+
 static void
 print_result (const char *pattern,
               const char *policy,
@@ -217,14 +223,16 @@
 
       (void) printf (
           "pattern=%s policy=%s class=%s jobs=%u in_time=%u late=%u unfinished=%u earned=%.3f"
-          " largest_tenth=%.3f next_fifth=%.3f first_start_ms=%" G_GINT64_FORMAT
+          " largest_tenth=%.3f next_fifth=%.3f served=%.3f served_largest_tenth=%.3f"
+          " served_next_fifth=%.3f first_start_ms=%" G_GINT64_FORMAT
           " first_start_p95_ms=%" G_GINT64_FORMAT " last_start_ms=%" G_GINT64_FORMAT "\n",
           pattern, policy, config->classes[i].name, class->jobs, class->in_time, class->late,
           class->unfinished, share_of (class->earned, class->owed),
           share_of (class->earned_by_size[0], class->owed_by_size[0]),
           share_of (class->earned_by_size[1], class->owed_by_size[1]),
-          class->median_first_start_us / 1000, class->p95_first_start_us / 1000,
-          class->median_last_start_us / 1000);
+          share_of (class->in_time + class->late, class->jobs), share_served (class, 0),
+          share_served (class, 1), class->median_first_start_us / 1000,
+          class->p95_first_start_us / 1000, class->median_last_start_us / 1000);
     }
 }
 
@@ -236,7 +244,7 @@
 }
 
 static bool
-play (const char *path, const char *only_policy, int seed)
+play (const char *path, const char *only_policy, int seed, FILE *log)
 {
   g_autofree char *name = g_path_get_basename (path);
   g_autoptr (GError) error = NULL;
@@ -251,6 +259,7 @@
     }
   if (seed > 0)
     config.seed = (guint64) seed;
+  config.log = log;
   for (guint i = 0; i < G_N_ELEMENTS (policies); i++)
     {
       if (only_policy != NULL && strcmp (only_policy, policies[i]->name) != 0)
@@ -267,11 +276,14 @@
 {
   struct arg_str *policy = arg_str0 (NULL, "policy", "NAME", "play this policy only");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "use this seed in place of the files'");
+  struct arg_file *log_file
+      = arg_file0 (NULL, "log", "FILE", "write the scheduler's log lines to this file");
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_file *files = arg_filen (NULL, NULL, "FILE", 1, FILES_MAX, "load patterns");
   struct arg_end *end = arg_end (4);
-  void *table[] = { policy, seed, help, files, end };
+  void *table[] = { policy, seed, log_file, help, files, end };
   int errors = arg_parse (argc, argv, table);
+  FILE *log = NULL;
   bool ok = true;
 
   if (help->count > 0 || errors > 0)
@@ -282,10 +294,18 @@
       arg_freetable (table, G_N_ELEMENTS (table));
       return help->count > 0 ? 0 : 2;
     }
+  if (log_file->count > 0 && (log = fopen (log_file->filename[0], "w")) == NULL)
+    {
+      (void) fprintf (stderr, "experiment: %s cannot be written\n", log_file->filename[0]);
+      arg_freetable (table, G_N_ELEMENTS (table));
+      return 1;
+    }
   for (int i = 0; i < files->count; i++)
     ok = play (files->filename[i], policy->count > 0 ? policy->sval[0] : NULL,
-               seed->count > 0 ? seed->ival[0] : 0)
+               seed->count > 0 ? seed->ival[0] : 0, log)
          && ok;
+  if (log != NULL)
+    ok = fclose (log) == 0 && ok;
   arg_freetable (table, G_N_ELEMENTS (table));
   return ok ? 0 : 1;
 }
--- a/bench/fleet_model.c
+++ b/bench/fleet_model.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "base/quantile.h"
 
 #include <math.h>
 #include <string.h>
@@ -386,10 +387,14 @@
 }
 
 static void
-op_write_log (const char *event G_GNUC_UNUSED,
-              const char *pairs G_GNUC_UNUSED,
-              void *data G_GNUC_UNUSED)
+op_write_log (const char *event, const char *pairs, void *data)
 {
+  const model_t *model = data;
+
+  if (model->config->log != NULL)
+    (void) fprintf (model->config->log,
+                    "model time=%.3f up=%.3f level=info module=decider event=%s %s\n",
+                    (double) model->now_us / 1e6, (double) model->now_us / 1e6, event, pairs);
 }
 
 static const scheduler_ops_t ops = {
@@ -894,24 +899,6 @@
   return left->core_s > right->core_s ? -1 : left->core_s < right->core_s;
 }
 
-static int
-compare_times (const void *a, const void *b)
-{
-  gint64 left = *(const gint64 *) a;
-  gint64 right = *(const gint64 *) b;
-
-  return left < right ? -1 : left > right;
-}
-
-static gint64
-quantile (GArray *times, double share)
-{
-  if (times->len == 0)
-    return 0;
-  g_array_sort (times, compare_times);
-  return g_array_index (times, gint64, (guint) (share * (times->len - 1)));
-}
-
 static GPtrArray *
 jobs_of_class (const model_t *model, guint class_index)
 {
@@ -950,6 +937,8 @@
     }
   result->unfinished += !job->is_ended;
   result->jobs++;
+  result->jobs_by_size[job->size_group]++;
+  result->served_by_size[job->size_group] += earned > 0.0;
   result->owed += weight * class->worth;
   result->earned += weight * earned;
   result->owed_by_size[job->size_group] += weight * class->worth;
@@ -980,9 +969,9 @@
       g_array_append_val (first, first_us);
       g_array_append_val (last, last_us);
     }
-  result->median_first_start_us = quantile (first, 0.5);
-  result->p95_first_start_us = quantile (first, 0.95);
-  result->median_last_start_us = quantile (last, 0.5);
+  result->median_first_start_us = quantile_of (first, 0.5);
+  result->p95_first_start_us = quantile_of (first, 0.95);
+  result->median_last_start_us = quantile_of (last, 0.5);
 }
 
 static void
--- a/bench/fleet_model.h
+++ b/bench/fleet_model.h
@@ -8,6 +8,8 @@
 
 #include "decide/scheduler.h"
 
+#include <stdio.h>
+
 enum
 {
   MODEL_CLASSES_MAX = 8,
@@ -79,6 +81,7 @@
   guint class_count;
   model_event_t events[MODEL_EVENTS_MAX];
   guint event_count;
+  FILE *log; /* where to write the scheduler's log lines, at virtual times; NULL: nowhere */
 } model_config_t;
 
 typedef struct
@@ -91,7 +94,9 @@
   double earned;
   double owed_by_size[MODEL_SIZE_GROUPS];
   double earned_by_size[MODEL_SIZE_GROUPS];
-  gint64 median_first_start_us; /* since the job was accepted; 0: no job started */
+  guint jobs_by_size[MODEL_SIZE_GROUPS];
+  guint served_by_size[MODEL_SIZE_GROUPS]; /* in time or late */
+  gint64 median_first_start_us;            /* since the job was accepted; 0: no job started */
   gint64 p95_first_start_us;
   gint64 median_last_start_us;
 } model_class_result_t;
--- a/src/cli/commands.c
+++ b/src/cli/commands.c
@@ -466,6 +466,12 @@
   return trace_summary (arguments, g_strv_length (arguments), options->json, stdout, error);
 }
 
+static bool
+run_trace_waits (char **arguments, const command_options_t *options, error_info_t *error)
+{
+  return trace_waits (arguments, g_strv_length (arguments), options->json, stdout, error);
+}
+
 const command_t commands[] = {
   { "status", NULL, 0, "", "show the status of an entry VM", run_status, false },
   { "top", NULL, 0, "", "show the status repeatedly", run_top, false },
@@ -486,5 +492,7 @@
     run_trace_show, true },
   { "trace", "summary", 0, "[FILE...]", "count the outcomes in the logs and show the worst seconds",
     run_trace_summary, true },
+  { "trace", "waits", 0, "[FILE...]", "show how long gangs of each width waited, and for what",
+    run_trace_waits, true },
   { NULL, NULL, 0, NULL, NULL, NULL, false },
 };
--- a/src/cli/trace.h
+++ b/src/cli/trace.h
@@ -18,3 +18,8 @@
  * and lost runs.  `files`, `count` and `json` are as in trace_show().  Returns false with
  * ERROR_BAD_REQUEST if a log cannot be read. */
 bool trace_summary (char **files, guint count, bool json, FILE *out, error_info_t *error);
+
+/* Prints for each queue and range of widths how many gangs waited and were placed, how long, and
+ * what passed over them.  `files`, `count` and `json` are as in trace_show().  Returns false with
+ * ERROR_BAD_REQUEST if a log cannot be read. */
+bool trace_waits (char **files, guint count, bool json, FILE *out, error_info_t *error);
--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -38,6 +38,19 @@
                               .slack_us = job->accepted_us + job->core_us / lost_core_divisor };
 }
 
+const char *
+queue_order_group_name (const queue_order_key_t *key)
+{
+  static const char *const names[] = {
+    [GROUP_URGENT] = "urgent",
+    [GROUP_ON_TIME] = "on_time",
+    [GROUP_LATE] = "late",
+    [GROUP_LOST] = "lost",
+  };
+
+  return names[key->group];
+}
+
 int
 queue_order_compare (const queue_order_key_t *a, const queue_order_key_t *b)
 {
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -30,6 +30,9 @@
 /* Returns the sort key of the job at `now_us`. */
 queue_order_key_t queue_order_key (const queue_order_job_t *job, gint64 now_us);
 
+/* Name of the key's group in log lines. */
+const char *queue_order_group_name (const queue_order_key_t *key);
+
 /* A policy; others than the one above serve comparison. */
 typedef struct
 {
--- a/src/decide/scheduler_advice.c
+++ b/src/decide/scheduler_advice.c
@@ -322,6 +322,7 @@
   call->is_slow = order.is_slow;
   count_asked (call, true);
   step->advice_order = order.order;
+  step->waits.advice_calls++;
   g_hash_table_insert (scheduler->advice_calls, key, call);
   scheduler->advice_slots--;
   if (call->is_slow && scheduler->slow_slots > 0)
@@ -420,6 +421,8 @@
     }
   if (advice == NULL || advice == &denied)
     advice = add_allowed (step, executor);
+  else
+    step->waits.renewed_tickets++;
   g_free (advice->ticket);
   advice->ticket = g_strdup (ticket);
   advice->born = executor->born;
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -391,6 +391,25 @@
     scheduler_release_reservation (scheduler, g_ptr_array_index (scheduler->reserving, 0));
 }
 
+/* Places a gang.  Returns what the round did for it. */
+static gang_round_t
+dispatch_gang (scheduler_t *scheduler,
+               const waiting_step_t *waiting,
+               guint max_reservations,
+               gint64 now_us)
+{
+  step_t *step = waiting->step;
+  bool may_reserve = step->reserved_on != NULL || scheduler->reserving->len < max_reservations;
+
+  if (scheduler_place_gang (scheduler, step, may_reserve, now_us))
+    return step->unplaced_count > 0 ? GANG_HELD : GANG_PLACED;
+  if (step->reserved_on == NULL)
+    return GANG_UNRESERVED;
+  if (scheduler->reserving->len == 1)
+    scheduler->first_reserving_key = waiting->key;
+  return GANG_RESERVED;
+}
+
 /* Places the waiting steps in order. */
 static void
 dispatch (scheduler_t *scheduler, GArray *waiting, gint64 now_us)
@@ -401,18 +420,16 @@
 
   for (guint i = 0; i < waiting->len; i++)
     {
-      step_t *step = g_array_index (waiting, waiting_step_t, i).step;
+      const waiting_step_t *entry = &g_array_index (waiting, waiting_step_t, i);
+      step_t *step = entry->step;
 
       if (step->spec->gang)
         {
-          bool may_reserve
-              = step->reserved_on != NULL || scheduler->reserving->len < max_reservations;
-
-          if (plans++ >= max_reservations * PLANS_PER_RESERVATION)
-            continue;
-          (void) scheduler_place_gang (scheduler, step, may_reserve, now_us);
-          if (step->reserved_on != NULL && scheduler->reserving->len == 1)
-            scheduler->first_reserving_key = g_array_index (waiting, waiting_step_t, i).key;
+          gang_round_t round = GANG_UNPLANNED;
+
+          if (plans++ < max_reservations * PLANS_PER_RESERVATION)
+            round = dispatch_gang (scheduler, entry, max_reservations, now_us);
+          scheduler_count_gang_round (scheduler, step, round, &entry->key, now_us);
         }
       else if (!place_step (scheduler, step, now_us) && step->job->queue->advice.is_needed)
         (void) scheduler_request_advice (scheduler, step, now_us);
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -101,6 +101,17 @@
   gint64 expires_us;
 } advice_t;
 
+/* How a gang has waited since it was ready, or since it was last placed. */
+typedef struct
+{
+  guint advice_calls;
+  guint renewed_tickets;   /* for executors that had been allowed before */
+  guint rounds;            /* in which it was considered */
+  guint unplanned_rounds;  /* too many gangs went before it for a plan to be made */
+  guint unreserved_rounds; /* it was planned, but too many others held reservations */
+  gint64 logged_us;        /* 0: not yet */
+} gang_waits_t;
+
 struct step
 {
   job_t *job;
@@ -121,6 +132,7 @@
   bool is_touched;        /* in the scheduler's list of touched steps */
   /* Its tasks may take resources that are reserved: it goes before all gangs with reservations. */
   bool overrides_reservations;
+  gang_waits_t waits;
 };
 
 struct job
@@ -332,6 +344,23 @@
 /* Expected time until the run ends, from its progress or its estimate; above 0. */
 gint64 scheduler_run_remaining_us (const run_t *run, gint64 now_us);
 
+/* scheduler_waits.c */
+/* What a round did for a gang. */
+typedef enum
+{
+  GANG_UNPLANNED,
+  GANG_UNRESERVED,
+  GANG_RESERVED,
+  GANG_HELD, /* members of an earlier run are not yet known to be gone */
+  GANG_PLACED
+} gang_round_t;
+/* Counts the round in the step's `waits` and logs how it waits, or that it was placed. */
+void scheduler_count_gang_round (const scheduler_t *scheduler,
+                                 step_t *step,
+                                 gang_round_t round,
+                                 const queue_order_key_t *key,
+                                 gint64 now_us);
+
 /* scheduler_gang.c */
 /* Starts the gang, or requests advice and, with `may_reserve`, reserves resources for it.  Returns
  * false if the gang waits for resources or tickets. */
--- /dev/null
+++ b/src/decide/scheduler_waits.c
@@ -0,0 +1,51 @@
+#include "decide/scheduler_state.h"
+
+/* Interval between two log lines on the same waiting gang. */
+static const gint64 log_interval_us = G_USEC_PER_SEC;
+
+static void
+log_waits (const scheduler_t *scheduler,
+           const step_t *step,
+           const char *event,
+           gang_round_t round,
+           const queue_order_key_t *key,
+           gint64 now_us)
+{
+  const gang_waits_t *waits = &step->waits;
+  const job_t *job = step->job;
+
+  scheduler_log (
+      scheduler, event,
+      "job=%s step=%u.%u queue=%s tasks=%u cpu_milli=%u group=%s slack_ms=%" G_GINT64_FORMAT
+      " waited_ms=%" G_GINT64_FORMAT " reserved=%d allowed=%u calls=%u renewed=%u"
+      " rounds=%u unplanned=%u unreserved=%u",
+      job->spec->id, step->occurrence, step->index, job->queue->name, step->spec->count,
+      step->spec->need.cpu_milli, queue_order_group_name (key), key->slack_us / 1000,
+      (now_us - step->ready_us) / 1000, (int) (round == GANG_RESERVED),
+      step->allowed != NULL ? step->allowed->len : 0, waits->advice_calls, waits->renewed_tickets,
+      waits->rounds, waits->unplanned_rounds, waits->unreserved_rounds);
+}
+
+void
+scheduler_count_gang_round (const scheduler_t *scheduler,
+                            step_t *step,
+                            gang_round_t round,
+                            const queue_order_key_t *key,
+                            gint64 now_us)
+{
+  gang_waits_t *waits = &step->waits;
+
+  waits->rounds++;
+  waits->unplanned_rounds += round == GANG_UNPLANNED;
+  waits->unreserved_rounds += round == GANG_UNRESERVED;
+  if (round == GANG_PLACED)
+    {
+      log_waits (scheduler, step, "gang_placed", round, key, now_us);
+      *waits = (gang_waits_t){ 0 };
+    }
+  else if (now_us - MAX (waits->logged_us, step->ready_us) >= log_interval_us)
+    {
+      log_waits (scheduler, step, "gang_waits", round, key, now_us);
+      waits->logged_us = now_us;
+    }
+}
--- a/tests/trace.c
+++ b/tests/trace.c
@@ -36,6 +36,20 @@
       "time=1002.500 level=info module=intake event=job_request job=fedcba9876543210 "
       "action=submit queue=q result=platform_unavailable took_ms=0\n";
 
+/* Log of a leader, then of the next one: a narrow gang that is placed, a wide one that still waits
+ * and one that was placed after it had been seen waiting. */
+static const char *const gang_log
+    = "time=1.000 up=1.000 level=info module=decider event=gang_placed job=a step=0.0 queue=q "
+      "tasks=5 group=on_time waited_ms=40 calls=1 renewed=0 rounds=4 unplanned=0 unreserved=1\n"
+      "time=2.000 up=2.000 level=info module=decider event=gang_waits job=b step=0.0 queue=q "
+      "tasks=70 group=on_time waited_ms=1000 calls=2 renewed=0 rounds=40 unplanned=10 "
+      "unreserved=20\n"
+      "time=2.500 up=2.500 level=info module=decider event=gang_waits job=c step=0.0 queue=q "
+      "tasks=90 group=late waited_ms=9000 calls=4 renewed=8 rounds=60 unplanned=20 unreserved=0\n"
+      "time=3.000 up=3.000 level=info module=decider event=gang_placed job=b step=0.0 queue=q "
+      "tasks=70 group=on_time waited_ms=2000 calls=4 renewed=30 rounds=80 unplanned=15 "
+      "unreserved=35\n";
+
 typedef struct
 {
   char *folder;
@@ -148,6 +162,31 @@
 }
 
 /* Files that are missing or empty, that are not logs, or that end in a truncated line. */
+/* Each gang counts once, with its last line. */
+static void
+test_waits_by_width (void)
+{
+  static const char *const expected[] = {
+    "\"tasks\":4",      "\"placed\":1",   "\"tasks\":64",           "\"gangs\":2",
+    "\"placed\":1",     "\"late\":1",     "\"placed_p50_ms\":2000", "\"unplaced_p50_ms\":9000",
+    "\"calls\":8",      "\"renewed\":38", "\"rounds\":140",         "\"unplanned\":35",
+    "\"unreserved\":35"
+  };
+  logs_t logs;
+  error_info_t error = { .kind = ERROR_NONE };
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+
+  logs_write (&logs);
+  CU_ASSERT (g_file_set_contents (logs.files[0], gang_log, -1, NULL));
+  CU_ASSERT (trace_waits (logs.files, 1, true, out, &error));
+  (void) fclose (out);
+  CU_ASSERT (contains_in_order (text, expected, G_N_ELEMENTS (expected)));
+  free (text);
+  logs_remove (&logs);
+}
+
 static void
 test_unreadable_files (void)
 {
@@ -190,6 +229,7 @@
       test_timeline_despite_clock_step },
     { "a refused submission is shown with its reason", test_refused_submission },
     { "the summary counts outcomes by cause", test_summary_by_cause },
+    { "waits of gangs are shown by width", test_waits_by_width },
     { "missing files and files that are not logs are rejected", test_unreadable_files },
   };
 
