SHORT: a gang asks about several hundred executors at the same time

A call names 100 executors at most, takes 1.5 s for those and has 30 allowed; its tickets live 2 s. A gang that needs more room asked again only when the call was answered. Narrow work took the room meanwhile, and the tickets of the first call were gone when the last one's came.

Change: up to four calls for a gang are in flight. An executor that a call asks about is marked, so that the next call asks about others, and the tasks that the calls in flight are likely to place count as known.

Evidence: tests/cell.c, "SHORT: a wide gang asks about different executors at the same time", aborts on the code before (no second call) and passes now.

--- a/src/decide/scheduler_advice.c
+++ b/src/decide/scheduler_advice.c
@@ -14,12 +14,15 @@
 enum
 {
   ADVICE_EXECUTORS_MAX = 100, /* executors per call */
+  GANG_CALLS_MAX = 4,         /* calls for one gang in flight */
   ADVICE_SPARE_TASKS = 1,     /* a call should cover this many tasks more than are unplaced */
   SPARE_DIVISOR = 4           /* spare executors prolong a call by at most `call_us` / this */
 };
 
-/* Stands for each executor that advice has denied. */
+/* Stand for each executor that advice has denied, and for each that a call in flight asks about
+ * for the first time. */
 static advice_t denied;
+static advice_t asked;
 
 static void
 advice_free (gpointer data)
@@ -37,6 +40,15 @@
   return executor->index < step->advice_size ? step->advice[executor->index] : NULL;
 }
 
+/* Returns the advice on an executor that was allowed, NULL for any other. */
+static advice_t *
+find_allowed (const step_t *step, const executor_t *executor)
+{
+  advice_t *advice = find_advice (step, executor);
+
+  return advice == &denied || advice == &asked ? NULL : advice;
+}
+
 advice_decision_t
 scheduler_advice_decision (const step_t *step, const executor_t *executor)
 {
@@ -44,9 +56,19 @@
 
   if (advice == NULL)
     return ADVICE_UNKNOWN;
+  if (advice == &asked)
+    return ADVICE_ASKED;
   return advice == &denied ? ADVICE_DENIED : ADVICE_ALLOWED;
 }
 
+bool
+scheduler_is_ticket_asked (const step_t *step, const executor_t *executor)
+{
+  const advice_t *advice = find_allowed (step, executor);
+
+  return advice != NULL && advice->is_asked;
+}
+
 static bool
 is_ticket_valid (const advice_t *advice, gint64 at_us)
 {
@@ -61,8 +83,8 @@
 
   if (!step->job->queue->advice.is_needed)
     return "";
-  advice = find_advice (step, executor);
-  if (advice == NULL || advice == &denied || !is_ticket_valid (advice, now_us))
+  advice = find_allowed (step, executor);
+  if (advice == NULL || !is_ticket_valid (advice, now_us))
     return NULL;
   return advice->ticket;
 }
@@ -70,26 +92,33 @@
 void
 scheduler_discard_ticket (step_t *step, const executor_t *executor)
 {
-  advice_t *advice = find_advice (step, executor);
+  advice_t *advice = find_allowed (step, executor);
 
-  if (advice != NULL && advice != &denied)
+  if (advice != NULL)
     g_clear_pointer (&advice->ticket, g_free);
 }
 
 void
 scheduler_discard_advice (scheduler_t *scheduler, step_t *step)
 {
-  advice_call_t *call;
+  GHashTableIter iter;
+  gpointer value;
 
   g_clear_pointer (&step->allowed, g_ptr_array_unref);
   g_clear_pointer (&step->advice, g_free);
   step->advice_size = 0;
-  if (step->advice_order == 0)
+  step->expected_tasks = 0.0;
+  if (step->calls_in_flight == 0)
     return;
-  call = g_hash_table_lookup (scheduler->advice_calls, &step->advice_order);
-  if (call != NULL)
-    call->step = NULL;
-  step->advice_order = 0;
+  g_hash_table_iter_init (&iter, scheduler->advice_calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      advice_call_t *call = value;
+
+      if (call->step == step)
+        call->step = NULL;
+    }
+  step->calls_in_flight = 0;
 }
 
 static guint
@@ -291,6 +320,61 @@
     }
 }
 
+static void
+ensure_advice_size (const scheduler_t *scheduler, step_t *step, const executor_t *executor)
+{
+  guint size = scheduler->executor_list->len;
+
+  if (executor->index < step->advice_size)
+    return;
+  step->advice = g_renew (advice_t *, step->advice, size);
+  memset (step->advice + step->advice_size, 0, (size - step->advice_size) * sizeof (advice_t *));
+  step->advice_size = size;
+}
+
+/* Marks the executors of a call that is sent.  Returns the number of tasks that are expected to
+ * get a ticket on those that the step has not asked about before. */
+static double
+mark_asked (const scheduler_t *scheduler, step_t *step, const GPtrArray *executors)
+{
+  double share = scheduler_allowed_share (step);
+  double expected = 0.0;
+
+  for (guint i = 0; i < executors->len; i++)
+    {
+      const executor_t *executor = g_ptr_array_index (executors, i);
+      advice_t *allowed = find_allowed (step, executor);
+
+      ensure_advice_size (scheduler, step, executor);
+      if (allowed != NULL)
+        allowed->is_asked = true;
+      else if (step->advice[executor->index] == NULL)
+        {
+          step->advice[executor->index] = &asked;
+          expected += share * tasks_that_fit (step, &executor->capacity);
+        }
+    }
+  return expected;
+}
+
+/* Undoes mark_asked() when the call has ended. */
+static void
+clear_asked (step_t *step, const advice_call_t *call)
+{
+  for (guint i = 0; i < call->executors->len; i++)
+    {
+      const executor_t *executor = g_ptr_array_index (call->executors, i);
+      advice_t *allowed = find_allowed (step, executor);
+
+      if (allowed != NULL)
+        allowed->is_asked = false;
+      else if (step->advice[executor->index] == &asked)
+        step->advice[executor->index] = NULL;
+    }
+  step->expected_tasks -= call->expected_tasks;
+  step->calls_in_flight--;
+}
+
 void
 scheduler_send_advice_call (scheduler_t *scheduler,
                             step_t *step,
@@ -320,8 +404,10 @@
   call->asked_cpu_milli = step->spec->need.cpu_milli * step->unplaced_count / executors->len;
   call->sent_us = now_us;
   call->is_slow = order.is_slow;
+  call->expected_tasks = mark_asked (scheduler, step, executors);
+  step->expected_tasks += call->expected_tasks;
+  step->calls_in_flight++;
   count_asked (call, true);
-  step->advice_order = order.order;
   step->waits.advice_calls++;
   g_hash_table_insert (scheduler->advice_calls, key, call);
   scheduler->advice_slots--;
@@ -338,7 +424,9 @@
 bool
 scheduler_may_request_advice (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
 {
-  return step->advice_order == 0 && step->advice_retry_at_us <= now_us
+  guint most = step->spec->gang ? GANG_CALLS_MAX : 1;
+
+  return step->calls_in_flight < most && step->advice_retry_at_us <= now_us
          && scheduler->advice_slots > 0
          && (step->job->queue->advice.call_us <= slow_call_us || scheduler->slow_slots > 0);
 }
@@ -364,18 +452,6 @@
   return true;
 }
 
-static void
-ensure_advice_size (const scheduler_t *scheduler, step_t *step, const executor_t *executor)
-{
-  guint size = scheduler->executor_list->len;
-
-  if (executor->index < step->advice_size)
-    return;
-  step->advice = g_renew (advice_t *, step->advice, size);
-  memset (step->advice + step->advice_size, 0, (size - step->advice_size) * sizeof (advice_t *));
-  step->advice_size = size;
-}
-
 static advice_t *
 add_allowed (step_t *step, executor_t *executor)
 {
@@ -392,9 +468,9 @@
 static void
 deny (step_t *step, const executor_t *executor)
 {
-  advice_t *advice = step->advice[executor->index];
+  advice_t *advice = find_allowed (step, executor);
 
-  if (advice != NULL && advice != &denied)
+  if (advice != NULL)
     (void) g_ptr_array_remove_fast (step->allowed, advice);
   step->advice[executor->index] = &denied;
 }
@@ -462,7 +538,7 @@
                  (int) (step != NULL));
   if (step != NULL)
     {
-      step->advice_order = 0;
+      clear_asked (step, call);
       if (!is_answered)
         step->advice_retry_at_us = now_us + advice_retry_delay_us;
       for (guint i = 0; is_answered && i < call->executors->len; i++)
--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -329,7 +329,9 @@
       /* Executors beyond the plan are added only to a call that the plan itself needs. */
       if (i >= step->spec->count && (planned == 0 || executors->len - planned >= spare))
         return;
-      if (!scheduler_has_ticket_at (step, gang_slot->executor, MAX (gang_slot->at_us, answer_us)))
+      if (!scheduler_is_ticket_asked (step, gang_slot->executor)
+          && !scheduler_has_ticket_at (step, gang_slot->executor,
+                                       MAX (gang_slot->at_us, answer_us)))
         add_advice_executor (executors, gang_slot->executor);
     }
 }
@@ -404,10 +406,11 @@
                     const GArray *known_slots,
                     gint64 now_us)
 {
-  guint soon = count_slots_soon (known_slots, step, now_us);
+  double expected = known_slots->len + step->expected_tasks;
+  double soon = count_slots_soon (known_slots, step, now_us) + step->expected_tasks;
 
-  if (known_slots->len < CANDIDATE_FACTOR * step->spec->count)
-    add_unknown_executors (scheduler, executors, step, known_slots->len, now_us);
+  if (expected < CANDIDATE_FACTOR * step->spec->count)
+    add_unknown_executors (scheduler, executors, step, expected, now_us);
   else if (soon < step->spec->count)
     add_free_executors (scheduler, executors, step, soon, now_us);
 }
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -88,6 +88,7 @@
 typedef enum
 {
   ADVICE_UNKNOWN,
+  ADVICE_ASKED, /* unknown, and a call that asks about the executor is in flight */
   ADVICE_ALLOWED,
   ADVICE_DENIED
 } advice_decision_t;
@@ -99,6 +100,7 @@
   gint64 born;  /* incarnation of the executor that the ticket is valid for */
   char *ticket; /* NULL: the executor refused it */
   gint64 expires_us;
+  bool is_asked; /* a call for another ticket is in flight */
 } advice_t;
 
 /* How a gang has waited since it was ready, or since it was last placed. */
@@ -122,11 +124,12 @@
   guint done_count;
   guint unplaced_count; /* tasks that are not done and have no run */
   gint64 due_us;
-  gint64 ready_us;      /* when it was due and its prerequisites done; 0: not yet */
-  advice_t **advice;    /* by executor index; NULL: not asked about */
-  guint advice_size;    /* of that array */
-  GPtrArray *allowed;   /* advice_t; NULL: none */
-  guint64 advice_order; /* call for advice in flight; 0: none */
+  gint64 ready_us;       /* when it was due and its prerequisites done; 0: not yet */
+  advice_t **advice;     /* by executor index; NULL: not asked about */
+  guint advice_size;     /* of that array */
+  GPtrArray *allowed;    /* advice_t; NULL: none */
+  guint calls_in_flight; /* for advice */
+  double expected_tasks; /* that these are likely to give a ticket to, on executors not known yet */
   gint64 advice_retry_at_us;
   GPtrArray *reserved_on; /* executors reserved for the gang, one per task; NULL: none */
   bool is_touched;        /* in the scheduler's list of touched steps */
@@ -212,6 +215,7 @@
   guint asked_cpu_milli; /* counted for each of them */
   gint64 sent_us;
   bool is_slow;
+  double expected_tasks; /* counted for the step while the call is in flight */
 } advice_call_t;
 
 /* A record of planned runs, which is stored before their start orders are sent. */
@@ -373,6 +377,8 @@
 const char *scheduler_find_ticket (const step_t *step, const executor_t *executor, gint64 now_us);
 advice_decision_t scheduler_advice_decision (const step_t *step, const executor_t *executor);
 bool scheduler_request_advice (scheduler_t *scheduler, step_t *step, gint64 now_us);
+/* True if a call in flight asks for another ticket for an executor that was allowed. */
+bool scheduler_is_ticket_asked (const step_t *step, const executor_t *executor);
 /* True if a call for the step can be sent now. */
 bool scheduler_may_request_advice (const scheduler_t *scheduler, const step_t *step, gint64 now_us);
 /* Expected duration of a call that asks about `count` executors; 0 if the queue needs none. */
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1435,6 +1435,72 @@
   fixture_free (fixture);
 }
 
+/* Answers the call with a ticket for each executor that it asks about, of which there are `count`
+ * from the executor with this number on. */
+static void
+allow_all (fixture_t *fixture, const issued_order_t *call, guint first, guint count)
+{
+  g_autofree ticket_t *tickets = g_new0 (ticket_t, count);
+  g_autofree char (*ids)[8] = g_malloc0 (count * sizeof *ids);
+
+  for (guint i = 0; i < count; i++)
+    {
+      g_snprintf (ids[i], sizeof ids[i], "e%03u", first + i);
+      tickets[i] = (ticket_t){ ids[i], "t" };
+    }
+  scheduler_advice_result (fixture->scheduler, call->order, true, tickets, count, fixture->now_us);
+}
+
+/* Guards against wide gangs that lose their turn (SHORT).  One call asks about 100 executors, and
+ * its tickets have expired when a second one that is sent after its answer is answered: a gang that
+ * needs more asks about different executors at the same time. */
+static void
+test_short_wide_gang_asks_at_once (void)
+{
+  enum
+  {
+    FLEET = 180,
+    WIDTH = 150
+  };
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *gang = make_job_spec (9, WIDTH, 4000);
+  const issued_order_t *calls[2];
+  guint starts = 0;
+
+  require_advice (fixture);
+  fixture_queue (fixture)->advice.call_us = 700 * MS;
+  fixture_queue (fixture)->advice.valid_us = 800 * MS;
+  scheduler_set_desired (fixture->scheduler, fixture->desired);
+  for (guint i = 0; i < FLEET; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%03u", i);
+      add_ready_executor (fixture, id);
+    }
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  for (guint i = 0; i < G_N_ELEMENTS (calls); i++)
+    {
+      scheduler_set_advice_slots (fixture->scheduler, 1, 1);
+      step (fixture);
+      calls[i] = expect_issued (fixture, 'a');
+    }
+  CU_ASSERT_EQUAL (calls[0]->candidate_count, 100);
+  CU_ASSERT_EQUAL (calls[1]->candidate_count, FLEET - 100);
+  scheduler_set_advice_slots (fixture->scheduler, 1, 1);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next_issued (fixture, 'a'));
+  fixture->now_us += 700 * MS;
+  allow_all (fixture, calls[0], 0, 100);
+  allow_all (fixture, calls[1], 100, FLEET - 100);
+  step (fixture);
+  while (next_issued (fixture, 's') != NULL)
+    starts++;
+  CU_ASSERT_EQUAL (starts, WIDTH);
+  fixture_free (fixture);
+}
+
 /* Resources are reserved for a gang only on the executors where they become free first. */
 static void
 test_gang_reserves_earliest_resources (void)
@@ -1616,6 +1682,8 @@
                test_gang_asks_about_free_executors);
   CU_add_test (suite, "a gang's tickets are requested together",
                test_gang_tickets_requested_together);
+  CU_add_test (suite, "SHORT: a wide gang asks about different executors at the same time",
+               test_short_wide_gang_asks_at_once);
   CU_add_test (suite, "a gang reserves the resources that are free first",
                test_gang_reserves_earliest_resources);
   CU_add_test (suite, "a gang is stopped when a start is refused",
