SHORT: a gang knows executors for eight times its width

With several calls in flight a gang still waited for room on the few executors that it knew: it stopped asking once those allowed had room for two gangs of its width, at whatever time that would be free.

Change: a gang goes on asking until the executors allowed have room for eight of its width.

Evidence: tests/cell.c, "SHORT: a gang in an occupied fleet knows many executors", fails with 2 (10 of 30 asked) and passes with 8.

--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -18,7 +18,7 @@
 {
   /* Advice on more executors is requested until the allowed ones are expected to have slots for
    * this many gangs. */
-  CANDIDATE_FACTOR = 2,
+  CANDIDATE_FACTOR = 8,
   ADVICE_EXECUTORS_MAX = 100 /* executors per call */
 };
 
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1501,6 +1501,37 @@
   fixture_free (fixture);
 }
 
+/* Guards against gangs that wait for the few executors that they know (SHORT).  All executors are
+ * occupied: the more of them are known to be allowed, the sooner room for a whole gang is free. */
+static void
+test_short_gang_knows_many_executors (void)
+{
+  enum
+  {
+    OCCUPIED = 30
+  };
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *gang = make_job_spec (99, 2, 4000);
+
+  add_queue_without_advice (fixture);
+  require_advice (fixture);
+  scheduler_set_desired (fixture->scheduler, fixture->desired);
+  for (guint i = 0; i < OCCUPIED; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%03u", i);
+      add_ready_executor (fixture, id);
+      start_task_in (fixture, "plain", i + 1, 4000, 30000);
+    }
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  scheduler_set_advice_slots (fixture->scheduler, 2, 2);
+  step (fixture);
+  CU_ASSERT_EQUAL (expect_issued (fixture, 'a')->candidate_count, OCCUPIED);
+  fixture_free (fixture);
+}
+
 /* Resources are reserved for a gang only on the executors where they become free first. */
 static void
 test_gang_reserves_earliest_resources (void)
@@ -1684,6 +1715,8 @@
                test_gang_tickets_requested_together);
   CU_add_test (suite, "SHORT: a wide gang asks about different executors at the same time",
                test_short_wide_gang_asks_at_once);
+  CU_add_test (suite, "SHORT: a gang in an occupied fleet knows many executors",
+               test_short_gang_knows_many_executors);
   CU_add_test (suite, "a gang reserves the resources that are free first",
                test_gang_reserves_earliest_resources);
   CU_add_test (suite, "a gang is stopped when a start is refused",
