SHORT: a gang counts once in the estimates of its queue

What callers saw: wide reconciliations waited without being planned, or lost their reservation again and again.

The tasks of a gang end together with the same error: one of 64 tasks overwrote the average to 73 %, and so set the slack of all waiting jobs of its class.

Change: each step counts alike (0.05), a gang with its first end. The leader's metrics show the average, the share that advice allows and the jobs that have not started, by queue.

Evidence: tests/cell.c, "SHORT: a wide gang counts once in the estimates of its queue": 30 tasks that took ten times as long moved it above 2 before, below 2 now.

Same cause elsewhere: queue.allowed_share takes a weight for each executor of a call, whose decisions are drawn one by one; runs of narrow steps count by their share of the step now.

--- a/src/decide/scheduler.c
+++ b/src/decide/scheduler.c
@@ -672,3 +672,24 @@
         }
     }
 }
+
+void
+scheduler_visit_queues (const scheduler_t *scheduler, scheduler_queue_visitor_t visit, void *data)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, scheduler->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const queue_t *queue = value;
+      queue_stats_t stats = {
+        .name = queue->name,
+        .pending_jobs = queue->pending_job_count,
+        .runtime_ratio = queue->runtime_ratio,
+        .allowed_share = queue->allowed_share,
+      };
+
+      visit (&stats, data);
+    }
+}
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -337,3 +337,17 @@
 } scheduler_stats_t;
 
 void scheduler_stats (const scheduler_t *scheduler, scheduler_stats_t *stats);
+
+/* What the scheduler knows of a queue. */
+typedef struct
+{
+  const char *name; /* valid as long as the scheduler */
+  guint pending_jobs;
+  double runtime_ratio; /* moving average of actual over estimated run time */
+  double allowed_share; /* moving average of the share of executors that advice allows */
+} queue_stats_t;
+
+/* Calls `visit` for each queue, in any order. */
+typedef void (*scheduler_queue_visitor_t) (const queue_stats_t *stats, void *data);
+void
+scheduler_visit_queues (const scheduler_t *scheduler, scheduler_queue_visitor_t visit, void *data);
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -5,6 +5,8 @@
 /* A renewal that a report shows may reach the executor up to this long after the report. */
 static const gint64 lease_margin_us = 250 * 1000;
 static const gint64 task_retry_delay_us = 20 * 1000;
+/* Weight of one step in the moving average of actual over estimated run time. */
+static const double runtime_ratio_weight = 0.05;
 
 executor_t *
 scheduler_find_executor (const scheduler_t *scheduler, const char *id)
@@ -285,17 +287,21 @@
   task->checkpoint = g_strdup (checkpoint);
 }
 
-/* Updates the moving average of actual over estimated run time.  Runs of a task that has a
- * checkpoint do not count. */
+/* Updates the moving average of actual over estimated run time.  Each step counts alike, whatever
+ * its width: its tasks share an estimate, so that their errors are the same.  A gang's tasks end
+ * together, and only the first end is counted.  Runs of a task that has a checkpoint do not count.
+ */
 static void
 update_runtime_ratio (task_t *task, const run_t *run, gint64 now_us)
 {
+  const step_spec_t *spec = task->step->spec;
   queue_t *queue = task->step->job->queue;
   double real = (double) (now_us - run->running_since_us);
-  double estimate = (double) MAX (task->step->spec->est_runtime_us, 1000);
+  double estimate = (double) MAX (spec->est_runtime_us, 1000);
+  double weight = runtime_ratio_weight / (spec->gang ? 1.0 : spec->count);
 
-  if (run->running_since_us > 0 && task->checkpoint == NULL)
-    queue->runtime_ratio += 0.02 * (CLAMP (real / estimate, 0.1, 10.0) - queue->runtime_ratio);
+  if (run->running_since_us > 0 && task->checkpoint == NULL && !task->is_done)
+    queue->runtime_ratio += weight * (CLAMP (real / estimate, 0.1, 10.0) - queue->runtime_ratio);
 }
 
 static void
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -244,6 +244,17 @@
     (void) link_send (LIST_ENTRY (node, vm_t, node)->link, &frame);
 }
 
+static void
+append_queue_metrics (const queue_stats_t *stats, void *data)
+{
+  g_string_append_printf (data, "mimosastair_queue_pending_jobs{class=\"%s\"} %u\n", stats->name,
+                          stats->pending_jobs);
+  g_string_append_printf (data, "mimosastair_queue_runtime_ratio{class=\"%s\"} %.3f\n", stats->name,
+                          stats->runtime_ratio);
+  g_string_append_printf (data, "mimosastair_queue_allowed_share{class=\"%s\"} %.3f\n", stats->name,
+                          stats->allowed_share);
+}
+
 void
 leader_append_metrics (const leader_t *leader, GString *out)
 {
@@ -262,4 +273,5 @@
   g_string_append_printf (out, "mimosastair_cell_cpu_used_milli %" G_GUINT64_FORMAT "\n",
                           stats.cpu_used_milli);
   g_string_append_printf (out, "mimosastair_cell_advice_calls %u\n", stats.advice_calls);
+  scheduler_visit_queues (leader->scheduler, append_queue_metrics, out);
 }
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1532,6 +1532,64 @@
   fixture_free (fixture);
 }
 
+static void
+keep_runtime_ratio (const queue_stats_t *stats, void *data)
+{
+  *(double *) data = stats->runtime_ratio;
+}
+
+/* Reports that the gang's members, one on each executor, have ended. */
+static void
+report_gang_done (fixture_t *fixture, const char *job, guint width)
+{
+  for (guint i = 0; i < width; i++)
+    {
+      const issued_order_t *start = expect_issued (fixture, 's');
+      reported_end_t end = { .number = 1, .run = start->run, .how = END_DONE, .checkpoint = "" };
+
+      g_strlcpy (end.task.job, job, sizeof end.task.job);
+      end.task.index = start->index;
+      report (fixture, start->executor, 1, 0, NULL, 0, &end, 1);
+    }
+}
+
+/* Guards against an order of work that follows the last gang that ended (SHORT).  A gang whose
+ * estimate was wrong by a factor of ten moves the estimates of its queue as a narrow job does. */
+static void
+test_short_wide_gang_counts_once_in_estimates (void)
+{
+  enum
+  {
+    WIDTH = 30
+  };
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *gang = make_job_spec (9, WIDTH, 4000);
+  double ratio = 0.0;
+
+  for (guint i = 0; i < WIDTH; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%03u", i);
+      add_ready_executor (fixture, id);
+    }
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  step (fixture);
+  for (guint i = 0; i < fixture->order_count; i++)
+    {
+      if (fixture->orders[i].kind == 's')
+        scheduler_order_result (fixture->scheduler, fixture->orders[i].order, ORDER_OK,
+                                fixture->now_us);
+    }
+  fixture->now_us += 10000 * MS;
+  report_gang_done (fixture, "0000000000000009", WIDTH);
+  scheduler_visit_queues (fixture->scheduler, keep_runtime_ratio, &ratio);
+  CU_ASSERT (ratio > 1.1);
+  CU_ASSERT (ratio < 2.0);
+  fixture_free (fixture);
+}
+
 /* Resources are reserved for a gang only on the executors where they become free first. */
 static void
 test_gang_reserves_earliest_resources (void)
@@ -1717,6 +1775,8 @@
                test_short_wide_gang_asks_at_once);
   CU_add_test (suite, "SHORT: a gang in an occupied fleet knows many executors",
                test_short_gang_knows_many_executors);
+  CU_add_test (suite, "SHORT: a wide gang counts once in the estimates of its queue",
+               test_short_wide_gang_counts_once_in_estimates);
   CU_add_test (suite, "a gang reserves the resources that are free first",
                test_gang_reserves_earliest_resources);
   CU_add_test (suite, "a gang is stopped when a start is refused",
