SHORT: a gang for which there are not enough slots reserves nothing

What callers saw: in a full fleet, executors stood idle that waiting work could have used; in a small fleet most.

Cause: a gang reserved the slots of its plan even if the plan was not complete, so that it could not start: while its calls for advice were under way, and for good where it needs more than the fleet has.

Change: only a complete plan reserves.

Evidence: tests/cell.c, "SHORT: a gang without enough slots reserves nothing", finds no start on the code before.

--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -526,7 +526,7 @@
       return true;
     }
   request_gang_advice (scheduler, step, plan, gang_slots, now_us);
-  if (may_reserve && plan != NULL)
+  if (may_reserve && is_complete (plan, step))
     reserve (scheduler, plan, step);
   return false;
 }
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1532,6 +1532,26 @@
   fixture_free (fixture);
 }
 
+/* Guards against a fleet that stands idle for gangs that cannot start (SHORT).  A gang for which
+ * there are not enough slots, at whatever time, reserves nothing. */
+static void
+test_short_gang_without_enough_slots_reserves_nothing (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  job_spec_t *gang = make_job_spec (9, 3, 4000);
+
+  add_ready_executor (fixture, "e1");
+  add_ready_executor (fixture, "e2");
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  step (fixture);
+  fixture->now_us += 100 * MS;
+  add_job (fixture, make_job_spec (10, 1, 1000), false);
+  step (fixture);
+  CU_ASSERT_STRING_EQUAL (expect_issued (fixture, 's')->job, "000000000000000a");
+  fixture_free (fixture);
+}
+
 static void
 keep_runtime_ratio (const queue_stats_t *stats, void *data)
 {
@@ -1775,6 +1795,8 @@
                test_short_wide_gang_asks_at_once);
   CU_add_test (suite, "SHORT: a gang in an occupied fleet knows many executors",
                test_short_gang_knows_many_executors);
+  CU_add_test (suite, "SHORT: a gang without enough slots reserves nothing",
+               test_short_gang_without_enough_slots_reserves_nothing);
   CU_add_test (suite, "SHORT: a wide gang counts once in the estimates of its queue",
                test_short_wide_gang_counts_once_in_estimates);
   CU_add_test (suite, "a gang reserves the resources that are free first",
