SHORT: a gang that cannot be placed renews no tickets

What callers saw: in a small fleet, wide gangs that could be placed waited for their calls for advice.

Cause: a gang whose plan is incomplete asked again and again for tickets on the executors that it knew, also when advice had decided on all others.

Change: without an undecided executor that could take a task, an incomplete plan asks for nothing. When one is listed, it asks again.

Evidence: tests/cell.c, "SHORT: a gang that cannot be placed renews no tickets": a call is sent on the code before, none now.

Ruled out: no renewals for any incomplete plan; tests/cell.c "a gang's tickets are requested together" needs them, as they save a call where the last executors are about to be decided on.

--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -308,8 +308,8 @@
 }
 
 /* Adds the executors of the plan that have no ticket valid when their resources become free, and
- * a few beyond the plan.  Adds none while the start of the plan is too far ahead.  A ticket that
- * would expire before the call is answered is requested again in the same call. */
+ * a few beyond the plan.  Adds none while the start of the plan is too far ahead.  A
+ * ticket that would expire before the call is answered is requested again in the same call. */
 static void
 add_planned_executors (GPtrArray *executors, const GArray *plan, const step_t *step, gint64 now_us)
 {
@@ -415,6 +415,22 @@
     add_free_executors (scheduler, executors, step, soon, now_us);
 }
 
+/* True if advice has yet to decide on an executor that could take a task of the step. */
+static bool
+has_undecided_executor (const scheduler_t *scheduler, const step_t *step, gint64 now_us)
+{
+  for (guint i = 0; i < scheduler->executor_list->len; i++)
+    {
+      const executor_t *executor = g_ptr_array_index (scheduler->executor_list, i);
+      advice_decision_t decision = scheduler_advice_decision (step, executor);
+
+      if ((decision == ADVICE_UNKNOWN || decision == ADVICE_ASKED)
+          && is_candidate (step, executor, now_us))
+        return true;
+    }
+  return false;
+}
+
 static void
 request_gang_advice (scheduler_t *scheduler,
                      step_t *step,
@@ -427,6 +443,8 @@
   if (!step->job->queue->advice.is_needed
       || !scheduler_may_request_advice (scheduler, step, now_us))
     return;
+  if (!is_complete (plan, step) && !has_undecided_executor (scheduler, step, now_us))
+    return; /* tickets would expire unused */
   executors = g_ptr_array_new ();
   if (plan != NULL)
     add_planned_executors (executors, plan, step, now_us);
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1532,6 +1532,37 @@
   fixture_free (fixture);
 }
 
+/* Guards against gangs that cannot start and use up the calls for advice (SHORT).  A gang that
+ * needs three executors is allowed two of all there are: it does not renew their tickets. */
+static void
+test_short_unplaceable_gang_renews_no_tickets (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  ticket_t tickets[] = { { "e1", "t-1" }, { "e2", "t-2" } };
+  job_spec_t *gang = make_job_spec (9, 3, 4000);
+  const issued_order_t *call;
+
+  require_advice (fixture);
+  add_ready_executor (fixture, "e1");
+  add_ready_executor (fixture, "e2");
+  add_ready_executor (fixture, "e3");
+  gang->steps[0].gang = true;
+  add_job (fixture, gang, false);
+  scheduler_set_advice_slots (fixture->scheduler, 2, 2);
+  step (fixture);
+  call = expect_issued (fixture, 'a');
+  scheduler_advice_result (fixture->scheduler, call->order, true, tickets, 2, fixture->now_us);
+  fixture->now_us += 2500 * MS;
+  scheduler_set_advice_slots (fixture->scheduler, 2, 2);
+  step (fixture);
+  CU_ASSERT_PTR_NULL (next_issued (fixture, 'a'));
+  add_ready_executor (fixture, "e4");
+  scheduler_set_advice_slots (fixture->scheduler, 2, 2);
+  step (fixture);
+  CU_ASSERT_EQUAL (expect_issued (fixture, 'a')->candidate_count, 3);
+  fixture_free (fixture);
+}
+
 /* Guards against a fleet that stands idle for gangs that cannot start (SHORT).  A gang for which
  * there are not enough slots, at whatever time, reserves nothing. */
 static void
@@ -1797,6 +1828,8 @@
                test_short_gang_knows_many_executors);
   CU_add_test (suite, "SHORT: a gang without enough slots reserves nothing",
                test_short_gang_without_enough_slots_reserves_nothing);
+  CU_add_test (suite, "SHORT: a gang that cannot be placed renews no tickets",
+               test_short_unplaceable_gang_renews_no_tickets);
   CU_add_test (suite, "SHORT: a wide gang counts once in the estimates of its queue",
                test_short_wide_gang_counts_once_in_estimates);
   CU_add_test (suite, "a gang reserves the resources that are free first",
