SHORT: late work has turns, by what it waits for and how long

What callers saw: while there was more work than the fleet could take, wide gangs were hardly served, or not at all, as long as that lasted.

A wide gang needs room on many executors at one time; when its slack is the least it has no time left to wait for that, becomes late, gives up its reservation, and is behind all that can be on time until it is about to be lost: for ever, if such work keeps coming. Narrow work is placed within a round when it comes to the front.

Evidence: tests/load_patterns.c, "short_wide_gangs_under_lasting_overload": a fleet asked for a third more than it can do; wide gangs are served at least half as often as narrow ones.

--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -3,6 +3,7 @@
 enum
 {
   GROUP_URGENT,
+  GROUP_TURN,
   GROUP_ON_TIME,
   GROUP_LATE,
   GROUP_LOST
@@ -38,14 +39,24 @@
                               .slack_us = job->accepted_us + job->core_us / lost_core_divisor };
 }
 
+bool
+queue_order_is_late (const queue_order_key_t *key)
+{
+  return key->group >= GROUP_LATE;
+}
+
+queue_order_key_t
+queue_order_turn_key (gint64 since_us)
+{
+  return (queue_order_key_t){ .group = GROUP_TURN, .slack_us = since_us };
+}
+
 const char *
 queue_order_group_name (const queue_order_key_t *key)
 {
   static const char *const names[] = {
-    [GROUP_URGENT] = "urgent",
-    [GROUP_ON_TIME] = "on_time",
-    [GROUP_LATE] = "late",
-    [GROUP_LOST] = "lost",
+    [GROUP_URGENT] = "urgent", [GROUP_TURN] = "turn", [GROUP_ON_TIME] = "on_time",
+    [GROUP_LATE] = "late",     [GROUP_LOST] = "lost",
   };
 
   return names[key->group];
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -5,7 +5,8 @@
  * can still be on time goes first, then other work that can, by its slack (least first).  Work
  * that will be late anyway waits until it would otherwise be lost.  Lost work goes last, in the
  * order of acceptance, but a large job behind small ones that were accepted a little later: after
- * an overload, what takes little is not kept waiting by what takes long.
+ * an overload, what takes little is not kept waiting by what takes long.  Some of the late and lost
+ * work is given a turn before that (scheduler_turns.c).
  */
 #pragma once
 
@@ -30,6 +31,13 @@
 /* Returns the sort key of the job at `now_us`. */
 queue_order_key_t queue_order_key (const queue_order_job_t *job, gint64 now_us);
 
+/* True for work that can no longer be on time, and is not about to be lost. */
+bool queue_order_is_late (const queue_order_key_t *key);
+
+/* Returns the key of late work that has a turn, which goes before all work but urgent work that can
+ * be on time.  Of two such keys, the one with the lower `since_us` goes first. */
+queue_order_key_t queue_order_turn_key (gint64 since_us);
+
 /* Name of the key's group in log lines. */
 const char *queue_order_group_name (const queue_order_key_t *key);
 
--- a/src/decide/scheduler_advice.c
+++ b/src/decide/scheduler_advice.c
@@ -150,6 +150,12 @@
   return tasks_that_fit (step, &resources);
 }
 
+guint
+scheduler_tasks_per_executor (const step_t *step, const executor_t *executor)
+{
+  return tasks_that_fit (step, &executor->capacity);
+}
+
 guint
 scheduler_tasks_that_fit (const step_t *step, const executor_t *executor)
 {
@@ -351,7 +357,7 @@
       else if (step->advice[executor->index] == NULL)
         {
           step->advice[executor->index] = &asked;
-          expected += share * tasks_that_fit (step, &executor->capacity);
+          expected += share * scheduler_tasks_per_executor (step, executor);
         }
     }
   return expected;
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -15,12 +15,6 @@
   PLANS_PER_RESERVATION = 4       /* gangs that are planned in one round */
 };
 
-typedef struct
-{
-  step_t *step;
-  queue_order_key_t key;
-} waiting_step_t;
-
 bool
 scheduler_executor_is_eligible (const step_t *step, const executor_t *executor)
 {
@@ -131,6 +125,7 @@
   if (step->job->is_ended || step->unplaced_count == 0 || !is_ready (step, now_us))
     return;
   set_step_key (&entry.key, scheduler, step, now_us);
+  scheduler_apply_turn (&entry);
   step->overrides_reservations = false;
   g_array_append_val (waiting, entry);
 }
@@ -149,6 +144,7 @@
       for (guint i = 0; i < job->step_total; i++)
         add_if_waiting (scheduler, waiting, &job->steps[i], now_us);
     }
+  scheduler_grant_turns (scheduler, waiting, now_us);
   g_array_sort (waiting, compare_by_key);
   return waiting;
 }
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -36,6 +36,13 @@
     {
       if (scheduler_task_is_unplaced (task))
         task->step->unplaced_count--;
+      if (task->step->turn_us > 0)
+        {
+          run->has_turn = true;
+          scheduler->turn_cpu_milli += run->resources.cpu_milli;
+        }
+      if (task->step->unplaced_count == 0)
+        task->step->turn_us = 0;
       task->last_run_number = MAX (task->last_run_number, number);
       list_push_back (&task->runs, &run->task_node);
       task->step->job->run_count++;
@@ -259,6 +266,8 @@
   list_remove (&run->executor_node);
   list_remove (&run->task_node);
   scheduler->run_total--;
+  if (run->has_turn)
+    scheduler->turn_cpu_milli -= run->resources.cpu_milli;
   release_placement (scheduler, run);
   g_free (run);
   if (task == NULL)
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -60,6 +60,7 @@
   guint64 mark; /* RUN_STOPPED: reports with at least this mark were requested after the stop */
   bool was_reported;      /* a report has listed it as running */
   bool is_restored;       /* an earlier leader started it */
+  bool has_turn;          /* its step had a turn when it was placed */
   bool is_counted_lost;   /* among the runs that were lost with their executor */
   placement_t *placement; /* NULL: the run was adopted from a report */
   list_node_t placement_node;
@@ -135,6 +136,8 @@
   bool is_touched;        /* in the scheduler's list of touched steps */
   /* Its tasks may take resources that are reserved: it goes before all gangs with reservations. */
   bool overrides_reservations;
+  gint64 turn_us;       /* since when it has a turn, and goes first; 0: it has none */
+  gint64 turn_ended_us; /* when it last gave that up without being placed; 0: never */
   gang_waits_t waits;
 };
 
@@ -252,11 +255,12 @@
   GHashTable *placements; /* number -> placement_t */
   guint64 next_order;
   guint64 next_placement;
-  GArray *planned;      /* run_t *, planned in the current round */
-  guint64 batch;        /* the batch that is being filled */
-  guint64 stored_batch; /* batches up to this one are stored */
-  guint advice_slots;   /* calls for advice that may be sent now */
-  guint slow_slots;     /* slow ones among them */
+  GArray *planned;        /* run_t *, planned in the current round */
+  guint64 batch;          /* the batch that is being filled */
+  guint64 stored_batch;   /* batches up to this one are stored */
+  guint advice_slots;     /* calls for advice that may be sent now */
+  guint slow_slots;       /* slow ones among them */
+  guint64 turn_cpu_milli; /* of runs whose step had a turn */
   bool is_closed;
   guint run_total;
 };
@@ -348,6 +352,20 @@
 /* Expected time until the run ends, from its progress or its estimate; above 0. */
 gint64 scheduler_run_remaining_us (const run_t *run, gint64 now_us);
 
+/* A step that is ready and has unplaced tasks, with its place in the order of work. */
+typedef struct
+{
+  step_t *step;
+  queue_order_key_t key;
+} waiting_step_t;
+
+/* scheduler_turns.c */
+/* Has those of the late steps among `waiting` (waiting_step_t) that have waited most go first, and
+ * sets their keys. */
+void scheduler_grant_turns (scheduler_t *scheduler, GArray *waiting, gint64 now_us);
+/* Sets the entry's key if its step has a turn. */
+void scheduler_apply_turn (waiting_step_t *entry);
+
 /* scheduler_waits.c */
 /* What a round did for a gang. */
 typedef enum
@@ -393,7 +411,8 @@
 /* The executors that advice has allowed for the step; if its queue needs no advice, all that could
  * run a task in the last full round.  Free with g_ptr_array_unref(). */
 GPtrArray *scheduler_allowed_executors (const scheduler_t *scheduler, const step_t *step);
-/* Number of tasks of the step that fit on the executor now. */
+/* Number of tasks of the step that fit on the executor when it is empty, and now. */
+guint scheduler_tasks_per_executor (const step_t *step, const executor_t *executor);
 guint scheduler_tasks_that_fit (const step_t *step, const executor_t *executor);
 /* How many executors more than needed a call may ask about. */
 guint scheduler_advice_spare (const step_t *step);
--- a/tests/load_patterns.c
+++ b/tests/load_patterns.c
@@ -135,6 +135,121 @@
   CU_ASSERT (earned_share (&result.classes[RECON]) > 0.9);
 }
 
+/* Narrow and wide gangs of the same work in a fleet of 60 executors, which is asked for a third
+ * more than it can do for as long as the run lasts. */
+static model_config_t
+make_overload (void)
+{
+  static char names[][8] = { "narrow", "wide" };
+  model_class_t class = {
+    .priority = 1,
+    .attempts = 3,
+    .stretch = 3,
+    .objective_us = SECOND,
+    .worth = 1,
+    .late_worth = 0.2,
+    .steps = 1,
+    .width_spread = 0.1,
+    .runtime_us = 2.5e6,
+    .runtime_spread = 0.2,
+    .cpu_milli = 8000,
+    .cpu_spread = 0.1,
+    .mem_mb = 1000,
+    .mem_spread = 0.1,
+    .estimate_spread = 0.2,
+    .gang_share = 1,
+    .allowed_share = 0.5,
+    .advice = { true, 50000, 1000, 2 * SECOND },
+  };
+  model_config_t config = make_config ();
+
+  config.executors = 60;
+  config.vms = 24;
+  config.length_us = 60 * SECOND;
+  config.settle_us = SECOND;
+  config.class_count = 2;
+  for (guint i = 0; i < config.class_count; i++)
+    {
+      config.classes[i] = class;
+      config.classes[i].name = names[i];
+    }
+  config.classes[0].jobs_per_s = 30;
+  config.classes[0].width = 4;
+  config.classes[1].jobs_per_s = 0.2;
+  config.classes[1].width = 64;
+  return config;
+}
+
+static double
+served_share (const model_class_result_t *class)
+{
+  return (double) (class->in_time + class->late) / MAX (class->jobs, 1);
+}
+
+/* Guards against large work that loses its turn to small work for as long as there is more than the
+ * fleet can take (SHORT): wide gangs are served at least half as often as all. */
+static void
+test_short_wide_gangs_under_lasting_overload (void)
+{
+  for (guint64 seed = 1; seed <= 3; seed++)
+    {
+      model_config_t config = make_overload ();
+      model_result_t result;
+
+      config.seed = seed;
+      model_run (&config, &queue_order_by_slack, &result);
+      CU_ASSERT (result.classes[1].jobs > 5);
+      CU_ASSERT (served_share (&result.classes[0]) < 0.9);
+      CU_ASSERT (served_share (&result.classes[1]) >= 0.5 * served_share (&result.classes[0]));
+    }
+}
+
+/* Guards against SHORT as it was reported, in a fleet of 120 executors: bursts of sweeps and of
+ * gangs while executors are lost.  Of the largest tenth of the gangs, and of the fifth below it, at
+ * least half as many are served as of all. */
+static void
+test_short_by_size_in_bursts (void)
+{
+  guint jobs[MODEL_SIZE_GROUPS] = { 0 };
+  guint served[MODEL_SIZE_GROUPS] = { 0 };
+  guint all_jobs = 0;
+  guint all_served = 0;
+
+  for (guint64 seed = 1; seed <= 3; seed++)
+    {
+      model_config_t config = make_config ();
+      model_result_t result;
+
+      config.seed = seed;
+      config.executors /= 3;
+      config.vms = 18;
+      for (guint i = 0; i < config.class_count; i++)
+        config.classes[i].jobs_per_s /= 3;
+      config.events[config.event_count++] = (model_event_t){ .kind = MODEL_BURST,
+                                                             .class_index = SWEEP,
+                                                             .from_us = 4 * SECOND,
+                                                             .until_us = 9 * SECOND,
+                                                             .factor = 2.2 };
+      config.events[config.event_count++] = (model_event_t){ .kind = MODEL_BURST,
+                                                             .class_index = RECON,
+                                                             .from_us = 12 * SECOND,
+                                                             .until_us = 20 * SECOND,
+                                                             .factor = 3 };
+      config.events[config.event_count++]
+          = (model_event_t){ .kind = MODEL_LOSS, .from_us = 10 * SECOND, .share = 0.14 };
+      model_run (&config, &queue_order_by_slack, &result);
+      for (guint i = 0; i < MODEL_SIZE_GROUPS; i++)
+        {
+          jobs[i] += result.classes[RECON].jobs_by_size[i];
+          served[i] += result.classes[RECON].served_by_size[i];
+          all_jobs += result.classes[RECON].jobs_by_size[i];
+          all_served += result.classes[RECON].served_by_size[i];
+        }
+    }
+  for (guint i = 0; i < MODEL_SIZE_GROUPS; i++)
+    CU_ASSERT (2 * served[i] * all_jobs >= all_served * jobs[i]);
+}
+
 /* The same seed gives the same run, so that policies are compared under the same load. */
 static void
 test_runs_repeat (void)
@@ -186,6 +301,8 @@
     { "small_work_after_a_flood", test_small_work_after_a_flood },
     { "urgent_work_while_executors_are_lost", test_urgent_work_while_executors_are_lost },
     { "large_gangs_in_an_empty_fleet", test_large_gangs_in_an_empty_fleet },
+    { "short_wide_gangs_under_lasting_overload", test_short_wide_gangs_under_lasting_overload },
+    { "short_by_size_in_bursts", test_short_by_size_in_bursts },
     { "runs_repeat", test_runs_repeat },
     { "calls_grow_with_starts", test_calls_grow_with_starts },
   };
