SHORT: lost work goes by acceptance, whatever its size

Cause (hypothesis 1): a lost job counted as accepted a second later for each 100 core-seconds, so that a gang of 60 tasks went behind work that came 33 s later.

Change: the term is gone, with the estimate of a job's processor time.

--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -18,7 +18,6 @@
 static const gint64 late_promotion_window_us = 3 * G_USEC_PER_SEC;
 
 /* Lost work with this many seconds of processor time counts as accepted a second later. */
-static const gint64 lost_core_divisor = 100;
 
 queue_order_key_t
 queue_order_key (const queue_order_job_t *job, gint64 now_us)
@@ -35,8 +34,7 @@
     return (queue_order_key_t){ .group = GROUP_ON_TIME, .slack_us = late_slack_us };
   if (late_slack_us > 0)
     return (queue_order_key_t){ .group = GROUP_LATE, .slack_us = late_slack_us };
-  return (queue_order_key_t){ .group = GROUP_LOST,
-                              .slack_us = job->accepted_us + job->core_us / lost_core_divisor };
+  return (queue_order_key_t){ .group = GROUP_LOST, .slack_us = job->accepted_us };
 }
 
 bool
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -4,9 +4,8 @@
  * constant), late until three times the objective, and lost after that.  Urgent work that
  * can still be on time goes first, then other work that can, by its slack (least first).  Work
  * that will be late anyway waits until it would otherwise be lost.  Lost work goes last, in the
- * order of acceptance, but a large job behind small ones that were accepted a little later: after
- * an overload, what takes little is not kept waiting by what takes long.  Some of the late and lost
- * work is given a turn before that (scheduler_turns.c).
+ * order of acceptance.  Some of the late and lost work is given a turn before that
+ * (scheduler_turns.c).
  */
 #pragma once
 
@@ -19,7 +18,6 @@
   gint64 accepted_us;
   gint64 objective_us; /* time from acceptance until the job is late */
   gint64 remaining_us; /* estimated critical path of the work still to be done */
-  gint64 core_us;      /* estimated processor time of the job, in core-microseconds */
 } queue_order_job_t;
 
 typedef struct
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -9,7 +9,6 @@
 
 enum
 {
-  CORE_MILLI = 1000,
   RESERVATIONS_MIN = 8,           /* gangs for which resources may be reserved at a time */
   EXECUTORS_PER_RESERVATION = 64, /* in a larger fleet, one for each of these */
   PLANS_PER_RESERVATION = 4       /* gangs that are planned in one round */
@@ -74,23 +73,6 @@
   return longest;
 }
 
-/* Estimated processor time of an occurrence, in core-microseconds. */
-static gint64
-core_time_us (const job_t *job, guint occurrence)
-{
-  const step_t *steps = &job->steps[occurrence * job->spec->step_count];
-  double core_us = 0.0;
-
-  for (guint i = 0; i < job->spec->step_count; i++)
-    {
-      const step_spec_t *spec = steps[i].spec;
-
-      core_us += (double) spec->count * (double) spec->need.cpu_milli / CORE_MILLI
-                 * (double) spec->est_runtime_us;
-    }
-  return (gint64) (core_us * job->queue->runtime_ratio);
-}
-
 static void
 set_step_key (queue_order_key_t *key,
               const scheduler_t *scheduler,
@@ -104,7 +86,6 @@
     .accepted_us = job->spec->times > 0 ? step->due_us : job->accepted_us,
     .objective_us = (gint64) (job->queue->stretch * (double) path_us) + job->queue->objective_us,
     .remaining_us = critical_path_us (job, step->occurrence, true),
-    .core_us = core_time_us (job, step->occurrence),
   };
 
   scheduler->limits.order->set_key (key, &order, now_us);
