tests: a gang that knows sixteen occupied executors asks about free ones

Cause: since a gang knows executors for eight of its width, the case with four known ones was served by another branch, and the mutation gang-waits-for-known (no question about free executors) was no longer caught.

Change: the gang of two knows sixteen executors, all occupied; the question about two free ones is expected as before.

--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1022,36 +1022,66 @@
   fixture_free (fixture);
 }
 
+/* Adds `count` executors that have reported: e000, e001 and so on. */
+static void
+add_fleet (fixture_t *fixture, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%03u", i);
+      add_ready_executor (fixture, id);
+    }
+}
+
+/* Answers the call with a ticket for each executor that it asks about, of which there are `count`
+ * from the executor with this number on. */
+static void
+allow_all (fixture_t *fixture, const issued_order_t *call, guint first, guint count)
+{
+  g_autofree ticket_t *tickets = g_new0 (ticket_t, count);
+  g_autofree char (*ids)[8] = g_malloc0 (count * sizeof *ids);
+
+  for (guint i = 0; i < count; i++)
+    {
+      g_snprintf (ids[i], sizeof ids[i], "e%03u", first + i);
+      tickets[i] = (ticket_t){ ids[i], "t" };
+    }
+  scheduler_advice_result (fixture->scheduler, call->order, true, tickets, count, fixture->now_us);
+}
+
 /* Guards against gangs that wait in a fleet with room for them.  Advice had allowed enough
  * executors, but those are occupied for long; others have room, and the gang asks about them. */
 static void
 test_gang_asks_about_free_executors (void)
 {
+  enum
+  {
+    OCCUPIED = 16 /* as many as a gang of two asks about */
+  };
   fixture_t *fixture = fixture_new (0, 0);
-  ticket_t tickets[] = { { "e1", "t-1" }, { "e2", "t-2" }, { "e3", "t-3" }, { "e4", "t-4" } };
-  job_spec_t *gang = make_job_spec (9, 2, 4000);
+  job_spec_t *gang = make_job_spec (99, 2, 4000);
   const issued_order_t *call;
 
   add_queue_without_advice (fixture);
   require_advice (fixture);
   scheduler_set_desired (fixture->scheduler, fixture->desired);
-  for (guint i = 0; i < G_N_ELEMENTS (tickets); i++)
-    {
-      add_ready_executor (fixture, tickets[i].executor);
-      start_task_in (fixture, "plain", i + 1, 4000, 30000);
-    }
+  add_fleet (fixture, OCCUPIED);
+  for (guint i = 0; i < OCCUPIED; i++)
+    start_task_in (fixture, "plain", i + 1, 4000, 30000);
   gang->steps[0].gang = true;
   add_job (fixture, gang, false);
   scheduler_set_advice_slots (fixture->scheduler, 2, 2);
   step (fixture);
   call = expect_issued (fixture, 'a');
-  CU_ASSERT_EQUAL (call->candidate_count, 4);
+  CU_ASSERT_EQUAL (call->candidate_count, OCCUPIED);
   fixture->now_us += 15 * MS;
-  scheduler_advice_result (fixture->scheduler, call->order, true, tickets, 4, fixture->now_us);
-  list_executor (fixture, "e5", 1, false);
-  report (fixture, "e5", 1, 0, NULL, 0, NULL, 0);
-  list_executor (fixture, "e6", 1, false);
-  report (fixture, "e6", 1, 0, NULL, 0, NULL, 0);
+  allow_all (fixture, call, 0, OCCUPIED);
+  list_executor (fixture, "f1", 1, false);
+  report (fixture, "f1", 1, 0, NULL, 0, NULL, 0);
+  list_executor (fixture, "f2", 1, false);
+  report (fixture, "f2", 1, 0, NULL, 0, NULL, 0);
   fixture->now_us += 200 * MS;
   scheduler_set_advice_slots (fixture->scheduler, 2, 2);
   step (fixture);
@@ -1107,35 +1137,6 @@
   fixture_free (fixture);
 }
 
-/* Adds `count` executors that have reported: e000, e001 and so on. */
-static void
-add_fleet (fixture_t *fixture, guint count)
-{
-  for (guint i = 0; i < count; i++)
-    {
-      char id[8];
-
-      g_snprintf (id, sizeof id, "e%03u", i);
-      add_ready_executor (fixture, id);
-    }
-}
-
-/* Answers the call with a ticket for each executor that it asks about, of which there are `count`
- * from the executor with this number on. */
-static void
-allow_all (fixture_t *fixture, const issued_order_t *call, guint first, guint count)
-{
-  g_autofree ticket_t *tickets = g_new0 (ticket_t, count);
-  g_autofree char (*ids)[8] = g_malloc0 (count * sizeof *ids);
-
-  for (guint i = 0; i < count; i++)
-    {
-      g_snprintf (ids[i], sizeof ids[i], "e%03u", first + i);
-      tickets[i] = (ticket_t){ ids[i], "t" };
-    }
-  scheduler_advice_result (fixture->scheduler, call->order, true, tickets, count, fixture->now_us);
-}
-
 /* Guards against wide gangs that lose their turn (SHORT).  One call asks about 100 executors, and
  * its tickets have expired when a second one that is sent after its answer is answered: a gang that
  * needs more asks about different executors at the same time. */
