trace waits counts gangs that were placed by a turn as late

Cause: `late` counted the groups late and lost; a gang with a turn is late as well. Change: it counts; comments of queue_order.h say what the key of a turn is. Measured: tests/trace.c demands 2 late gangs where it had 1, with one line changed to group=turn; red before. No decision of the scheduler is changed.

--- a/src/cli/trace_waits.c
+++ b/src/cli/trace_waits.c
@@ -95,6 +95,14 @@
   return last;
 }
 
+/* True if the gang could no longer be on time. */
+static bool
+is_late (const log_record_t *record)
+{
+  return log_has_value (record, "group", "late") || log_has_value (record, "group", "lost")
+         || log_has_value (record, "group", "turn");
+}
+
 static void
 count_gang (GHashTable *queues, const log_record_t *record)
 {
@@ -108,7 +116,7 @@
   range = &ensure_queue (queues, name)
                ->ranges[MIN (g_bit_storage ((gulong) tasks) - 1, WIDEST_RANGE_LOG2)];
   range->gangs++;
-  range->late += log_has_value (record, "group", "late") || log_has_value (record, "group", "lost");
+  range->late += is_late (record);
   if (strcmp (record->event, "gang_placed") == 0)
     g_array_append_val (range->placed_ms, waited_ms);
   else
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -22,14 +22,15 @@
 
 typedef struct
 {
-  guint group;     /* the lowest goes first */
-  gint64 slack_us; /* the least goes first within a group; for lost jobs a time after acceptance */
+  guint group; /* the lowest goes first */
+  gint64
+      slack_us; /* the least goes first within a group; a point in time for a turn or lost work */
 } queue_order_key_t;
 
 /* Returns the sort key of the job at `now_us`. */
 queue_order_key_t queue_order_key (const queue_order_job_t *job, gint64 now_us);
 
-/* True for work that can no longer be on time, and is not about to be lost. */
+/* True for lost work, and for late work that does not yet go with the work that is on time. */
 bool queue_order_is_late (const queue_order_key_t *key);
 
 /* Returns the key of late work that has a turn, which goes before all work but urgent work that can
--- a/src/decide/scheduler_gang.c
+++ b/src/decide/scheduler_gang.c
@@ -308,8 +308,8 @@
 }
 
 /* Adds the executors of the plan that have no ticket valid when their resources become free, and
- * a few beyond the plan.  Adds none while the start of the plan is too far ahead.  A
- * ticket that would expire before the call is answered is requested again in the same call. */
+ * a few beyond the plan.  Adds none while the start of the plan is too far ahead.  A ticket that
+ * would expire before the call is answered is requested again in the same call. */
 static void
 add_planned_executors (GPtrArray *executors, const GArray *plan, const step_t *step, gint64 now_us)
 {
--- a/tests/trace.c
+++ b/tests/trace.c
@@ -47,7 +47,7 @@
       "time=2.500 up=2.500 level=info module=decider event=gang_waits job=c step=0.0 queue=q "
       "tasks=90 group=late waited_ms=9000 calls=4 renewed=8 rounds=60 unplanned=20 unreserved=0\n"
       "time=3.000 up=3.000 level=info module=decider event=gang_placed job=b step=0.0 queue=q "
-      "tasks=70 group=on_time waited_ms=2000 calls=4 renewed=30 rounds=80 unplanned=15 "
+      "tasks=70 group=turn waited_ms=2000 calls=4 renewed=30 rounds=80 unplanned=15 "
       "unreserved=35\n";
 
 typedef struct
@@ -168,7 +168,7 @@
 {
   static const char *const expected[] = {
     "\"tasks\":4",      "\"placed\":1",   "\"tasks\":64",           "\"gangs\":2",
-    "\"placed\":1",     "\"late\":1",     "\"placed_p50_ms\":2000", "\"unplaced_p50_ms\":9000",
+    "\"placed\":1",     "\"late\":2",     "\"placed_p50_ms\":2000", "\"unplaced_p50_ms\":9000",
     "\"calls\":8",      "\"renewed\":38", "\"rounds\":140",         "\"unplanned\":35",
     "\"unreserved\":35"
   };
