--- /dev/null
+++ b/src/base/fatal_signal.h
@@ -0,0 +1,10 @@
+/* Last log line of a process that a signal of its own fault ends.
+ *
+ * For SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT the buffered log lines and `event=fatal_signal`
+ * are written; then the signal ends the process as it would have done.
+ */
+#pragma once
+
+/* Installs the handlers on a stack of their own, so that an exhausted stack is reported too.  A
+ * handler that is installed already, as by a sanitizer, stays. */
+void fatal_signal_install (void);
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -61,6 +61,60 @@
   buffered_bytes -= written_bytes;
 }
 
+/* The functions of the last line call only what is safe in a signal handler. */
+
+static gsize
+put_text (char *line, gsize length, const char *text)
+{
+  gsize size = MIN (strlen (text), LINE_BYTES - 1 - length);
+
+  memcpy (line + length, text, size);
+  return length + size;
+}
+
+/* Writes thousandths as a decimal number. */
+static gsize
+put_milli (char *line, gsize length, gint64 milli)
+{
+  char digits[32];
+  gsize start = sizeof digits - 1;
+  guint count = 0;
+
+  digits[start] = '\0';
+  for (; milli > 0 || count <= 3; milli /= 10, count++)
+    {
+      if (count == 3)
+        digits[--start] = '.';
+      digits[--start] = (char) ('0' + milli % 10);
+    }
+  return put_text (line, length, digits + start);
+}
+
+void
+log_last_line (const char *module, const char *text)
+{
+  char line[LINE_BYTES];
+  struct timespec now = { 0 };
+  gsize length = 0;
+
+  (void) clock_gettime (CLOCK_REALTIME, &now);
+  length = put_text (line, length, "time=");
+  length = put_milli (line, length, (gint64) now.tv_sec * 1000 + now.tv_nsec / 1000000);
+  length = put_text (line, length, " up=");
+  length = put_milli (line, length, clock_now_us () / 1000 - start_ms);
+  length = put_text (line, length, " level=critical module=");
+  length = put_text (line, length, module);
+  length = put_text (line, length, " ");
+  length = put_text (line, length, text);
+  line[length++] = '\n';
+  log_flush ();
+  if (buffered_bytes + length > sizeof buffer)
+    buffered_bytes = 0; /* lines that nobody reads give way to the last one */
+  memcpy (buffer + buffered_bytes, line, length);
+  buffered_bytes += length;
+  log_flush ();
+}
+
 static bool
 buffer_append (const char *line, gsize length)
 {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -24,6 +24,11 @@
  * process exits, or the lines that are still buffered are lost. */
 void log_flush (void);
 
+/* Writes the buffered lines and a last one with `text`, pairs of the form key=value, without
+ * blocking. Safe in a signal handler of a process that is about to end; nothing may be logged
+ * afterwards. */
+void log_last_line (const char *module, const char *text);
+
 /* Returns the number of lines dropped since the process started. */
 guint64 log_dropped_line_count (void);
 
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -1,6 +1,12 @@
+#define LOG_MODULE "program"
+
 #include "base/program.h"
 
+#include "base/fatal_signal.h"
 #include "base/log.h"
+#include "base/process.h"
+
+#include <unistd.h>
 
 int
 program_usage_error (const error_info_t *error)
@@ -9,6 +15,14 @@
   return error_properties (ERROR_BAD_SETTING)->exit_code;
 }
 
+int
+program_start_error (const error_info_t *error)
+{
+  LOG_WARN ("start_failed", "reason=\"%s\"", error->detail);
+  log_flush ();
+  return program_usage_error (error);
+}
+
 int
 program_process_options (bool is_loaded,
                          settings_result_t result,
@@ -29,7 +43,13 @@
       return 0;
     }
   if (log_init (log_level))
-    return -1;
+    {
+      fatal_signal_install ();
+      LOG_INFO ("starting", "version=%s pid=%d", MIMOSASTAIR_VERSION, (int) getpid ());
+      process_log_limits ();
+      log_flush ();
+      return -1;
+    }
   (void) error_set (error, ERROR_BAD_SETTING,
                     "--log-level: \"%s\" is not error, warning, info or debug", log_level);
   return program_usage_error (error);
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -5,8 +5,9 @@
 
 /* Handles the outcome of settings_load(): prints the help, the version or a line on an invalid
  * setting, and returns the exit status of the process.  Returns -1 if the process should
- * continue; logging is then initialized at `log_level`.  `is_loaded` is what settings_load()
- * returned; if it is false, `error` holds the reason. */
+ * continue; logging is then initialized at `log_level`, and `event=starting` and the process's
+ * limits are logged.  `is_loaded` is what settings_load() returned; if it is false, `error` holds
+ * the reason. */
 int program_process_options (bool is_loaded,
                              settings_result_t result,
                              const char *log_level,
@@ -15,3 +16,6 @@
 
 /* Prints `error` to standard error and returns the exit status of the process. */
 int program_usage_error (const error_info_t *error);
+
+/* Like program_usage_error(), once logging is initialized: logs `error` too. */
+int program_start_error (const error_info_t *error);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -23,7 +23,7 @@
     return status;
   daemon = daemon_new (&options, &error);
   if (daemon == NULL)
-    return program_usage_error (&error);
+    return program_start_error (&error);
   daemon_run (daemon);
   daemon_free (daemon);
   daemon_options_clear (&options);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/loop.h"
 #include "base/metrics.h"
+#include "base/process.h"
 #include "base/program.h"
 #include "entry/desired_follower.h"
 #include "entry/election.h"
@@ -245,6 +246,7 @@
                           desired_follower_version (entry->desired));
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
                           desired_age_ms (entry));
+  process_append_metrics (out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
@@ -449,7 +451,7 @@
     return status;
   entry = entry_new (&options, &error);
   if (entry == NULL)
-    return program_usage_error (&error);
+    return program_start_error (&error);
   entry_run (entry);
   /* The entry is not freed: when the process exits, the kernel delivers what was written to the
    * connections and closes them. */
--- /dev/null
+++ b/tests/process/harness.py
@@ -0,0 +1,199 @@
+"""Runs entry VMs as real processes, under limits and troubles of their machine, against the stand-ins of
+review/lab.py.
+
+A test is a script `NAME.py BUILD_DIR` that calls run().  The program is BUILD_DIR/src/mimosastaird.
+"""
+import asyncio
+import os
+import re
+import resource
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent.parent / "review"))
+import lab as laboratory  # noqa: E402
+from lab import HOST, call  # noqa: E402
+
+RESTART_DELAY_S = 0.5  # the platform restarts a process that ends
+READY_S = 12.0  # a VM takes requests this long after the last trouble (recovery-s of the small sites)
+ROUTE = ("checks", "rota", {})
+# The sanitizer reports faults of memory, and leaves the signals to the program.
+ASAN_OPTIONS = "handle_segv=0:handle_sigbus=0:handle_sigfpe=0:detect_leaks=0"
+LISTENERS = ("front", "ready", "peer", "metrics")
+
+
+class ProcessLab(laboratory.Lab):
+    """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
+
+    def __init__(self, folder, build, vms=3, executors=6):
+        super().__init__(folder, vms=vms)
+        self.binary = Path(build).resolve() / "src" / "mimosastaird"
+        self.limits = {}  # resource.RLIMIT_*: (soft, hard), of processes that start from now on
+        self.extra = []  # flags added to the command line
+        self.stdout = None  # file descriptor for the logs; None: a file
+        self.ends = []  # (seconds since the start, VM, exit status)
+        self.began = time.monotonic()
+        self.routes([ROUTE])
+        self.executors = [laboratory.Executor(self, f"i-{k:02}", ROUTE[1], self.zones[k % len(self.zones)])
+                          for k in range(executors)]
+
+    async def start(self):
+        await self.start_stand_ins()
+        self.start_vms()
+        await self.until_ready()
+
+    async def start_stand_ins(self):
+        await self.store.start()
+        for executor in self.executors:
+            await executor.start()
+
+    def start_vms(self):
+        for i in range(self.vm_count):
+            name = f"vm-{i + 1}"
+            vm = {"name": name, "settings": self.settings(name, self.zones[i % len(self.zones)])}
+            self.vms.append(vm)
+            self.launch(vm)
+
+    def launch(self, vm):
+        """Starts the process of an entry VM with the command line of the deploy file."""
+        text = (laboratory.REPOSITORY / "deploy" / "system.toml").read_text()
+        command = re.search(r'^run = "(.*)"$', text, re.MULTILINE)[1]
+        words = [laboratory.fill(word, vm["settings"]) for word in command.split()]
+        words[0] = str(self.binary)
+        environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
+        environment["ASAN_OPTIONS"] = ASAN_OPTIONS
+        limits = dict(self.limits)
+
+        def set_limits():
+            for kind, pair in limits.items():
+                resource.setrlimit(kind, pair)
+
+        with open(self.log_path(vm), "ab") as log:
+            out = log if self.stdout is None else self.stdout
+            vm["process"] = subprocess.Popen(words + self.extra, env=environment, stdout=out, stderr=log,
+                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits)
+        vm["ended"] = False
+        self.record(vm["name"], f"process {vm['process'].pid} started")
+
+    def log_path(self, vm):
+        return self.temporary / f"{vm['name']}.log"
+
+    def log_text(self, vm):
+        return self.log_path(vm).read_text(errors="replace")
+
+    def events(self, vm, event):
+        """The log lines of an event."""
+        return [line for line in self.log_text(vm).splitlines() if f"event={event}" in line.split()]
+
+    def note_end(self, vm):
+        """Records the end of a process once.  Returns whether it has ended."""
+        code = vm["process"].poll()
+        if code is None or vm["ended"]:
+            return code is not None
+        vm["ended"] = True
+        self.ends.append((time.monotonic() - self.began, vm["name"], code))
+        self.record(vm["name"], f"process {vm['process'].pid} ended by itself with {code}")
+        return True
+
+    async def supervise(self):
+        """Restarts processes that end, as the platform does."""
+        while True:
+            await asyncio.sleep(0.05)
+            for vm in self.vms:
+                if not vm.get("wanted_down") and self.note_end(vm):
+                    await asyncio.sleep(RESTART_DELAY_S)
+                    self.launch(vm)
+
+    def signal(self, vm, number):
+        if vm["process"].poll() is None:
+            vm["process"].send_signal(number)
+
+    def resident_mb(self, vm):
+        """Resident size of the process; 0 if it is gone."""
+        try:
+            text = Path(f"/proc/{vm['process'].pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"^VmRSS:\s+(\d+) kB", text, re.MULTILINE)
+        return int(found[1]) / 1024 if found else 0.0
+
+    def address(self, vm, listener):
+        """The address of one of LISTENERS."""
+        settings = vm["settings"]
+        if listener in ("front", "ready"):
+            return settings["listen"][listener]
+        return f"{HOST}:{settings['port-range'][LISTENERS.index(listener) - 2]}"
+
+    async def is_ready(self, vm):
+        return (await call(self.address(vm, "ready"), "GET", "/readiness", timeout=1.0))[0] == 200
+
+    async def serves(self, vm):
+        """Whether a job handed to this VM is accepted."""
+        _, status = await self.submit(ROUTE[0], [{"count": 1, "cpu": 1000, "mem-mb": 64,
+                                                  "est-runtime-ms": 50}], 50, tries=1,
+                                      vm=self.vms.index(vm))
+        return status == 200
+
+    async def metrics(self, vm):
+        """Samples by full name; {} if there is no answer."""
+        status, text = await call(self.address(vm, "metrics"), "GET", "/metrics", timeout=1.0)
+        if status != 200:
+            return {}
+        return {name: float(value) for name, _, value in
+                (line.rpartition(" ") for line in text.splitlines() if line and line[0] != "#")}
+
+    async def check_all_serve(self, within_s=READY_S):
+        """Each VM is alive, ready, shows its metrics and accepts a job within the time."""
+        until = time.monotonic() + within_s
+        for vm in self.vms:
+            lacks = "alive"
+            while True:
+                if vm["process"].poll() is None:
+                    lacks = ("ready" if not await self.is_ready(vm) else
+                             "metrics" if not await self.metrics(vm) else
+                             "serves" if not await self.serves(vm) else "")
+                if not lacks or time.monotonic() > until:
+                    break
+                await asyncio.sleep(0.2)
+            if lacks:
+                self.fail(f"{vm['name']}: not {lacks} {within_s:.0f} s after the last trouble")
+
+    def check_no_ends(self):
+        """No process ended by itself."""
+        for vm in self.vms:
+            self.note_end(vm)
+        for at, name, code in self.ends:
+            self.fail(f"{name}: ended by itself with {code} after {at:.1f} s")
+
+
+def run(case, **options):
+    """Plays `case(lab)` and exits with 1 if a check failed, 0 if all held, 2 if it could not run."""
+    build = sys.argv[1]
+    name = Path(sys.argv[0]).stem
+    folder = Path(build).resolve() / "process-tests" / name
+    folder.mkdir(parents=True, exist_ok=True)
+
+    async def play():
+        lab = ProcessLab(folder, build, **options)
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        try:
+            await asyncio.wait_for(case(lab), 110)
+        except Exception as error:  # pylint: disable=broad-except
+            lab.record("test", f"could not run: {error!r}")
+            print(f"{name}: could not run: {error!r}")
+            return 2
+        finally:
+            lab.close()
+        for text in lab.broken[:10]:
+            print(text)
+        lab.record("test", "failed" if lab.broken else "passed")
+        print(f"{0 if lab.broken else 1} passed, {1 if lab.broken else 0} failed")
+        return 1 if lab.broken else 0
+
+    code = asyncio.run(play())
+    sys.stdout.flush()
+    os._exit(code)
