--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -4,6 +4,7 @@
 A test is a script `NAME.py BUILD_DIR` that calls run().  The program is BUILD_DIR/src/mimosastaird.
 """
 import asyncio
+import itertools
 import os
 import re
 import resource
@@ -23,13 +24,28 @@
 ROUTE = ("checks", "rota", {})
 # The sanitizer reports faults of memory, and leaves the signals to the program.
 ASAN_OPTIONS = "handle_segv=0:handle_sigbus=0:handle_sigfpe=0:detect_leaks=0"
+PAIRS_PER_BLOCK = 99
+port_holders = []
 LISTENERS = ("front", "ready", "peer", "metrics")
 
 
+PORT_PAIRS_PER_VM = 4
+
+
+def reserve_ports(pairs):
+    """Takes further blocks of ports where one doesn't do."""
+    while pairs > 0:
+        holder, ports = laboratory.take_port_block()
+        port_holders.append(holder)
+        laboratory.PORTS = itertools.chain(laboratory.PORTS, ports)
+        pairs -= PAIRS_PER_BLOCK
+
+
 class ProcessLab(laboratory.Lab):
     """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
 
     def __init__(self, folder, build, vms=3, executors=6):
+        reserve_ports(PORT_PAIRS_PER_VM * vms)
         super().__init__(folder, vms=vms)
         self.binary = Path(build).resolve() / "src" / "mimosastaird"
         self.limits = {}  # resource.RLIMIT_*: (soft, hard), of processes that start from now on
@@ -75,7 +91,7 @@
         with open(self.log_path(vm), "ab") as log:
             out = log if self.stdout is None else self.stdout
             vm["process"] = subprocess.Popen(words + self.extra, env=environment, stdout=out, stderr=log,
-                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits)
+                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits if limits else None)
         vm["ended"] = False
         self.record(vm["name"], f"process {vm['process'].pid} started")
 
@@ -173,7 +189,7 @@
 def run(case, **options):
     """Plays `case(lab)` and exits with 1 if a check failed, 0 if all held, 2 if it could not run."""
     build = sys.argv[1]
-    name = Path(sys.argv[0]).stem
+    name = "-".join([Path(sys.argv[0]).stem] + [word.replace("/", "_") for word in sys.argv[2:]])
     folder = Path(build).resolve() / "process-tests" / name
     folder.mkdir(parents=True, exist_ok=True)
 
