--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -114,13 +114,11 @@
   return run->state == RUN_PLANNED || run->state == RUN_WITHDRAWN;
 }
 
-/* Removes all runs of an executor whose leases have all expired: none of them is alive.  Runs
+/* Removes all runs of an executor that has ended or whose leases have all expired: none of them is
+ * alive.  Runs
  * whose placement is being stored stay, as no start order was sent. */
 static void
-remove_expired_runs (scheduler_t *scheduler,
-                     executor_t *executor,
-                     const char *reason,
-                     gint64 now_us)
+remove_dead_runs (scheduler_t *scheduler, executor_t *executor, const char *reason, gint64 now_us)
 {
   list_node_t *node = executor->runs.next;
   g_autoptr (GArray) lost_runs = scheduler_lost_runs (executor);
@@ -238,6 +236,7 @@
 {
   executor_t *executor = scheduler_ensure_executor (scheduler, entry->id);
   bool has_moved = g_strcmp0 (executor->address, entry->address) != 0;
+  bool is_reborn = executor->entry_born != entry->born;
 
   if (!executor->is_listed || executor->is_draining != entry->is_draining
       || executor->entry_born != entry->born)
@@ -265,8 +264,9 @@
       g_free (executor->address);
       executor->address = g_strdup (entry->address);
       executor->is_assigned = false;
-      scheduler_executor_at_address (scheduler, executor, now_us);
     }
+  if (has_moved || is_reborn)
+    scheduler_executor_at_address (scheduler, executor, now_us);
   assign_executor (scheduler, executor, now_us);
 }
 
@@ -586,15 +586,54 @@
   return false;
 }
 
+/* Whether reports and the entry with the address are of the same incarnation. */
+static bool
+is_address_known (const executor_t *executor)
+{
+  return executor->born > 0 && executor->entry_born == executor->born;
+}
+
+/* Returns whether another executor answers at the address of this one, which therefore has ended:
+ * one process listens on an address.  A start order that is on its way names the executor and is
+ * refused by the other. */
+static bool
+is_replaced (const scheduler_t *scheduler, const executor_t *executor)
+{
+  const executor_t *other;
+
+  if (executor->address == NULL || executor->is_reachable || !is_address_known (executor))
+    return false;
+  other = g_hash_table_lookup (scheduler->executors_by_address, executor->address);
+  return other != NULL && other != executor && other->is_reachable && other->has_reported
+         && is_address_known (other) && other->born > executor->born
+         && strcmp (other->address, executor->address) == 0;
+}
+
+/* Whether a run was recorded by an earlier leader and no report has shown it: the incarnation in
+ * which it was started is not known. */
+static bool
+has_restored_run (const executor_t *executor)
+{
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      if (LIST_ENTRY (node, run_t, executor_node)->state == RUN_RESTORED)
+        return true;
+    }
+  return false;
+}
+
 /* Removes the runs of an unreachable executor once its leases have expired, and ends the hold
  * requests to an unlisted executor once it has no runs and its leases have expired or it is
  * unreachable. */
 static void
 check_executor (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
 {
+  if (!list_is_empty (&executor->runs) && is_replaced (scheduler, executor)
+      && !has_restored_run (executor))
+    remove_dead_runs (scheduler, executor, "executor_replaced", now_us);
   if (!executor->is_reachable && !list_is_empty (&executor->runs)
       && executor->lease_expiry_us <= now_us && !has_start_in_flight (scheduler, executor, now_us))
-    remove_expired_runs (scheduler, executor, "lease_lapsed", now_us);
+    remove_dead_runs (scheduler, executor, "lease_lapsed", now_us);
   if (!list_is_empty (&executor->runs))
     return;
   if (executor->is_listed)
--- a/tests/replaced_executor.c
+++ b/tests/replaced_executor.c
@@ -2,12 +2,14 @@
 #include "harness.h"
 #include "scheduler_fixture.h"
 
+static const char *const shared_address = "10.0.0.1:8000";
+
 static void
-list_at (fixture_t *fixture, const char *id, gint64 born)
+list_entry_at (fixture_t *fixture, const char *id, const char *address, gint64 born)
 {
   executor_entry_t entry = {
     .id = id,
-    .address = "10.0.0.1:8000",
+    .address = address,
     .service = "s",
     .zone = "z",
     .capacity = { .cpu_milli = 4000, .mem_mb = 1000 },
@@ -15,34 +17,152 @@
   };
 
   scheduler_executor_listed (fixture->scheduler, &entry, fixture->now_us);
+}
+
+/* An executor that is listed at the shared address and answers. */
+static void
+list_at (fixture_t *fixture, const char *id, gint64 born)
+{
+  list_entry_at (fixture, id, shared_address, born);
   report (fixture, id, born, 0, NULL, 0, NULL, 0);
 }
 
-/* Guards against work that waits for an executor which is known to be gone (LOST): another executor
- * answers at its address, so the run starts again at once and not when the lease has expired. */
 static void
-test_lost_run_of_replaced_executor (void)
+report_unreachable (fixture_t *fixture, const char *id)
+{
+  executor_report_t unreachable = { .executor = id };
+
+  scheduler_executor_report (fixture->scheduler, &unreachable, fixture->now_us);
+}
+
+/* Starts a run on e1, which then answers no more. */
+static fixture_t *
+start_and_lose_e1 (gint64 born)
 {
   fixture_t *fixture = fixture_new (0, 0);
-  executor_report_t unreachable = { .executor = "e1" };
   const issued_order_t *start;
 
-  list_at (fixture, "e1", 1);
+  list_at (fixture, "e1", born);
   add_job (fixture, make_job_spec (1, 1, 1000), false);
   step (fixture);
   start = expect_issued (fixture, 's');
   CU_ASSERT_STRING_EQUAL (start->executor, "e1");
   scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
   fixture->now_us += 1000 * MS;
-  scheduler_executor_report (fixture->scheduler, &unreachable, fixture->now_us);
+  report_unreachable (fixture, "e1");
   fixture->now_us += 500 * MS;
-  list_at (fixture, "e2", 2);
+  return fixture;
+}
+
+/* Whether the run starts again, on `executor`, long before the lease of e1 has expired. */
+static bool
+starts_again_on (fixture_t *fixture, const char *executor)
+{
+  const issued_order_t *start;
+
   fixture->now_us += 300 * MS;
   step (fixture);
   start = next_issued (fixture, 's');
-  CU_ASSERT_PTR_NOT_NULL (start);
   if (start != NULL)
-    CU_ASSERT_STRING_EQUAL (start->executor, "e2");
+    CU_ASSERT_STRING_EQUAL (start->executor, executor);
+  return start != NULL;
+}
+
+/* Whether the run waits, although an executor elsewhere has room. */
+static bool
+waits (fixture_t *fixture)
+{
+  list_entry_at (fixture, "e3", "10.0.0.2:8000", 1);
+  report (fixture, "e3", 1, 0, NULL, 0, NULL, 0);
+  return !starts_again_on (fixture, "e3");
+}
+
+/* Guards against work that waits for an executor which is known to be gone (LOST): another executor
+ * answers at its address, so the run starts again at once and not when the lease has expired. */
+static void
+test_lost_run_of_replaced_executor (void)
+{
+  fixture_t *fixture = start_and_lose_e1 (1);
+
+  list_at (fixture, "e2", 2);
+  CU_ASSERT_TRUE (starts_again_on (fixture, "e2"));
+  fixture_free (fixture);
+}
+
+/* Likewise if the executor that is at the address now was known there before. */
+static void
+test_lost_run_of_executor_replaced_by_former (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  const issued_order_t *start;
+
+  list_at (fixture, "e2", 1);
+  report_unreachable (fixture, "e2");
+  list_at (fixture, "e1", 2);
+  add_job (fixture, make_job_spec (1, 1, 1000), false);
+  step (fixture);
+  start = expect_issued (fixture, 's');
+  CU_ASSERT_STRING_EQUAL (start->executor, "e1");
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  fixture->now_us += 1000 * MS;
+  report_unreachable (fixture, "e1");
+  list_at (fixture, "e2", 3);
+  CU_ASSERT_TRUE (starts_again_on (fixture, "e2"));
+  fixture_free (fixture);
+}
+
+/* Guards against two runs of a task at the same time (TWICE): an entry alone proves nothing, as
+ * another writer may have left it. */
+static void
+test_entry_without_answer (void)
+{
+  fixture_t *fixture = start_and_lose_e1 (1);
+
+  list_entry_at (fixture, "e2", shared_address, 2);
+  CU_ASSERT_TRUE (waits (fixture));
+  fixture_free (fixture);
+}
+
+/* ... an executor that was there before the run's, with an answer that came late, proves nothing.
+ */
+static void
+test_earlier_executor_answers (void)
+{
+  fixture_t *fixture = start_and_lose_e1 (2);
+
+  list_at (fixture, "e2", 1);
+  CU_ASSERT_TRUE (waits (fixture));
+  fixture_free (fixture);
+}
+
+/* ... nor does one that is unreachable again. */
+static void
+test_replacement_unreachable (void)
+{
+  fixture_t *fixture = start_and_lose_e1 (1);
+
+  list_at (fixture, "e2", 2);
+  report_unreachable (fixture, "e2");
+  CU_ASSERT_TRUE (waits (fixture));
+  fixture_free (fixture);
+}
+
+/* ... nor one at the address of an earlier incarnation: the run is on a later one elsewhere. */
+static void
+test_outdated_address (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  const issued_order_t *start;
+
+  list_at (fixture, "e1", 4);
+  add_job (fixture, make_job_spec (1, 1, 1000), false);
+  step (fixture);
+  start = expect_issued (fixture, 's');
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  list_entry_at (fixture, "e1", shared_address, 1);
+  report_unreachable (fixture, "e1");
+  list_at (fixture, "e2", 5);
+  CU_ASSERT_TRUE (waits (fixture));
   fixture_free (fixture);
 }
 
@@ -52,6 +172,12 @@
   static const test_case_t tests[] = {
     { "LOST: a run on a replaced executor starts again at once",
       test_lost_run_of_replaced_executor },
+    { "LOST: likewise if the replacement was there before",
+      test_lost_run_of_executor_replaced_by_former },
+    { "TWICE: an entry alone replaces no executor", test_entry_without_answer },
+    { "TWICE: an earlier executor replaces none", test_earlier_executor_answers },
+    { "TWICE: an unreachable replacement proves nothing", test_replacement_unreachable },
+    { "TWICE: an outdated address proves nothing", test_outdated_address },
   };
 
   return run_suite ("replaced_executor", tests, G_N_ELEMENTS (tests));
