--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -2,7 +2,7 @@
 
 #include "base/http_server.h"
 
-#include "base/address.h"
+#include "base/acceptor.h"
 #include "base/json.h"
 #include "base/list.h"
 #include "base/log.h"
@@ -25,7 +25,8 @@
 {
   list_node_t node;
   http_server_t *server;
-  GSocket *socket; /* weak reference */
+  GSocket *socket;                /* weak reference */
+  GSocketAddress *remote_address; /* names the connection to the library */
   connection_state_t state;
   gint64 state_since_us;  /* time of the last state change */
   gint64 closed_since_us; /* 0: not known to be closed */
@@ -37,11 +38,12 @@
 struct http_server
 {
   SoupServer *soup;
+  acceptor_t *acceptor; /* NULL: stopped */
   http_limits_t limits;
   http_handler_t handler;
   void *data;
   list_node_t connection_list;
-  GHashTable *connections_by_socket; /* GSocket -> connection_t */
+  GHashTable *connections; /* GSocketAddress, by identity -> connection_t */
   guint connection_count;
   guint open_request_count;
   guint sweep_timer;
@@ -84,7 +86,8 @@
   http_server_t *server = connection->server;
 
   list_remove (&connection->node);
-  g_hash_table_remove (server->connections_by_socket, connection->socket);
+  g_hash_table_remove (server->connections, connection->remote_address);
+  g_object_unref (connection->remote_address);
   server->connection_count--;
   g_free (connection);
 }
@@ -106,8 +109,8 @@
 static connection_t *
 find_connection (const http_server_t *server, SoupServerMessage *message)
 {
-  return g_hash_table_lookup (server->connections_by_socket,
-                              soup_server_message_get_socket (message));
+  return g_hash_table_lookup (server->connections,
+                              soup_server_message_get_remote_address (message));
 }
 
 static void
@@ -328,22 +331,11 @@
   return recv (g_socket_get_fd (connection->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-/* Releases a connection that was closed.
- *
- * The library leaks one reference to each socket that it accepts, so that the socket stays
- * open after its connection has ended.  If only the leaked reference is left, it is dropped
- * here, which frees the connection through on_socket_finalized().  If the client closed the
- * connection between two requests, the library does not release it at all, and only the socket
- * can be closed.  With a library version that has neither fault, the connection is freed
- * before this function would be called. */
+/* Closes a connection that was closed by the client between two requests: the library does not
+ * release it. */
 static void
 connection_close (connection_t *connection)
 {
-  if (G_OBJECT (connection->socket)->ref_count == 1)
-    {
-      g_object_unref (connection->socket);
-      return;
-    }
   (void) g_socket_close (connection->socket, NULL);
   connection_untrack (connection);
 }
@@ -373,29 +365,51 @@
     }
 }
 
-/* Tracks a new connection.  Shuts it down if there are too many. */
 static connection_t *
-connection_new (http_server_t *server, GSocket *socket)
+connection_new (http_server_t *server, GSocket *socket, GSocketAddress *remote_address)
 {
   connection_t *connection = g_new0 (connection_t, 1);
 
-  if (server->connection_count >= server->limits.connections)
-    close_dead_connections (server);
   (void) g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
   connection->server = server;
   connection->socket = socket;
+  connection->remote_address = g_object_ref (remote_address);
+  connection_set_state (connection, CONNECTION_READING);
   list_push_back (&server->connection_list, &connection->node);
   server->connection_count++;
-  g_hash_table_insert (server->connections_by_socket, socket, connection);
+  g_hash_table_insert (server->connections, remote_address, connection);
   g_object_weak_ref (G_OBJECT (socket), on_socket_finalized, connection);
-  if (server->connection_count > server->limits.connections)
-    {
-      server->counters.refused_connections++;
-      connection_shutdown (connection);
-    }
   return connection;
 }
 
+static bool
+has_room (void *data)
+{
+  http_server_t *server = data;
+
+  if (server->connection_count >= server->limits.connections)
+    close_dead_connections (server);
+  return server->connection_count < server->limits.connections;
+}
+
+static void
+on_accepted (GSocketConnection *stream, void *data)
+{
+  http_server_t *server = data;
+  GSocket *socket = g_socket_connection_get_socket (stream);
+  g_autoptr (GSocketAddress) local = g_socket_get_local_address (socket, NULL);
+  g_autoptr (GSocketAddress) remote = g_socket_get_remote_address (socket, NULL);
+  connection_t *connection;
+
+  if (local == NULL || remote == NULL)
+    return; /* already reset by the client */
+  connection = connection_new (server, socket, remote);
+  if (!soup_server_accept_iostream (server->soup, G_IO_STREAM (stream), local, remote, NULL))
+    connection_close (connection);
+}
+
+static const acceptor_events_t acceptor_events = { has_room, on_accepted };
+
 /* Called when a connection was accepted, or when the response to its previous request has been
  * sent. */
 static void
@@ -405,7 +419,7 @@
   connection_t *connection = find_connection (server, message);
 
   if (connection == NULL)
-    connection = connection_new (server, soup_server_message_get_socket (message));
+    return;
   connection_set_state (connection, CONNECTION_READING);
   connection->has_headers = false;
   connection->is_refused = false;
@@ -452,47 +466,21 @@
   return G_SOURCE_CONTINUE;
 }
 
-static GSocket *
-bind_socket (const char *address, error_info_t *error)
-{
-  g_autofree char *host = NULL;
-  guint16 port = 0;
-  g_autoptr (GSocketAddress) listen_address = NULL;
-  g_autoptr (GSocket) socket = NULL;
-  g_autoptr (GError) problem = NULL;
-
-  if (!address_split (address, &host, &port))
-    {
-      (void) error_set (error, ERROR_BAD_SETTING, "\"%s\" is not an address of the form IP:PORT",
-                        address);
-      return NULL;
-    }
-  listen_address = g_inet_socket_address_new_from_string (host, port);
-  socket = g_socket_new (g_socket_address_get_family (listen_address), G_SOCKET_TYPE_STREAM,
-                         G_SOCKET_PROTOCOL_TCP, &problem);
-  if (socket != NULL)
-    g_socket_set_listen_backlog (socket, listen_backlog);
-  if (socket != NULL && g_socket_bind (socket, listen_address, TRUE, &problem)
-      && g_socket_listen (socket, &problem))
-    return g_steal_pointer (&socket);
-  (void) error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address, problem->message);
-  return NULL;
-}
-
+/* Gives the library a socket on which nothing arrives: it keeps connections open between requests
+ * only while it has a listener of its own. */
 static bool
-listen_on (http_server_t *server, const char *address, error_info_t *error)
+enable_keep_alive (SoupServer *soup, GError **problem)
 {
-  g_autoptr (GSocket) socket = bind_socket (address, error);
-  g_autoptr (GSocketAddress) bound_address = NULL;
-  g_autoptr (GError) problem = NULL;
+  g_autoptr (GSocketAddress) loopback = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
+  g_autoptr (GSocketAddress) own = NULL;
+  g_autoptr (GSocket) idle = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                           G_SOCKET_PROTOCOL_UDP, problem);
 
-  if (socket == NULL)
+  if (idle == NULL || !g_socket_bind (idle, loopback, FALSE, problem))
     return false;
-  bound_address = g_socket_get_local_address (socket, NULL);
-  server->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound_address));
-  if (soup_server_listen_socket (server->soup, socket, 0, &problem))
-    return true;
-  return error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address, problem->message);
+  own = g_socket_get_local_address (idle, problem);
+  return own != NULL && g_socket_connect (idle, own, NULL, problem)
+         && soup_server_listen_socket (soup, idle, 0, problem);
 }
 
 http_server_t *
@@ -503,12 +491,15 @@
                  error_info_t *error)
 {
   http_server_t *server = g_new0 (http_server_t, 1);
+  acceptor_config_t config
+      = { .name = limits->listener, .address = address, .backlog = listen_backlog };
+  g_autoptr (GError) problem = NULL;
 
   server->limits = *limits;
   server->handler = handler;
   server->data = data;
   list_init (&server->connection_list);
-  server->connections_by_socket = g_hash_table_new (NULL, NULL);
+  server->connections = g_hash_table_new (NULL, NULL);
   server->soup = soup_server_new ("server-header", "mimosastair", NULL);
   soup_server_add_early_handler (server->soup, NULL, on_headers, server, NULL);
   soup_server_add_handler (server->soup, NULL, on_message, server, NULL);
@@ -516,12 +507,17 @@
   g_signal_connect (server->soup, "request-read", G_CALLBACK (on_request_read), server);
   g_signal_connect (server->soup, "request-finished", G_CALLBACK (on_request_finished), server);
   server->sweep_timer = g_timeout_add (sweep_interval_ms, sweep_connections, server);
-  if (!listen_on (server, address, error))
+  if (!enable_keep_alive (server->soup, &problem))
+    LOG_WARN ("keep_alive_disabled", "listener=%s reason=\"%s\"", limits->listener,
+              problem->message);
+  server->acceptor = acceptor_new (&config, &acceptor_events, server, error);
+  if (server->acceptor != NULL)
     {
-      http_server_free (server);
-      return NULL;
+      server->port = acceptor_port (server->acceptor);
+      return server;
     }
-  return server;
+  http_server_free (server);
+  return NULL;
 }
 
 void
@@ -530,11 +526,12 @@
   if (server == NULL)
     return;
   g_source_remove (server->sweep_timer);
+  acceptor_free (server->acceptor);
   soup_server_disconnect (server->soup);
   g_object_unref (server->soup);
   while (!list_is_empty (&server->connection_list))
     connection_untrack (LIST_ENTRY (server->connection_list.next, connection_t, node));
-  g_hash_table_unref (server->connections_by_socket);
+  g_hash_table_unref (server->connections);
   g_free (server);
 }
 
@@ -548,6 +545,8 @@
 http_server_stop (http_server_t *server)
 {
   server->is_stopping = true;
+  server->counters = http_server_counters (server);
+  g_clear_pointer (&server->acceptor, acceptor_free);
   soup_server_disconnect (server->soup);
 }
 
@@ -571,10 +570,14 @@
   return server->open_request_count + reading_count;
 }
 
-const http_counters_t *
+http_counters_t
 http_server_counters (const http_server_t *server)
 {
-  return &server->counters;
+  http_counters_t counters = server->counters;
+
+  if (server->acceptor != NULL)
+    counters.refused_connections = acceptor_refused_count (server->acceptor);
+  return counters;
 }
 
 guint
@@ -583,6 +586,13 @@
   return server->connection_count;
 }
 
+void
+http_server_append_metrics (const http_server_t *server, GString *out)
+{
+  if (server->acceptor != NULL)
+    acceptor_append_metrics (server->acceptor, out);
+}
+
 const char *
 http_request_method (const http_request_t *request)
 {
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -17,6 +17,7 @@
 
 typedef struct
 {
+  const char *listener;  /* name in log lines and metrics; static */
   guint connections;     /* 1 to 100,000 */
   guint header_bytes;    /* 256 to 65,536 */
   guint body_bytes;      /* 0 to 64 MiB */
@@ -53,9 +54,12 @@
  * Returns the number of requests that are still being read or processed. */
 guint http_server_drain (http_server_t *server);
 
-const http_counters_t *http_server_counters (const http_server_t *server);
+http_counters_t http_server_counters (const http_server_t *server);
 guint http_server_connection_count (const http_server_t *server);
 
+/* Appends mimosastair_listener_* samples. */
+void http_server_append_metrics (const http_server_t *server, GString *out);
+
 /* Parts of a request, owned by it; NULL if there is no such header or query parameter. */
 const char *http_request_method (const http_request_t *request);
 const char *http_request_path (const http_request_t *request);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -209,16 +209,16 @@
 static void
 put_callers (JsonBuilder *builder, const daemon_t *daemon)
 {
-  const http_counters_t *counters = http_server_counters (caller_api_server (daemon->caller_api));
+  http_counters_t counters = http_server_counters (caller_api_server (daemon->caller_api));
 
   json_builder_set_member_name (builder, "callers");
   json_builder_begin_object (builder);
   json_put_int (builder, "connections",
                 http_server_connection_count (caller_api_server (daemon->caller_api)));
-  json_put_int (builder, "requests", (gint64) counters->requests);
-  json_put_int (builder, "refused_connections", (gint64) counters->refused_connections);
-  json_put_int (builder, "refused_requests", (gint64) counters->refused_requests);
-  json_put_int (builder, "timeouts", (gint64) counters->timeouts);
+  json_put_int (builder, "requests", (gint64) counters.requests);
+  json_put_int (builder, "refused_connections", (gint64) counters.refused_connections);
+  json_put_int (builder, "refused_requests", (gint64) counters.refused_requests);
+  json_put_int (builder, "timeouts", (gint64) counters.timeouts);
   json_builder_end_object (builder);
 }
 
@@ -380,7 +380,8 @@
 start_servers (daemon_t *daemon, error_info_t *error)
 {
   const daemon_options_t *options = &daemon->options;
-  http_limits_t limits = { .connections = (guint) options->max_connections,
+  http_limits_t limits = { .listener = "callers",
+                           .connections = (guint) options->max_connections,
                            .header_bytes = (guint) options->max_header_bytes,
                            .body_bytes = (guint) options->max_body_bytes,
                            .read_timeout_ms = (guint) options->read_timeout_ms };
@@ -389,6 +390,7 @@
                                        is_ready, daemon, error);
   if (daemon->caller_api == NULL)
     return false;
+  limits.listener = "operators";
   daemon->operator_api = operator_api_new (options->operator_listen, &limits, daemon->environments,
                                            daemon->metrics, put_status, daemon, error);
   return daemon->operator_api != NULL;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -247,6 +247,9 @@
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
                           desired_age_ms (entry));
   process_append_metrics (out);
+  listener_append_metrics (entry->listener, out);
+  job_api_append_metrics (entry->api, out);
+  http_server_append_metrics (entry->metrics_server, out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
@@ -341,7 +344,8 @@
     .ready_listen = entry->options.ready_listen,
     .max_connections = (guint) entry->options.max_connections,
   };
-  http_limits_t limits = { .connections = METRICS_CONNECTIONS,
+  http_limits_t limits = { .listener = "metrics",
+                           .connections = METRICS_CONNECTIONS,
                            .header_bytes = 8192,
                            .body_bytes = 0,
                            .read_timeout_ms = 5000 };
--- a/src/peer/listener.c
+++ b/src/peer/listener.c
@@ -1,11 +1,10 @@
 #include "peer/listener.h"
 
-#include "base/address.h"
+#include "base/acceptor.h"
 
 struct listener
 {
-  GSocketService *service;
-  guint16 port;
+  acceptor_t *acceptor;
   listener_accepted_t accepted;
   void *data;
 };
@@ -15,55 +14,35 @@
   BACKLOG = 4096 /* connections that are not accepted yet; the system may allow fewer */
 };
 
-static gboolean
-on_incoming (GSocketService *service G_GNUC_UNUSED,
-             GSocketConnection *connection,
-             GObject *source G_GNUC_UNUSED,
-             gpointer data)
+static bool
+has_room (void *data G_GNUC_UNUSED)
 {
-  listener_t *listener = data;
-
-  listener->accepted (connection, listener->data);
-  return TRUE;
+  return true;
 }
 
-static bool
-listen_on (listener_t *listener, GSocketAddress *address, GError **problem)
+static void
+on_accepted (GSocketConnection *connection, void *data)
 {
-  g_autoptr (GSocketAddress) effective = NULL;
+  listener_t *listener = data;
 
-  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (listener->service), address,
-                                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, &effective,
-                                      problem))
-    return false;
-  listener->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (effective));
-  return true;
+  listener->accepted (connection, listener->data);
 }
 
+static const acceptor_events_t acceptor_events = { has_room, on_accepted };
+
 listener_t *
 listener_new (const char *address, listener_accepted_t accepted, void *data, error_info_t *error)
 {
   listener_t *listener = g_new0 (listener_t, 1);
-  g_autofree char *host = NULL;
-  guint16 port = 0;
-  g_autoptr (GSocketAddress) parsed = NULL;
-  g_autoptr (GError) problem = NULL;
+  acceptor_config_t config = { .name = "peer", .address = address, .backlog = BACKLOG };
 
   listener->accepted = accepted;
   listener->data = data;
-  listener->service = g_socket_service_new ();
-  g_socket_listener_set_backlog (G_SOCKET_LISTENER (listener->service), BACKLOG);
-  if (address_split (address, &host, &port))
-    parsed = g_inet_socket_address_new_from_string (host, port);
-  if (parsed == NULL || !listen_on (listener, parsed, &problem))
-    {
-      (void) error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address,
-                        problem != NULL ? problem->message : "not an IP address and port");
-      listener_free (listener);
-      return NULL;
-    }
-  g_signal_connect (listener->service, "incoming", G_CALLBACK (on_incoming), listener);
-  return listener;
+  listener->acceptor = acceptor_new (&config, &acceptor_events, listener, error);
+  if (listener->acceptor != NULL)
+    return listener;
+  listener_free (listener);
+  return NULL;
 }
 
 void
@@ -71,14 +50,18 @@
 {
   if (listener == NULL)
     return;
-  g_socket_service_stop (listener->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (listener->service));
-  g_object_unref (listener->service);
+  acceptor_free (listener->acceptor);
   g_free (listener);
 }
 
 guint16
 listener_port (const listener_t *listener)
 {
-  return listener->port;
+  return acceptor_port (listener->acceptor);
+}
+
+void
+listener_append_metrics (const listener_t *listener, GString *out)
+{
+  acceptor_append_metrics (listener->acceptor, out);
 }
--- a/src/peer/listener.h
+++ b/src/peer/listener.h
@@ -22,3 +22,6 @@
 
 /* Returns the port that it listens on. */
 guint16 listener_port (const listener_t *listener);
+
+/* Appends mimosastair_listener_* samples. */
+void listener_append_metrics (const listener_t *listener, GString *out);
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -53,10 +53,13 @@
 
     def start_vms(self):
         for i in range(self.vm_count):
-            name = f"vm-{i + 1}"
-            vm = {"name": name, "settings": self.settings(name, self.zones[i % len(self.zones)])}
-            self.vms.append(vm)
-            self.launch(vm)
+            self.start_vm(i)
+
+    def start_vm(self, i):
+        name = f"vm-{i + 1}"
+        vm = {"name": name, "settings": self.settings(name, self.zones[i % len(self.zones)])}
+        self.vms.append(vm)
+        self.launch(vm)
 
     def launch(self, vm):
         """Starts the process of an entry VM with the command line of the deploy file."""
