--- a/src/base/program.c
+++ b/src/base/program.c
@@ -47,6 +47,7 @@
       fatal_signal_install ();
       LOG_INFO ("starting", "version=%s pid=%d", MIMOSASTAIR_VERSION, (int) getpid ());
       process_log_limits ();
+      settings_log_adjusted ();
       log_flush ();
       return -1;
     }
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,9 +1,13 @@
+#define LOG_MODULE "settings"
+
 #include "base/settings.h"
 
 #include "base/address.h"
+#include "base/log.h"
 
 #include <argtable2.h>
 #include <gio/gio.h>
+#include <math.h>
 #include <string.h>
 
 enum
@@ -11,6 +15,8 @@
   ARGTABLE_ERRORS = 20
 };
 
+static GPtrArray *adjusted; /* char *, a log line for each value outside its range; NULL: none */
+
 static char *
 variable_name (const char *flag)
 {
@@ -27,38 +33,70 @@
   *value = g_strdup (text);
 }
 
+enum
+{
+  DECIMAL_SCALE = 1000
+};
+
+/* Reads a decimal number, an exponent allowed. */
 static bool
-store_integer (const setting_t *setting, const char *text, error_info_t *error)
+read_number (const char *text, double *number)
 {
-  gint64 number;
+  char *end = NULL;
 
-  if (!g_ascii_string_to_signed (text, 10, setting->min, setting->max, &number, NULL))
-    return error_set (error, ERROR_BAD_SETTING,
-                      "--%s: \"%s\" is not an integer from %" G_GINT64_FORMAT
-                      " to %" G_GINT64_FORMAT,
-                      setting->flag, text, setting->min, setting->max);
-  *(gint64 *) setting->value = number;
-  return true;
+  if (text[0] == '\0' || text[strspn (text, "+-.0123456789eE")] != '\0')
+    return false;
+  *number = g_ascii_strtod (text, &end);
+  return end != text && *end == '\0';
 }
 
-enum
+static double
+setting_scale (const setting_t *setting)
 {
-  DECIMAL_SCALE = 1000
-};
+  return setting->kind == SETTING_DECIMAL ? DECIMAL_SCALE : 1;
+}
 
 static bool
-store_decimal (const setting_t *setting, const char *text, error_info_t *error)
+number_error (const setting_t *setting, const char *text, error_info_t *error)
 {
-  char *end = NULL;
-  double number = g_ascii_strtod (text, &end);
-  double thousandths = number * DECIMAL_SCALE;
-
-  if (end == text || *end != '\0' || !(thousandths >= (double) setting->min)
-      || !(thousandths <= (double) setting->max))
-    return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" is not a number from %g to %g",
-                      setting->flag, text, (double) setting->min / DECIMAL_SCALE,
-                      (double) setting->max / DECIMAL_SCALE);
-  *(gint64 *) setting->value = (gint64) (thousandths + 0.5);
+  double scale = setting_scale (setting);
+
+  return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" is not a number from %.15g to %.15g",
+                    setting->flag, text, (double) setting->min / scale,
+                    (double) setting->max / scale);
+}
+
+/* Stores the nearest bound for a number outside the range, or fails. */
+static bool
+store_bound (const setting_t *setting, const char *text, gint64 bound, error_info_t *error)
+{
+  if (!setting->takes_nearest_bound)
+    return number_error (setting, text, error);
+  if (adjusted == NULL)
+    adjusted = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (adjusted, g_strdup_printf ("flag=%s value=%s bound=%.15g", setting->flag, text,
+                                              (double) bound / setting_scale (setting)));
+  *(gint64 *) setting->value = bound;
+  return true;
+}
+
+/* Integers are rounded down, decimal numbers to the nearest thousandth. */
+static bool
+store_number (const setting_t *setting, const char *text, error_info_t *error)
+{
+  double number;
+
+  if (!read_number (text, &number))
+    return number_error (setting, text, error);
+  if (setting->kind == SETTING_INTEGER)
+    number = floor (number);
+  else
+    number *= DECIMAL_SCALE;
+  if (number < (double) setting->min)
+    return store_bound (setting, text, setting->min, error);
+  if (number > (double) setting->max)
+    return store_bound (setting, text, setting->max, error);
+  *(gint64 *) setting->value = (gint64) floor (number + 0.5);
   return true;
 }
 
@@ -94,9 +132,12 @@
 static bool
 store_switch (const setting_t *setting, const char *text, error_info_t *error)
 {
-  if (strcmp (text, "1") != 0 && strcmp (text, "0") != 0)
-    return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" is not 0 or 1", setting->flag, text);
-  *(gboolean *) setting->value = text[0] == '1';
+  bool is_on = strcmp (text, "1") == 0 || strcmp (text, "true") == 0;
+
+  if (!is_on && strcmp (text, "0") != 0 && strcmp (text, "false") != 0)
+    return error_set (error, ERROR_BAD_SETTING, "--%s: \"%s\" is not 0, 1, false or true",
+                      setting->flag, text);
+  *(gboolean *) setting->value = is_on;
   return true;
 }
 
@@ -111,9 +152,8 @@
     case SETTING_STRING:
       return store_string (setting, text, error);
     case SETTING_INTEGER:
-      return store_integer (setting, text, error);
     case SETTING_DECIMAL:
-      return store_decimal (setting, text, error);
+      return store_number (setting, text, error);
     case SETTING_ADDRESS:
       return store_address (setting, text, error);
     case SETTING_SWITCH:
@@ -122,12 +162,50 @@
   return false;
 }
 
+/* True if the text stands for no value: "false" for a number, ":" for an address whose parts have
+ * none. */
+static bool
+is_absent (const setting_t *setting, const char *text)
+{
+  if (text[0] == '\0')
+    return true;
+  switch (setting->kind)
+    {
+    case SETTING_INTEGER:
+    case SETTING_DECIMAL:
+      return strcmp (text, "false") == 0;
+    case SETTING_ADDRESS:
+      return strcmp (text, ":") == 0;
+    case SETTING_STRING:
+    case SETTING_SWITCH:
+      return false;
+    }
+  return false;
+}
+
+/* Returns the last value that the flag was given; NULL: none. */
 static const char *
 flag_value (const setting_t *setting, void *parsed)
 {
+  const struct arg_str *strings = parsed;
+
   if (setting->kind == SETTING_SWITCH)
     return ((struct arg_lit *) parsed)->count > 0 ? "1" : NULL;
-  return ((struct arg_str *) parsed)->count > 0 ? ((struct arg_str *) parsed)->sval[0] : NULL;
+  for (int i = strings->count - 1; i >= 0; i--)
+    {
+      if (!is_absent (setting, strings->sval[i]))
+        return strings->sval[i];
+    }
+  return NULL;
+}
+
+static const char *
+variable_value (const setting_t *setting)
+{
+  g_autofree char *variable = variable_name (setting->flag);
+  const char *text = g_getenv (variable);
+
+  return text != NULL && !is_absent (setting, text) ? text : NULL;
 }
 
 static bool
@@ -135,11 +213,10 @@
 {
   for (size_t i = 0; i < count; i++)
     {
-      g_autofree char *variable = variable_name (settings[i].flag);
       const char *text = flag_value (&settings[i], table[i]);
 
       if (text == NULL)
-        text = g_getenv (variable);
+        text = variable_value (&settings[i]);
       if (text == NULL)
         text = settings[i].fallback;
       if (!store (&settings[i], text, error))
@@ -148,6 +225,52 @@
   return true;
 }
 
+static bool
+is_flag (const setting_t *settings, size_t count, const char *name, gsize length)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (settings[i].kind != SETTING_SWITCH && strlen (settings[i].flag) == length
+          && strncmp (name, settings[i].flag, length) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Returns the number of arguments at `argv` that are a flag without a value, which argtable
+ * refuses: "--FLAG=", or "--FLAG" and "". */
+static int
+empty_flag_length (const setting_t *settings, size_t count, char **argv)
+{
+  gsize length = strlen (argv[0]);
+
+  if (!g_str_has_prefix (argv[0], "--"))
+    return 0;
+  if (argv[0][length - 1] == '=')
+    return is_flag (settings, count, argv[0] + 2, length - 3) ? 1 : 0;
+  if (argv[1] != NULL && argv[1][0] == '\0')
+    return is_flag (settings, count, argv[0] + 2, length - 2) ? 2 : 0;
+  return 0;
+}
+
+/* Returns the arguments that give a value, followed by NULL.  The strings are those of `argv`. */
+static char **
+arguments_with_values (
+    const setting_t *settings, size_t count, int argc, char **argv, int *kept_count)
+{
+  char **kept = g_new0 (char *, argc + 1);
+  int skipped;
+
+  *kept_count = 0;
+  for (int i = 0; i < argc; i += MAX (skipped, 1))
+    {
+      skipped = i > 0 ? empty_flag_length (settings, count, argv + i) : 0;
+      if (skipped == 0)
+        kept[(*kept_count)++] = argv[i];
+    }
+  return kept;
+}
+
 /* Reports the first error of argtable.  argtable starts each line with a program name, for
  * which "arguments" is given. */
 static bool
@@ -174,6 +297,8 @@
                settings_result_t *result,
                error_info_t *error)
 {
+  int kept_count;
+  g_autofree char **kept = arguments_with_values (settings, count, argc, argv, &kept_count);
   g_autofree void **table = g_new0 (void *, count + 3);
   struct arg_lit *help = arg_lit0 ("h", "help", NULL);
   struct arg_lit *version = arg_lit0 (NULL, "version", NULL);
@@ -183,15 +308,16 @@
   for (size_t i = 0; i < count; i++)
     {
       if (settings[i].kind == SETTING_SWITCH)
-        table[i] = arg_lit0 (NULL, settings[i].flag, NULL);
+        table[i] = arg_litn (NULL, settings[i].flag, 0, MAX (argc, 1), NULL);
       else
-        table[i] = arg_str0 (NULL, settings[i].flag, settings[i].placeholder, NULL);
+        table[i]
+            = arg_strn (NULL, settings[i].flag, settings[i].placeholder, 0, MAX (argc, 1), NULL);
     }
   table[count] = help;
   table[count + 1] = version;
   table[count + 2] = end;
 
-  int errors = arg_parse (argc, argv, table);
+  int errors = arg_parse (kept_count, kept, table);
   *result = SETTINGS_LOADED;
   if (help->count > 0)
     *result = SETTINGS_HELP;
@@ -205,6 +331,14 @@
   return ok;
 }
 
+void
+settings_log_adjusted (void)
+{
+  for (guint i = 0; adjusted != NULL && i < adjusted->len; i++)
+    LOG_WARN ("setting_adjusted", "%s", (const char *) g_ptr_array_index (adjusted, i));
+  g_clear_pointer (&adjusted, g_ptr_array_unref);
+}
+
 static void
 print_setting (const setting_t *setting, FILE *out)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -1,7 +1,8 @@
 /* Settings from flags and environment variables, validated at startup.
  *
  * Each setting has a flag and an environment variable; the flag takes precedence.  The
- * variable is named "MIMOSASTAIR_" followed by the flag in upper case with '_' for '-'.
+ * variable is named "MIMOSASTAIR_" followed by the flag in upper case with '_' for '-'.  A flag
+ * or variable without a value counts as not given.  The last value of a repeated flag holds.
  */
 #pragma once
 
@@ -15,10 +16,10 @@
 typedef enum
 {
   SETTING_STRING,  /* char **, g_malloc() memory; min and max bound its length in bytes */
-  SETTING_INTEGER, /* gint64 *, from min to max */
-  SETTING_DECIMAL, /* gint64 *, decimal number in thousandths, as are min and max */
-  SETTING_ADDRESS, /* char **, "IP:PORT"; "" is allowed if it is the default */
-  SETTING_SWITCH   /* gboolean *; the flag takes no value, the variable is "0" or "1" */
+  SETTING_INTEGER, /* gint64 *, from min to max; fractions are rounded down; "false": no value */
+  SETTING_DECIMAL, /* gint64 *, number in thousandths, as are min and max; "false": no value */
+  SETTING_ADDRESS, /* char **, "IP:PORT"; "" is allowed if it is the default; ":": no value */
+  SETTING_SWITCH   /* gboolean *; the flag takes no value; the variable is 0, 1, false or true */
 } setting_kind_t;
 
 typedef struct
@@ -29,7 +30,8 @@
   const char *fallback; /* default value as a string; NULL: the setting is required */
   gint64 min;
   gint64 max;
-  const char *placeholder; /* shown in the help, e.g. "MS" */
+  bool takes_nearest_bound; /* for a number outside the range; otherwise that is an error */
+  const char *placeholder;  /* shown in the help, e.g. "MS" */
   const char *help;
 } setting_t;
 
@@ -50,5 +52,8 @@
                     settings_result_t *result,
                     error_info_t *error);
 
+/* Logs each number that settings_load() has replaced by the nearest bound, and forgets them. */
+void settings_log_adjusted (void);
+
 /* Prints the flags with their variables, ranges and defaults. */
 void settings_print_help (const setting_t *settings, size_t count, FILE *out);
--- a/src/entry/options.c
+++ b/src/entry/options.c
@@ -1,5 +1,10 @@
 #include "entry/options.h"
 
+enum
+{
+  NAME_BYTES_MAX = 255
+};
+
 static entry_options_t loaded;
 
 static const setting_t settings[] = {
@@ -7,14 +12,14 @@
     .kind = SETTING_STRING,
     .value = &loaded.vm,
     .min = 1,
-    .max = 63,
+    .max = NAME_BYTES_MAX,
     .placeholder = "ID",
     .help = "name of this VM, unique among the entry VMs" },
   { .flag = "zone",
     .kind = SETTING_STRING,
     .value = &loaded.zone,
     .min = 1,
-    .max = 63,
+    .max = NAME_BYTES_MAX,
     .placeholder = "ZONE",
     .help = "availability zone of this VM" },
   { .flag = "listen",
@@ -57,7 +62,7 @@
     .value = &loaded.domain,
     .fallback = "all",
     .min = 1,
-    .max = 63,
+    .max = NAME_BYTES_MAX,
     .placeholder = "NAME",
     .help = "scheduling domain that this VM may lead, the same on all its VMs" },
   { .flag = "log-level",
@@ -74,6 +79,7 @@
     .fallback = "1",
     .min = 1,
     .max = 1000000,
+    .takes_nearest_bound = true,
     .placeholder = "COUNT",
     .help
     = "cores, or fraction of one, of this VM; determines its share of the work, and the largest "
@@ -84,30 +90,34 @@
     .fallback = "5000",
     .min = 1000,
     .max = 600000,
+    .takes_nearest_bound = true,
     .placeholder = "MS",
     .help = "duration of the leases granted to executors, the same on all VMs" },
   { .flag = "hold-max-ms",
     .kind = SETTING_INTEGER,
     .value = &loaded.hold_max_ms,
     .fallback = "10000",
-    .min = 1000,
-    .max = 600000,
+    .min = 1,
+    .max = 86400000,
+    .takes_nearest_bound = true,
     .placeholder = "MS",
     .help = "maximum lease duration that executors accept" },
   { .flag = "gang-wait-ms",
     .kind = SETTING_INTEGER,
     .value = &loaded.gang_wait_ms,
     .fallback = "3000",
-    .min = 100,
-    .max = 600000,
+    .min = 0,
+    .max = 86400000,
+    .takes_nearest_bound = true,
     .placeholder = "MS",
     .help = "time that the members of a gang wait for each other" },
   { .flag = "remote-factor",
     .kind = SETTING_DECIMAL,
     .value = &loaded.remote_factor_milli,
     .fallback = "2",
-    .min = 1000,
-    .max = 100000,
+    .min = 0,
+    .max = 1000000,
+    .takes_nearest_bound = true,
     .placeholder = "FACTOR",
     .help = "runtime of work spread over racks or remote from its data, relative to local work" },
   { .flag = "claim-ttl-ms",
@@ -116,6 +126,7 @@
     .fallback = "2000",
     .min = 1000,
     .max = 60000,
+    .takes_nearest_bound = true,
     .placeholder = "MS",
     .help = "time after which another VM takes over when the leader is lost, the same on all VMs" },
   { .flag = "max-connections",
@@ -124,6 +135,7 @@
     .fallback = "2000",
     .min = 1,
     .max = 100000,
+    .takes_nearest_bound = true,
     .placeholder = "COUNT",
     .help = "maximum number of connections from customers" },
   { .flag = "drain-delay-ms",
@@ -132,6 +144,7 @@
     .fallback = "2500",
     .min = 0,
     .max = 60000,
+    .takes_nearest_bound = true,
     .placeholder = "MS",
     .help = "time after SIGTERM during which requests are still accepted while the load balancer "
             "notices" },
@@ -141,6 +154,7 @@
     .fallback = "3000",
     .min = 100,
     .max = 600000,
+    .takes_nearest_bound = true,
     .placeholder = "MS",
     .help = "time limit after that for requests in progress to finish" },
 };
