--- a/src/base/fatal_signal.c
+++ b/src/base/fatal_signal.c
@@ -19,7 +19,8 @@
 static const fatal_signal_t fatal_signals[] = {
   { SIGSEGV, "event=fatal_signal signal=SEGV" }, { SIGBUS, "event=fatal_signal signal=BUS" },
   { SIGFPE, "event=fatal_signal signal=FPE" },   { SIGILL, "event=fatal_signal signal=ILL" },
-  { SIGABRT, "event=fatal_signal signal=ABRT" },
+  { SIGABRT, "event=fatal_signal signal=ABRT" }, { SIGTRAP, "event=fatal_signal signal=TRAP" },
+  { SIGQUIT, "event=fatal_signal signal=QUIT" }, { SIGXCPU, "event=fatal_signal signal=XCPU" },
 };
 
 static char stack[STACK_BYTES];
--- a/src/base/fatal_signal.h
+++ b/src/base/fatal_signal.h
@@ -1,7 +1,8 @@
-/* Last log line of a process that a signal of its own fault ends.
+/* Last log line of a process that a signal ends at once.
  *
- * For SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT the buffered log lines and `event=fatal_signal`
- * are written; then the signal ends the process as it would have done.
+ * For SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT, SIGTRAP (fatal messages of GLib), SIGQUIT and
+ * SIGXCPU (the limit of processor time) the buffered log lines and `event=fatal_signal` are
+ * written; then the signal ends the process as it would have done.
  */
 #pragma once
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -4,6 +4,7 @@
 
 #include "base/json.h"
 #include "base/log.h"
+#include "base/signals.h"
 #include "caller/caller_api.h"
 #include "operator/operator_api.h"
 #include "records/claims.h"
@@ -48,6 +49,7 @@
   GPtrArray *seat_names;
   guint term_source;
   guint int_source;
+  guint hup_source;
   guint drain_timer;
 };
 
@@ -336,6 +338,14 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Settings come from the command line and hold for the process's life. */
+static gboolean
+on_reload_signal (gpointer data G_GNUC_UNUSED)
+{
+  LOG_INFO ("reload", "outcome=settings_unchanged");
+  return G_SOURCE_CONTINUE;
+}
+
 static void
 init_identity (daemon_t *daemon)
 {
@@ -418,6 +428,8 @@
                                on_list_changed, daemon);
   daemon->term_source = g_unix_signal_add (SIGTERM, on_stop_signal, daemon);
   daemon->int_source = g_unix_signal_add (SIGINT, on_stop_signal, daemon);
+  daemon->hup_source = g_unix_signal_add (SIGHUP, on_reload_signal, daemon);
+  signals_accept ();
   LOG_INFO ("started", "vm=%s zone=%s listen=%s operator_listen=%s", daemon->self.vm, options->zone,
             options->listen, options->operator_listen);
   return daemon;
@@ -436,6 +448,8 @@
     g_source_remove (daemon->term_source);
   if (daemon->int_source != 0)
     g_source_remove (daemon->int_source);
+  if (daemon->hup_source != 0)
+    g_source_remove (daemon->hup_source);
   if (daemon->drain_timer != 0)
     g_source_remove (daemon->drain_timer);
   vmlist_free (daemon->vmlist);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,4 +1,5 @@
 #include "base/program.h"
+#include "base/signals.h"
 #include "daemon/daemon.h"
 #include "entry/entry.h"
 
@@ -14,6 +15,7 @@
   error_info_t error = { .kind = ERROR_NONE };
   daemon_t *daemon;
 
+  signals_prepare ();
   if (argc > 1 && strcmp (argv[1], "entry") == 0)
     return entry_main (argc - 1, argv + 1);
   is_loaded = daemon_options_load (&options, argc, argv, &result, &error);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "base/process.h"
 #include "base/program.h"
+#include "base/signals.h"
 #include "entry/desired_follower.h"
 #include "entry/election.h"
 #include "entry/intake.h"
@@ -20,7 +21,6 @@
 #include "platform/store_kv.h"
 
 #include <glib-unix.h>
-#include <signal.h>
 
 struct entry
 {
@@ -392,6 +392,7 @@
   (void) g_unix_signal_add (SIGTERM, stop_requested, entry);
   (void) g_unix_signal_add (SIGINT, stop_requested, entry);
   (void) g_unix_signal_add (SIGHUP, reload_requested, entry);
+  signals_accept ();
   return entry;
 }
 
@@ -443,7 +444,6 @@
   error_info_t error = { .kind = ERROR_NONE };
   entry_t *entry;
 
-  (void) signal (SIGPIPE, SIG_IGN);
   is_loaded = entry_options_load (&options, argc, argv, &result, &error);
   status = program_process_options (is_loaded, result, options.log_level, entry_options_print_help,
                                     &error);
--- a/tests/process/last_line.py
+++ b/tests/process/last_line.py
@@ -4,7 +4,8 @@
 
 import harness
 
-FATAL_SIGNALS = (signal.SIGSEGV, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGABRT)
+FATAL_SIGNALS = (signal.SIGSEGV, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGABRT, signal.SIGTRAP,
+                 signal.SIGQUIT, signal.SIGXCPU)
 WAIT_S = 5.0
 
 
