--- a/src/entry/options.c
+++ b/src/entry/options.c
@@ -2,7 +2,8 @@
 
 enum
 {
-  NAME_BYTES_MAX = 255
+  NAME_BYTES_MAX = 255,
+  DOMAIN_BYTES_MAX = 63 /* part of a key of the store */
 };
 
 static entry_options_t loaded;
@@ -62,7 +63,7 @@
     .value = &loaded.domain,
     .fallback = "all",
     .min = 1,
-    .max = NAME_BYTES_MAX,
+    .max = DOMAIN_BYTES_MAX,
     .placeholder = "NAME",
     .help = "scheduling domain that this VM may lead, the same on all its VMs" },
   { .flag = "log-level",
