--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -155,7 +155,7 @@
                                      &leader_scheduler_ops, leader);
   scheduler_set_desired (leader->scheduler, desired_follower_state (desired));
   leader->recorder = recorder_new (store, election_key (election), config->fence, leader->scheduler,
-                                   &leader_recorder_events, leader);
+                                   RECORDER_END_TTL_MS, &leader_recorder_events, leader);
   leader->placement_writer = placement_writer_new (store, election_key (election), config->fence,
                                                    &leader_placement_writer_events, leader);
   leader->periodic_check_timer
--- a/src/entry/recorder.c
+++ b/src/entry/recorder.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/codec.h"
+#include "entry/end_lease.h"
 #include "entry/keys.h"
 
 #include <string.h>
@@ -59,7 +60,7 @@
   bool is_counter_known;
   gint64 counter_revision;
   guint64 counter;
-  gint64 end_record_lease; /* makes end records expire; 0: none */
+  end_lease_t *end_lease;
   guint timer;
   gint64 timer_due_us;
   bool is_freed;
@@ -73,8 +74,7 @@
   RETRY_DELAY_MS = 100,
   CONDITION_COUNT = 2,
   MAX_ROWS = STORE_TXN_ROWS_MAX - CONDITION_COUNT - 1, /* one row is the counter */
-  MAX_OPEN_PARTS = 16,
-  END_RECORD_TTL_MS = 600 * 1000 /* the longest lease that the store grants */
+  MAX_OPEN_PARTS = 16
 };
 
 /* A batch that takes longer than this is logged. */
@@ -174,7 +174,8 @@
   mimosastair__ended__pack (&message, packed);
   /* One transaction writes the end record and deletes the job record, so that a job always
    * has one of them. */
-  add_row (recorder, keys_end (end->id), packed, value_bytes, recorder->end_record_lease)
+  add_row (recorder, keys_end (end->id), packed, value_bytes,
+           end_lease_get (recorder->end_lease, clock_now_us ()))
       ->starts_group
       = true;
   (void) add_row (recorder, keys_job (end->id), NULL, 0, 0);
@@ -350,7 +351,7 @@
 static void
 drop_end_record_lease (recorder_t *recorder)
 {
-  recorder->end_record_lease = 0;
+  end_lease_forget (recorder->end_lease);
   for (guint i = 0; i < recorder->rows->len; i++)
     ((row_t *) g_ptr_array_index (recorder->rows, i))->lease = 0;
 }
@@ -587,22 +588,12 @@
          && g_queue_is_empty ((GQueue *) &recorder->pending_ends);
 }
 
-static void
-end_record_lease_granted (const store_reply_t *reply, void *data)
-{
-  recorder_t *recorder = data;
-
-  if (finish_call (recorder))
-    return;
-  if (reply->status == STORE_DONE)
-    recorder->end_record_lease = reply->lease;
-}
-
 recorder_t *
 recorder_new (store_t *store,
               const char *election_key,
               gint64 election_revision,
               scheduler_t *scheduler,
+              guint end_ttl_ms,
               const recorder_events_t *events,
               void *data)
 {
@@ -621,8 +612,7 @@
   recorder->parts = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&recorder->pending_ends);
   g_queue_init (&recorder->batch_ends);
-  recorder->pending_call_count++;
-  store->calls->lease (store, END_RECORD_TTL_MS, end_record_lease_granted, recorder);
+  recorder->end_lease = end_lease_new (store, end_ttl_ms);
   recorder_flush (recorder);
   return recorder;
 }
@@ -635,6 +625,7 @@
   if (recorder->timer != 0)
     g_source_remove (recorder->timer);
   recorder->timer = 0;
+  end_lease_free (g_steal_pointer (&recorder->end_lease));
   recorder->is_freed = true;
   if (recorder->pending_call_count == 0)
     destroy (recorder);
--- a/src/entry/recorder.h
+++ b/src/entry/recorder.h
@@ -24,11 +24,18 @@
   void (*deposed) (void *data);
 } recorder_events_t;
 
-/* `scheduler` must outlive the recorder. */
+enum
+{
+  RECORDER_END_TTL_MS = 600 * 1000 /* the longest lease that the store grants */
+};
+
+/* `scheduler` must outlive the recorder.  End records are kept for a third of `end_ttl_ms` at
+ * least. */
 recorder_t *recorder_new (store_t *store,
                           const char *election_key,
                           gint64 election_revision,
                           scheduler_t *scheduler,
+                          guint end_ttl_ms,
                           const recorder_events_t *events,
                           void *data);
 
--- a/tests/recorder.c
+++ b/tests/recorder.c
@@ -68,7 +68,7 @@
 }
 
 static fixture_t *
-fixture_new (void)
+fixture_new_with_ttl (guint end_ttl_ms)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
   scheduler_limits_t limits = { .executor_lease_us = G_USEC_PER_SEC };
@@ -80,11 +80,17 @@
   fixture->scheduler = scheduler_new (&limits, 1, clock_now_us (), &no_ops, fixture);
   fixture->recorder = recorder_new (fixture->store, "claim/d",
                                     fake_service_revision (fixture->service, "claim/d"),
-                                    fixture->scheduler, &events, fixture);
+                                    fixture->scheduler, end_ttl_ms, &events, fixture);
   loop_run_ms (50);
   return fixture;
 }
 
+static fixture_t *
+fixture_new (void)
+{
+  return fixture_new_with_ttl (RECORDER_END_TTL_MS);
+}
+
 static void
 fixture_free (fixture_t *fixture)
 {
@@ -208,6 +214,45 @@
   fixture_free (fixture);
 }
 
+/* Guards against ends that are forgotten early (TWICE for a caller who repeats the job): a record
+ * that is written late in the lease's time is kept as long as others, and none is kept for good. */
+static void
+test_record_written_late (void)
+{
+  const guint ttl_ms = 1500;
+  fixture_t *fixture = fixture_new_with_ttl (ttl_ms);
+
+  write_jobs (fixture, 1);
+  loop_run_ms (ttl_ms * 4 / 5);
+  save_ends (fixture, 1);
+  wait_for_ends (fixture, 1);
+  loop_run_ms (ttl_ms / 3);
+  CU_ASSERT_NOT_EQUAL (fake_service_revision (fixture->service, "end/0000000000000000"), 0);
+  loop_run_ms (ttl_ms);
+  CU_ASSERT_EQUAL (fake_service_revision (fixture->service, "end/0000000000000000"), 0);
+  fixture_free (fixture);
+}
+
+/* A store that is down when the leader begins grants the lease later. */
+static void
+test_lease_granted_late (void)
+{
+  const guint ttl_ms = 1500;
+  fixture_t *fixture = fixture_new_with_ttl (ttl_ms);
+
+  fake_service_set_down (fixture->service, true);
+  fake_service_expire_leases (fixture->service);
+  loop_run_ms (ttl_ms);
+  fake_service_set_down (fixture->service, false);
+  write_jobs (fixture, 1);
+  loop_run_ms (ttl_ms);
+  save_ends (fixture, 1);
+  wait_for_ends (fixture, 1);
+  loop_run_ms (2 * ttl_ms);
+  CU_ASSERT_EQUAL (fake_service_revision (fixture->service, "end/0000000000000000"), 0);
+  fixture_free (fixture);
+}
+
 /* A small batch and its deletions take one transaction. */
 static void
 test_small_batch (void)
@@ -382,6 +427,8 @@
     { "each end is reported once although answers are lost", test_lost_answers },
     { "ends are stored although the lease of their records has expired",
       test_expired_record_lease },
+    { "TWICE: an end that is stored late is kept", test_record_written_late },
+    { "a lease is requested until it is granted", test_lease_granted_late },
     { "a small batch is one transaction", test_small_batch },
     { "deletions come after the ends", test_deletions_last },
     { "no end is reported after lost leadership", test_lost_leadership },
