--- a/src/base/log.c
+++ b/src/base/log.c
@@ -20,6 +20,8 @@
 static gsize buffered_bytes;
 static guint64 dropped;
 static guint64 dropped_reported;
+static guint64 write_errors;
+static bool is_stalled; /* the last flush left lines; the next one is the timer's */
 static guint flush_timer;
 static gint64 start_ms; /* monotonic */
 
@@ -54,9 +56,13 @@
         break;
       written = write (STDOUT_FILENO, buffer + written_bytes, size);
       if (written <= 0)
-        break;
+        {
+          write_errors++;
+          break;
+        }
       written_bytes += (gsize) written;
     }
+  is_stalled = written_bytes < buffered_bytes;
   memmove (buffer, buffer + written_bytes, buffered_bytes - written_bytes);
   buffered_bytes -= written_bytes;
 }
@@ -118,7 +124,7 @@
 static bool
 buffer_append (const char *line, gsize length)
 {
-  if (buffered_bytes + length > sizeof buffer)
+  if (buffered_bytes + length > sizeof buffer && !is_stalled)
     log_flush ();
   if (buffered_bytes + length > sizeof buffer)
     {
@@ -251,3 +257,9 @@
 {
   return dropped;
 }
+
+guint64
+log_write_error_count (void)
+{
+  return write_errors;
+}
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -32,6 +32,9 @@
 /* Returns the number of lines dropped since the process started. */
 guint64 log_dropped_line_count (void);
 
+/* Returns how often writing failed since the process started; the lines wait and are tried again. */
+guint64 log_write_error_count (void);
+
 #define LOG_INFO(event, ...) log_event (G_LOG_LEVEL_INFO, LOG_MODULE, event, __VA_ARGS__)
 #define LOG_WARN(event, ...) log_event (G_LOG_LEVEL_WARNING, LOG_MODULE, event, __VA_ARGS__)
 #define LOG_DEBUG(event, ...) log_event (G_LOG_LEVEL_DEBUG, LOG_MODULE, event, __VA_ARGS__)
--- a/src/base/process.c
+++ b/src/base/process.c
@@ -4,6 +4,8 @@
 
 #include "base/log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -18,6 +20,17 @@
   return (gint64) MIN (limit.rlim_cur, (rlim_t) G_MAXINT64);
 }
 
+void
+process_open_standard_descriptors (void)
+{
+  for (int descriptor = STDIN_FILENO; descriptor <= STDERR_FILENO; descriptor++)
+    {
+      /* open() returns the lowest free number. */
+      if (fcntl (descriptor, F_GETFD) < 0 && errno == EBADF)
+        (void) open ("/dev/null", O_RDONLY);
+    }
+}
+
 process_limits_t
 process_limits (void)
 {
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -18,6 +18,10 @@
   PROCESS_UNKNOWN = -1 /* the system does not tell */
 };
 
+/* Opens each standard descriptor that the process was started without, so that no connection or
+ * file takes its number.  Writing to it fails. */
+void process_open_standard_descriptors (void);
+
 /* Returns the soft limits in force. */
 process_limits_t process_limits (void);
 
--- a/src/base/signals.c
+++ b/src/base/signals.c
@@ -4,7 +4,7 @@
 #include <signal.h>
 
 static const int ignored_signals[]
-    = { SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT };
+    = { SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT, SIGXFSZ };
 
 static sigset_t
 handled_signals (void)
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,3 +1,4 @@
+#include "base/process.h"
 #include "base/program.h"
 #include "base/signals.h"
 #include "daemon/daemon.h"
@@ -16,6 +17,7 @@
   daemon_t *daemon;
 
   signals_prepare ();
+  process_open_standard_descriptors ();
   if (argc > 1 && strcmp (argv[1], "entry") == 0)
     return entry_main (argc - 1, argv + 1);
   is_loaded = daemon_options_load (&options, argc, argv, &result, &error);
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -48,6 +48,7 @@
         self.limits = {}  # resource.RLIMIT_*: (soft, hard), of processes that start from now on
         self.extra = []  # flags added to the command line
         self.stdout = None  # file descriptor for the logs; None: a file
+        self.closed = ()  # standard descriptors that processes start without
         self.ends = []  # (seconds since the start, VM, exit status)
         self.began = time.monotonic()
         self.routes([ROUTE])
@@ -80,10 +81,13 @@
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         environment["ASAN_OPTIONS"] = ASAN_OPTIONS
         limits = dict(self.limits)
+        closed = self.closed
 
         def set_limits():
             for kind, pair in limits.items():
                 resource.setrlimit(kind, pair)
+            for descriptor in closed:
+                os.close(descriptor)
 
         with open(self.log_path(vm), "ab") as log:
             out = log if self.stdout is None else self.stdout
