--- a/src/base/log.c
+++ b/src/base/log.c
@@ -21,6 +21,18 @@
 static guint64 dropped;
 static guint64 dropped_reported;
 static guint64 write_errors;
+static log_last_event_t last_event;
+
+enum
+{
+  LIBRARY_ERROR,
+  LIBRARY_CRITICAL,
+  LIBRARY_WARNING,
+  LIBRARY_LEVELS
+};
+
+static const char *const library_levels[LIBRARY_LEVELS] = { "error", "critical", "warning" };
+static gint library_messages[LIBRARY_LEVELS]; /* atomic: libraries have threads of their own */
 static bool is_stalled; /* the last flush left lines; the next one is the timer's */
 static guint flush_timer;
 static gint64 start_ms; /* monotonic */
@@ -192,6 +204,17 @@
     log_flush ();
 }
 
+static void
+count_library_message (GLogLevelFlags level)
+{
+  if (level & G_LOG_LEVEL_ERROR)
+    g_atomic_int_inc (&library_messages[LIBRARY_ERROR]);
+  else if (level & G_LOG_LEVEL_CRITICAL)
+    g_atomic_int_inc (&library_messages[LIBRARY_CRITICAL]);
+  else if (level & G_LOG_LEVEL_WARNING)
+    g_atomic_int_inc (&library_messages[LIBRARY_WARNING]);
+}
+
 /* Logs a message of a library, which has no key=value pairs, as one quoted value. */
 static GLogWriterOutput
 write_library_line (GLogLevelFlags level,
@@ -203,6 +226,7 @@
   g_autofree char *quoted = NULL;
   g_autofree char *text = NULL;
 
+  count_library_message (level);
   if ((level & G_LOG_LEVEL_MASK) > threshold)
     return G_LOG_WRITER_HANDLED;
   for (gsize i = 0; i < count; i++)
@@ -243,6 +267,7 @@
 
   if (level > threshold)
     return;
+  last_event = (log_last_event_t){ module, event, last_event.count + 1 };
   if (format != NULL)
     {
       va_start (args, format);
@@ -258,8 +283,20 @@
   return dropped;
 }
 
-guint64
-log_write_error_count (void)
+log_last_event_t
+log_last_event (void)
+{
+  return last_event;
+}
+
+void
+log_append_metrics (GString *out)
 {
-  return write_errors;
+  g_string_append_printf (out, "mimosastair_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
+                          dropped);
+  g_string_append_printf (out, "mimosastair_log_write_errors_total %" G_GUINT64_FORMAT "\n",
+                          write_errors);
+  for (guint i = 0; i < LIBRARY_LEVELS; i++)
+    g_string_append_printf (out, "mimosastair_library_messages_total{level=\"%s\"} %d\n",
+                            library_levels[i], g_atomic_int_get (&library_messages[i]));
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -14,8 +14,8 @@
  * "warning", "info" or "debug"; returns false for any other value. */
 bool log_init (const char *level);
 
-/* Logs `event` of `module`.  `format` produces further pairs of the form key=value and may be
- * NULL. */
+/* Logs `event` of `module`, which are constants.  `format` produces further pairs of the form
+ * key=value and may be NULL. */
 void
 log_event (GLogLevelFlags level, const char *module, const char *event, const char *format, ...)
     G_GNUC_PRINTF (4, 5);
@@ -32,8 +32,19 @@
 /* Returns the number of lines dropped since the process started. */
 guint64 log_dropped_line_count (void);
 
-/* Returns how often writing failed since the process started; the lines wait and are tried again. */
-guint64 log_write_error_count (void);
+/* The event that was logged last; the names are those given to log_event(). */
+typedef struct
+{
+  const char *module;
+  const char *event;
+  guint64 count; /* of events logged since the process started */
+} log_last_event_t;
+
+log_last_event_t log_last_event (void);
+
+/* Appends the numbers of dropped lines, of failed writes, whose lines wait and are tried again, and
+ * of messages of libraries by level, whether they are logged or not. */
+void log_append_metrics (GString *out);
 
 #define LOG_INFO(event, ...) log_event (G_LOG_LEVEL_INFO, LOG_MODULE, event, __VA_ARGS__)
 #define LOG_WARN(event, ...) log_event (G_LOG_LEVEL_WARNING, LOG_MODULE, event, __VA_ARGS__)
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -4,6 +4,7 @@
 
 #include "base/fatal_signal.h"
 #include "base/log.h"
+#include "base/loop.h"
 #include "base/process.h"
 
 #include <unistd.h>
@@ -48,6 +49,7 @@
       LOG_INFO ("starting", "version=%s pid=%d", MIMOSASTAIR_VERSION, (int) getpid ());
       process_log_limits ();
       settings_log_adjusted ();
+      loop_watch_turns ();
       log_flush ();
       return -1;
     }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -240,10 +240,8 @@
                           uplink_executor_count (entry->uplink));
   g_string_append_printf (out, "mimosastair_decider_known %d\n",
                           (int) uplink_is_ready (entry->uplink));
-  g_string_append_printf (out, "mimosastair_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
-                          log_dropped_line_count ());
-  g_string_append_printf (out, "mimosastair_log_write_errors_total %" G_GUINT64_FORMAT "\n",
-                          log_write_error_count ());
+  log_append_metrics (out);
+  loop_append_metrics (out);
   g_string_append_printf (out, "mimosastair_desired_version %" G_GINT64_FORMAT "\n",
                           desired_follower_version (entry->desired));
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -1,6 +1,8 @@
 /* Unit tests of errors, histograms, settings, environment documents, timers and job records. */
 #include "base/error.h"
 #include "base/histogram.h"
+#include "base/log.h"
+#include "base/loop.h"
 #include "base/settings.h"
 #include "decide/job.h"
 #include "decide/timerwheel.h"
@@ -230,6 +232,61 @@
   clear_settings (&values);
 }
 
+/* Samples of log_append_metrics() and loop_append_metrics(). */
+static char *
+log_and_loop_metrics (void)
+{
+  GString *out = g_string_new (NULL);
+
+  log_append_metrics (out);
+  loop_append_metrics (out);
+  return g_string_free (out, FALSE);
+}
+
+/* A critical message of a library was seen by nobody who does not read the log. */
+static void
+test_library_messages (void)
+{
+  g_autofree char *before = log_and_loop_metrics ();
+  g_autofree char *after = NULL;
+
+  CU_ASSERT (log_init ("error"));
+  g_log ("Library", G_LOG_LEVEL_CRITICAL, "a message of a test");
+  g_log ("Library", G_LOG_LEVEL_WARNING, "a message of a test");
+  after = log_and_loop_metrics ();
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (before, "mimosastair_library_messages_total{level=\"critical\"} 0\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (after, "mimosastair_library_messages_total{level=\"critical\"} 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (after, "mimosastair_library_messages_total{level=\"warning\"} 1\n"));
+}
+
+static gboolean
+run_for (gpointer data)
+{
+  g_usleep (GPOINTER_TO_UINT (data) * 1000UL);
+  return G_SOURCE_REMOVE;
+}
+
+/* Turns of the loop that kept everything waiting were not in the log. */
+static void
+test_slow_turns (void)
+{
+  static const guint turns_ms[] = { 1, 250, 100, 220 };
+
+  loop_watch_turns ();
+  for (guint i = 0; i < G_N_ELEMENTS (turns_ms); i++)
+    {
+      guint source = g_timeout_add (1, run_for, GUINT_TO_POINTER (turns_ms[i]));
+
+      while (g_main_context_find_source_by_id (NULL, source) != NULL)
+        (void) g_main_context_iteration (NULL, TRUE);
+      (void) g_main_context_iteration (NULL, FALSE);
+    }
+  CU_ASSERT_EQUAL (loop_slow_turn_count (), 2);
+}
+
 /* Checks that the document has `count` problems, and that the first begins with `first`. */
 static void
 expect_problems (const char *text, guint count, const char *first)
@@ -356,6 +413,8 @@
                test_settings);
   CU_add_test (suite, "settings without a value take their defaults", test_absent_settings);
   CU_add_test (suite, "numbers of settings may be fractions", test_numbers_of_settings);
+  CU_add_test (suite, "messages of libraries are counted", test_library_messages);
+  CU_add_test (suite, "slow turns of the loop are counted", test_slow_turns);
   CU_add_test (suite, "all problems of a document are listed at once", test_document_problems);
   CU_add_test (suite, "timers fire once, even after a long pause", test_timers_fire_once);
   CU_add_test (suite, "lease expiry allows for clock drift and late delivery",
