--- a/src/base/log.c
+++ b/src/base/log.c
@@ -84,10 +84,9 @@
 static gsize
 put_text (char *line, gsize length, const char *text)
 {
-  gsize size = MIN (strlen (text), LINE_BYTES - 1 - length);
-
-  memcpy (line + length, text, size);
-  return length + size;
+  while (*text != '\0' && length < LINE_BYTES - 1)
+    line[length++] = *text++;
+  return length;
 }
 
 /* Writes thousandths as a decimal number. */
