--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -37,6 +37,7 @@
 struct http_server
 {
   SoupServer *soup;
+  GSocket *listen_socket;
   http_limits_t limits;
   http_handler_t handler;
   void *data;
@@ -373,7 +374,7 @@
     }
 }
 
-/* Tracks a new connection.  Shuts it down if there are too many. */
+/* Tracks a new connection.  Shuts it down if there are too many, or if the server stops. */
 static connection_t *
 connection_new (http_server_t *server, GSocket *socket)
 {
@@ -388,7 +389,9 @@
   server->connection_count++;
   g_hash_table_insert (server->connections_by_socket, socket, connection);
   g_object_weak_ref (G_OBJECT (socket), on_socket_finalized, connection);
-  if (server->connection_count > server->limits.connections)
+  if (server->is_stopping)
+    connection_shutdown (connection);
+  else if (server->connection_count > server->limits.connections)
     {
       server->counters.refused_connections++;
       connection_shutdown (connection);
@@ -491,7 +494,10 @@
   bound_address = g_socket_get_local_address (socket, NULL);
   server->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound_address));
   if (soup_server_listen_socket (server->soup, socket, 0, &problem))
-    return true;
+    {
+      server->listen_socket = g_steal_pointer (&socket);
+      return true;
+    }
   return error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", address, problem->message);
 }
 
@@ -532,6 +538,7 @@
   g_source_remove (server->sweep_timer);
   soup_server_disconnect (server->soup);
   g_object_unref (server->soup);
+  g_clear_object (&server->listen_socket);
   while (!list_is_empty (&server->connection_list))
     connection_untrack (LIST_ENTRY (server->connection_list.next, connection_t, node));
   g_hash_table_unref (server->connections_by_socket);
@@ -548,7 +555,8 @@
 http_server_stop (http_server_t *server)
 {
   server->is_stopping = true;
-  soup_server_disconnect (server->soup);
+  /* soup_server_disconnect() would also cut the connections whose requests are not answered yet. */
+  (void) g_socket_shutdown (server->listen_socket, TRUE, TRUE, NULL);
 }
 
 guint
