--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -26,6 +26,7 @@
   gint64 list_revision;   /* service revision at the first page of the full read */
   guint timer;
   bool is_lost;
+  bool is_foreign_key_logged;
   bool is_call_pending;
   bool is_freed;
 };
@@ -128,9 +129,23 @@
               took_us / 1000);
 }
 
+static void
+log_foreign_key (watcher_t *watcher, const char *key)
+{
+  if (watcher->is_foreign_key_logged)
+    return;
+  watcher->is_foreign_key_logged = true;
+  LOG_WARN ("foreign_key", "prefix=%s bytes=%" G_GSIZE_FORMAT, watcher->prefix, strlen (key));
+}
+
 static void
 deliver (watcher_t *watcher, const store_item_t *item)
 {
+  if (!g_str_has_prefix (item->key, watcher->prefix))
+    {
+      log_foreign_key (watcher, item->key);
+      return;
+    }
   if (item->deleted)
     g_hash_table_remove (watcher->known_keys, item->key);
   else
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -4,6 +4,7 @@
  * A watch that fails or gets no answer is repeated from the same revision.  When the service no
  * longer has that history, everything is read again, and known keys that are then missing are
  * reported as deleted.  Changes may be delivered more than once; the receiver compares revisions.
+ * Keys without the prefix, which a faulty service may return, are dropped.
  */
 #pragma once
 
--- a/tests/loading.c
+++ b/tests/loading.c
@@ -210,6 +210,58 @@
   reader_close (&reader);
 }
 
+/* A service that answers reads and watches with keys that were not asked for. */
+static void
+answer_foreign_keys (store_done_t done, void *data)
+{
+  store_item_t asked_for = { .key = (char *) "job/0123456789abcdef" };
+  store_item_t foreign[]
+      = { { .key = (char *) "x" }, { .key = (char *) "" }, { .key = (char *) "jobs" } };
+  g_autoptr (GPtrArray) items = g_ptr_array_new ();
+  store_reply_t reply = { .status = STORE_DONE, .items = items };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (foreign); i++)
+    g_ptr_array_add (items, &foreign[i]);
+  g_ptr_array_add (items, &asked_for);
+  done (&reply, data);
+}
+
+static void
+foreign_range (store_t *store G_GNUC_UNUSED,
+               const char *prefix G_GNUC_UNUSED,
+               const char *after G_GNUC_UNUSED,
+               store_done_t done,
+               void *data)
+{
+  answer_foreign_keys (done, data);
+}
+
+static void
+foreign_watch (store_t *store G_GNUC_UNUSED,
+               const char *prefix G_GNUC_UNUSED,
+               gint64 after G_GNUC_UNUSED,
+               guint wait_ms G_GNUC_UNUSED,
+               store_done_t done,
+               void *data)
+{
+  answer_foreign_keys (done, data);
+}
+
+/* Their users read the part of a key behind the prefix. */
+static void
+test_foreign_keys (void)
+{
+  static const store_calls_t calls = { .range = foreign_range, .watch = foreign_watch };
+  store_t store = { .calls = &calls };
+  reader_t reader = { .store = &store };
+
+  reader_start (&reader);
+  watcher_set_pause_ms (reader.watcher, CALLS_END_MS);
+  CU_ASSERT_TRUE (loop_run_until (is_synced, &reader));
+  CU_ASSERT_EQUAL (reader.items, 2); /* of the read and of the first watch */
+  watcher_free (reader.watcher);
+}
+
 int
 main (void)
 {
@@ -221,6 +273,7 @@
     { "slow_service", test_slow_service },
     { "renewals_while_reading", test_renewals_while_reading },
     { "free_when_lost", test_free_when_lost },
+    { "foreign_keys", test_foreign_keys },
   };
 
   return run_suite ("loading", tests, G_N_ELEMENTS (tests));
