--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -546,8 +546,8 @@
 {
   server->is_stopping = true;
   server->counters = http_server_counters (server);
+  /* soup_server_disconnect() would also cut the connections whose requests are not answered yet. */
   g_clear_pointer (&server->acceptor, acceptor_free);
-  soup_server_disconnect (server->soup);
 }
 
 guint
