--- a/src/base/acceptor.c
+++ b/src/base/acceptor.c
@@ -14,11 +14,18 @@
   const char *name;
   const acceptor_events_t *events;
   void *data;
-  GSocket *socket;
-  GSource *source;        /* while it accepts; NULL: paused */
-  guint resume_timer;     /* while it is paused; 0: none */
-  int exhausted_errno;    /* reason of the last pause */
-  gint64 paused_since_us; /* 0: not paused */
+  char *address_text;
+  GSocketAddress *address;
+  int backlog;
+  acceptor_state_t state;
+  error_info_t error;      /* in state ACCEPTOR_FAILED */
+  gint64 waiting_since_us; /* in state ACCEPTOR_WAITING */
+  guint bind_timer;        /* in state ACCEPTOR_WAITING */
+  GSocket *socket;         /* in state ACCEPTOR_LISTENING */
+  GSource *source;         /* while it accepts; NULL: paused */
+  guint resume_timer;      /* while it is paused; 0: none */
+  int exhausted_errno;     /* reason of the last pause */
+  gint64 paused_since_us;  /* 0: not paused */
   guint16 port;
   guint64 refused_count;
   guint64 pause_count;
@@ -35,7 +42,9 @@
 enum
 {
   TURN_CONNECTIONS = 64, /* accepted before other sources of the main loop have their turn */
-  PAUSE_MS = 100
+  PAUSE_MS = 100,
+  BIND_INTERVAL_MS = 100, /* between two attempts to bind a port in use */
+  BIND_TIMEOUT_MS = 30 * 1000
 };
 
 static void start_accepting (acceptor_t *acceptor);
@@ -190,21 +199,83 @@
 }
 
 static bool
-listen_on (acceptor_t *acceptor, GSocketAddress *address, int backlog, GError **problem)
+try_to_listen (acceptor_t *acceptor, GError **problem)
 {
+  g_autoptr (GSocket) socket = bind_socket (acceptor->address, acceptor->backlog, problem);
   g_autoptr (GSocketAddress) bound = NULL;
 
-  acceptor->socket = bind_socket (address, backlog, problem);
-  if (acceptor->socket == NULL)
+  if (socket == NULL)
     return false;
-  bound = g_socket_get_local_address (acceptor->socket, problem);
+  bound = g_socket_get_local_address (socket, problem);
   if (bound == NULL)
     return false;
   acceptor->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
+  acceptor->socket = g_steal_pointer (&socket);
+  acceptor->state = ACCEPTOR_LISTENING;
   start_accepting (acceptor);
   return true;
 }
 
+static void
+set_failed (acceptor_t *acceptor, const char *reason)
+{
+  acceptor->state = ACCEPTOR_FAILED;
+  (void) error_set (&acceptor->error, ERROR_BAD_SETTING, "cannot listen on %s: %s",
+                    acceptor->address_text, reason);
+}
+
+static gboolean
+retry_to_listen (gpointer data)
+{
+  acceptor_t *acceptor = data;
+  gint64 waited_ms = (g_get_monotonic_time () - acceptor->waiting_since_us) / 1000;
+  g_autoptr (GError) problem = NULL;
+
+  if (try_to_listen (acceptor, &problem))
+    LOG_INFO ("port_bound", "listener=%s address=%s waited_ms=%" G_GINT64_FORMAT, acceptor->name,
+              acceptor->address_text, waited_ms);
+  else if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE)
+           && waited_ms < BIND_TIMEOUT_MS)
+    return G_SOURCE_CONTINUE;
+  else
+    {
+      LOG_WARN ("port_given_up", "listener=%s address=%s waited_ms=%" G_GINT64_FORMAT,
+                acceptor->name, acceptor->address_text, waited_ms);
+      set_failed (acceptor, problem->message);
+    }
+  acceptor->bind_timer = 0;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_for_port (acceptor_t *acceptor)
+{
+  LOG_WARN ("port_in_use", "listener=%s address=%s timeout_ms=%d", acceptor->name,
+            acceptor->address_text, (int) BIND_TIMEOUT_MS);
+  acceptor->state = ACCEPTOR_WAITING;
+  acceptor->waiting_since_us = g_get_monotonic_time ();
+  acceptor->bind_timer = g_timeout_add (BIND_INTERVAL_MS, retry_to_listen, acceptor);
+}
+
+static void
+begin_to_listen (acceptor_t *acceptor)
+{
+  g_autofree char *host = NULL;
+  guint16 port = 0;
+  g_autoptr (GError) problem = NULL;
+
+  if (address_split (acceptor->address_text, &host, &port))
+    acceptor->address = g_inet_socket_address_new_from_string (host, port);
+  if (acceptor->address == NULL)
+    set_failed (acceptor, "not an IP address and port");
+  else if (try_to_listen (acceptor, &problem))
+    return;
+  else if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE))
+    wait_for_port (acceptor);
+  else
+    set_failed (acceptor, problem->message);
+}
+
 acceptor_t *
 acceptor_new (const acceptor_config_t *config,
               const acceptor_events_t *events,
@@ -212,20 +283,15 @@
               error_info_t *error)
 {
   acceptor_t *acceptor = g_new0 (acceptor_t, 1);
-  g_autofree char *host = NULL;
-  guint16 port = 0;
-  g_autoptr (GSocketAddress) address = NULL;
-  g_autoptr (GError) problem = NULL;
 
   acceptor->name = config->name;
+  acceptor->address_text = g_strdup (config->address);
+  acceptor->backlog = config->backlog;
   acceptor->events = events;
   acceptor->data = data;
-  if (address_split (config->address, &host, &port))
-    address = g_inet_socket_address_new_from_string (host, port);
-  if (address != NULL && listen_on (acceptor, address, config->backlog, &problem))
+  begin_to_listen (acceptor);
+  if (acceptor_state (acceptor, error) != ACCEPTOR_FAILED)
     return acceptor;
-  (void) error_set (error, ERROR_BAD_SETTING, "cannot listen on %s: %s", config->address,
-                    problem != NULL ? problem->message : "not an IP address and port");
   acceptor_free (acceptor);
   return NULL;
 }
@@ -238,10 +304,22 @@
   stop_accepting (acceptor);
   if (acceptor->resume_timer != 0)
     g_source_remove (acceptor->resume_timer);
+  if (acceptor->bind_timer != 0)
+    g_source_remove (acceptor->bind_timer);
   g_clear_object (&acceptor->socket);
+  g_clear_object (&acceptor->address);
+  g_free (acceptor->address_text);
   g_free (acceptor);
 }
 
+acceptor_state_t
+acceptor_state (const acceptor_t *acceptor, error_info_t *error)
+{
+  if (acceptor->state == ACCEPTOR_FAILED && error != NULL)
+    *error = acceptor->error;
+  return acceptor->state;
+}
+
 guint16
 acceptor_port (const acceptor_t *acceptor)
 {
--- a/src/base/acceptor.h
+++ b/src/base/acceptor.h
@@ -1,4 +1,7 @@
 /* A listening socket that is never given up.
+ *
+ * A port that is in use is tried again for 30 s, while the main loop goes on: the former process of
+ * this VM may still drain, or the system may have given the number to an outgoing connection.
  *
  * Connections are accepted in bounded turns of the main loop.  When descriptors or memory run out,
  * accepting pauses, and goes on by itself once some are free.  An error of one connection skips
@@ -28,8 +31,16 @@
   int backlog;         /* connections not accepted yet; the system may allow fewer */
 } acceptor_config_t;
 
-/* Listens and accepts from the next turn of the main loop on.  `events` is borrowed.  Returns NULL
- * and sets ERROR_BAD_SETTING on failure. */
+/* In the order of what they mean for a process that needs several ports: the largest counts. */
+typedef enum
+{
+  ACCEPTOR_LISTENING,
+  ACCEPTOR_WAITING, /* the port is in use */
+  ACCEPTOR_FAILED   /* it was in use for too long, or there was another error */
+} acceptor_state_t;
+
+/* Listens and accepts from the next turn of the main loop on, or waits for the port.  `events` is
+ * borrowed.  Returns NULL and sets ERROR_BAD_SETTING on any other failure. */
 acceptor_t *acceptor_new (const acceptor_config_t *config,
                           const acceptor_events_t *events,
                           void *data,
@@ -38,7 +49,10 @@
 /* Stops listening; NULL is allowed. */
 void acceptor_free (acceptor_t *acceptor);
 
-/* Returns the port that it listens on. */
+/* Fills `error` in state ACCEPTOR_FAILED. */
+acceptor_state_t acceptor_state (const acceptor_t *acceptor, error_info_t *error);
+
+/* Returns the port that it listens on; 0 while it waits for it. */
 guint16 acceptor_port (const acceptor_t *acceptor);
 
 /* Returns the number of connections closed because has_room() returned false. */
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -2,7 +2,6 @@
 
 #include "base/http_server.h"
 
-#include "base/acceptor.h"
 #include "base/json.h"
 #include "base/list.h"
 #include "base/log.h"
@@ -47,7 +46,6 @@
   guint connection_count;
   guint open_request_count;
   guint sweep_timer;
-  guint16 port;
   bool is_stopping;
   http_counters_t counters;
 };
@@ -473,8 +471,8 @@
 {
   g_autoptr (GSocketAddress) loopback = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
   g_autoptr (GSocketAddress) own = NULL;
-  g_autoptr (GSocket) idle = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
-                                           G_SOCKET_PROTOCOL_UDP, problem);
+  g_autoptr (GSocket) idle
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, problem);
 
   if (idle == NULL || !g_socket_bind (idle, loopback, FALSE, problem))
     return false;
@@ -512,10 +510,7 @@
               problem->message);
   server->acceptor = acceptor_new (&config, &acceptor_events, server, error);
   if (server->acceptor != NULL)
-    {
-      server->port = acceptor_port (server->acceptor);
-      return server;
-    }
+    return server;
   http_server_free (server);
   return NULL;
 }
@@ -535,10 +530,16 @@
   g_free (server);
 }
 
+acceptor_state_t
+http_server_state (const http_server_t *server, error_info_t *error)
+{
+  return server->acceptor != NULL ? acceptor_state (server->acceptor, error) : ACCEPTOR_LISTENING;
+}
+
 guint16
 http_server_port (const http_server_t *server)
 {
-  return server->port;
+  return server->acceptor != NULL ? acceptor_port (server->acceptor) : 0;
 }
 
 void
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -8,7 +8,7 @@
  */
 #pragma once
 
-#include "base/error.h"
+#include "base/acceptor.h"
 
 #include <gio/gio.h>
 
@@ -35,8 +35,8 @@
 
 typedef void (*http_handler_t) (http_request_t *request, void *data);
 
-/* Listens on `address` ("IP:PORT"; port 0 selects a free port).  Returns NULL with
- * ERROR_BAD_SETTING if it cannot. */
+/* Listens on `address` ("IP:PORT"; port 0 selects a free port), or waits for the port.  Returns
+ * NULL with ERROR_BAD_SETTING if it cannot. */
 http_server_t *http_server_new (const char *address,
                                 const http_limits_t *limits,
                                 http_handler_t handler,
@@ -44,7 +44,10 @@
                                 error_info_t *error);
 void http_server_free (http_server_t *server);
 
-/* Returns the port that the server listens on. */
+/* See acceptor_state().  A server that was stopped counts as listening. */
+acceptor_state_t http_server_state (const http_server_t *server, error_info_t *error);
+
+/* Returns the port that the server listens on; 0 while it waits for it, or once it was stopped. */
 guint16 http_server_port (const http_server_t *server);
 
 /* Stops accepting connections; responses from now on carry "Connection: close". */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -46,11 +46,15 @@
   caller_api_t *caller_api;
   operator_api_t *operator_api;
   GPtrArray *seat_names;
+  guint listen_timer; /* while a port is in use; 0: none */
+  bool is_listening;  /* on both ports */
+  error_info_t start_error;
   guint term_source;
   guint int_source;
   guint drain_timer;
 };
 
+static const guint listen_poll_ms = 50;
 static const guint drain_interval_ms = 20;
 static const gint64 release_timeout_us = 2 * G_USEC_PER_SEC;
 
@@ -152,6 +156,10 @@
 {
   daemon_t *daemon = data;
 
+  /* The claims of a previous process are not taken over before the addresses are bound, which
+   * proves that it has ended. */
+  if (!daemon->is_listening)
+    return;
   LOG_INFO ("list_changed", "revision=%" G_GINT64_FORMAT " vms=%u", list->revision,
             list->members->len);
   idem_set_member_list (daemon->idem, list);
@@ -331,6 +339,9 @@
 
   if (daemon->phase != PHASE_SERVING)
     return G_SOURCE_CONTINUE;
+  if (daemon->listen_timer != 0)
+    g_source_remove (daemon->listen_timer);
+  daemon->listen_timer = 0;
   enter_phase (daemon, PHASE_LEAVING, "leaving");
   daemon->drain_timer = g_timeout_add (drain_interval_ms, drain_step, daemon);
   return G_SOURCE_CONTINUE;
@@ -396,6 +407,33 @@
   return daemon->operator_api != NULL;
 }
 
+static gboolean
+check_listening (gpointer data)
+{
+  daemon_t *daemon = data;
+  acceptor_state_t callers
+      = http_server_state (caller_api_server (daemon->caller_api), &daemon->start_error);
+  acceptor_state_t operators
+      = http_server_state (operator_api_server (daemon->operator_api), &daemon->start_error);
+  const member_list_t *list = daemon->vmlist != NULL ? vmlist_current (daemon->vmlist) : NULL;
+
+  switch (MAX (callers, operators))
+    {
+    case ACCEPTOR_WAITING:
+      return G_SOURCE_CONTINUE;
+    case ACCEPTOR_LISTENING:
+      daemon->is_listening = true;
+      if (list != NULL)
+        on_list_changed (list, daemon);
+      break;
+    case ACCEPTOR_FAILED:
+      g_main_loop_quit (daemon->loop);
+      break;
+    }
+  daemon->listen_timer = 0;
+  return G_SOURCE_REMOVE;
+}
+
 daemon_t *
 daemon_new (const daemon_options_t *options, error_info_t *error)
 {
@@ -409,13 +447,13 @@
   start_workloads (daemon);
   daemon->environments
       = environments_new (daemon->kv, daemon->self.vm, on_environment_changed, daemon);
-  /* The addresses must be bound before the claims of a previous process are taken over, because
-   * a successful bind proves that the previous process has ended. */
   if (!start_servers (daemon, error))
     {
       daemon_free (daemon);
       return NULL;
     }
+  if (check_listening (daemon) == G_SOURCE_CONTINUE)
+    daemon->listen_timer = g_timeout_add (listen_poll_ms, check_listening, daemon);
   daemon->vmlist = vmlist_new (options->platform_list, (guint) options->list_interval_ms,
                                on_list_changed, daemon);
   daemon->term_source = g_unix_signal_add (SIGTERM, on_stop_signal, daemon);
@@ -425,10 +463,14 @@
   return daemon;
 }
 
-void
-daemon_run (daemon_t *daemon)
+bool
+daemon_run (daemon_t *daemon, error_info_t *error)
 {
   g_main_loop_run (daemon->loop);
+  if (daemon->start_error.kind == ERROR_NONE)
+    return true;
+  *error = daemon->start_error;
+  return false;
 }
 
 void
@@ -440,6 +482,8 @@
     g_source_remove (daemon->int_source);
   if (daemon->drain_timer != 0)
     g_source_remove (daemon->drain_timer);
+  if (daemon->listen_timer != 0)
+    g_source_remove (daemon->listen_timer);
   vmlist_free (daemon->vmlist);
   operator_api_free (daemon->operator_api);
   caller_api_free (daemon->caller_api);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -24,7 +24,8 @@
   daemon = daemon_new (&options, &error);
   if (daemon == NULL)
     return program_start_error (&error);
-  daemon_run (daemon);
+  if (!daemon_run (daemon, &error))
+    return program_start_error (&error);
   daemon_free (daemon);
   daemon_options_clear (&options);
   return 0;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -38,6 +38,10 @@
   listener_t *listener;    /* for other entry VMs */
   http_server_t *metrics_server;
   desired_follower_t *desired;
+  bool has_desired;
+  guint listen_timer; /* while a port is in use; 0: none */
+  bool is_listening;  /* on all ports */
+  error_info_t start_error;
   bool is_stopping;
   gint64 drain_until_us;
   guint drain_timer;
@@ -46,6 +50,7 @@
 enum
 {
   DRAIN_POLL_MS = 50,
+  LISTEN_POLL_MS = 50,
   LEADER_CLOSE_TIMEOUT_MS = 400, /* limit for storing pending records before resigning */
   LEADER_PACE_US = 2000,         /* small beside the round trips of the orders */
   FULL_ROUND_INTERVAL_MS = 25,   /* bounds the leader's work for what waits long anyway */
@@ -57,6 +62,14 @@
 
 static void join_election (entry_t *entry);
 
+/* A VM that does not listen yet cannot lead, and its former process may still be a member. */
+static void
+join_election_if_due (entry_t *entry)
+{
+  if (entry->election == NULL && entry->has_desired && entry->is_listening && !entry->is_stopping)
+    join_election (entry);
+}
+
 static void
 desired_state_changed (const desired_state_t *desired, void *data)
 {
@@ -65,8 +78,8 @@
   job_api_set_desired (entry->api, desired);
   if (entry->leader != NULL)
     leader_apply_desired (entry->leader);
-  if (entry->election == NULL && !entry->is_stopping)
-    join_election (entry);
+  entry->has_desired = true;
+  join_election_if_due (entry);
 }
 
 static gint64
@@ -300,6 +313,9 @@
   if (entry->is_stopping)
     return G_SOURCE_CONTINUE;
   entry->is_stopping = true;
+  if (entry->listen_timer != 0)
+    g_source_remove (entry->listen_timer);
+  entry->listen_timer = 0;
   LOG_INFO ("stopping", "decider=%d open=%u", (int) (entry->leader != NULL),
             intake_open_count (entry->intake));
   entry->drain_until_us
@@ -323,14 +339,14 @@
 
 /* ---- Startup and shutdown. */
 
-/* Returns true while this VM is not stopping, and either the store answers it or a leader is ready
- * that may store jobs for it. */
+/* Returns true while this VM listens on all ports and is not stopping, and either the store answers
+ * it or a leader is ready that may store jobs for it. */
 static bool
 can_accept_jobs (void *data)
 {
   const entry_t *entry = data;
 
-  return !entry->is_stopping
+  return entry->is_listening && !entry->is_stopping
          && (store_is_healthy (entry->store, clock_now_us ()) || uplink_is_ready (entry->uplink));
 }
 
@@ -361,6 +377,36 @@
   return entry->metrics_server != NULL;
 }
 
+static acceptor_state_t
+listen_state (const entry_t *entry, error_info_t *error)
+{
+  acceptor_state_t state = listener_state (entry->listener, error);
+
+  state = MAX (state, job_api_listen_state (entry->api, error));
+  return MAX (state, http_server_state (entry->metrics_server, error));
+}
+
+static gboolean
+check_listening (gpointer data)
+{
+  entry_t *entry = data;
+
+  switch (listen_state (entry, &entry->start_error))
+    {
+    case ACCEPTOR_WAITING:
+      return G_SOURCE_CONTINUE;
+    case ACCEPTOR_LISTENING:
+      entry->is_listening = true;
+      join_election_if_due (entry);
+      break;
+    case ACCEPTOR_FAILED:
+      g_main_loop_quit (entry->loop);
+      break;
+    }
+  entry->listen_timer = 0;
+  return G_SOURCE_REMOVE;
+}
+
 entry_t *
 entry_new (const entry_options_t *options, error_info_t *error)
 {
@@ -393,14 +439,16 @@
       entry_free (entry);
       return NULL;
     }
+  if (check_listening (entry) == G_SOURCE_CONTINUE)
+    entry->listen_timer = g_timeout_add (LISTEN_POLL_MS, check_listening, entry);
   (void) g_unix_signal_add (SIGTERM, stop_requested, entry);
   (void) g_unix_signal_add (SIGINT, stop_requested, entry);
   (void) g_unix_signal_add (SIGHUP, reload_requested, entry);
   return entry;
 }
 
-void
-entry_run (entry_t *entry)
+bool
+entry_run (entry_t *entry, error_info_t *error)
 {
   LOG_INFO ("started",
             "vm=%s zone=%s listen=%s peer=%s store=%s cpu_milli=%" G_GINT64_FORMAT
@@ -409,8 +457,14 @@
             entry->options.peer_listen, entry->options.store, entry->options.cpu_milli,
             entry->options.hold_ms);
   g_main_loop_run (entry->loop);
+  if (entry->start_error.kind != ERROR_NONE)
+    {
+      *error = entry->start_error;
+      return false;
+    }
   LOG_INFO ("stopped", "open=%u", intake_open_count (entry->intake));
   log_flush ();
+  return true;
 }
 
 void
@@ -422,6 +476,8 @@
     g_source_remove (entry->drain_timer);
   if (entry->leader_free_timer != 0)
     g_source_remove (entry->leader_free_timer);
+  if (entry->listen_timer != 0)
+    g_source_remove (entry->listen_timer);
   leader_free (entry->leader);
   election_free (entry->election);
   job_api_free (entry->api);
@@ -456,7 +512,8 @@
   entry = entry_new (&options, &error);
   if (entry == NULL)
     return program_start_error (&error);
-  entry_run (entry);
+  if (!entry_run (entry, &error))
+    return program_start_error (&error);
   /* The entry is not freed: when the process exits, the kernel delivers what was written to the
    * connections and closes them. */
   return 0;
--- a/src/peer/listener.c
+++ b/src/peer/listener.c
@@ -1,7 +1,5 @@
 #include "peer/listener.h"
 
-#include "base/acceptor.h"
-
 struct listener
 {
   acceptor_t *acceptor;
@@ -54,6 +52,12 @@
   g_free (listener);
 }
 
+acceptor_state_t
+listener_state (const listener_t *listener, error_info_t *error)
+{
+  return acceptor_state (listener->acceptor, error);
+}
+
 guint16
 listener_port (const listener_t *listener)
 {
--- a/src/peer/listener.h
+++ b/src/peer/listener.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "base/error.h"
+#include "base/acceptor.h"
 
 #include <gio/gio.h>
 
@@ -12,15 +12,18 @@
 
 typedef void (*listener_accepted_t) (GSocketConnection *connection, void *data);
 
-/* Listens on "IP:PORT"; port 0 chooses a free port.  `accepted` borrows the connection.  Returns
- * NULL and sets ERROR_BAD_SETTING on failure. */
+/* Listens on "IP:PORT", or waits for the port; port 0 chooses a free port.  `accepted` borrows the
+ * connection.  Returns NULL and sets ERROR_BAD_SETTING on failure. */
 listener_t *
 listener_new (const char *address, listener_accepted_t accepted, void *data, error_info_t *error);
 
 /* Stops listening; NULL is allowed. */
 void listener_free (listener_t *listener);
 
-/* Returns the port that it listens on. */
+/* See acceptor_state(). */
+acceptor_state_t listener_state (const listener_t *listener, error_info_t *error);
+
+/* Returns the port that it listens on; 0 while it waits for it. */
 guint16 listener_port (const listener_t *listener);
 
 /* Appends mimosastair_listener_* samples. */
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -134,6 +134,14 @@
     async def is_ready(self, vm):
         return (await call(self.address(vm, "ready"), "GET", "/readiness", timeout=1.0))[0] == 200
 
+    async def becomes_ready(self, vm, within_s):
+        until = time.monotonic() + within_s
+        while not await self.is_ready(vm):
+            if time.monotonic() > until:
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
     async def serves(self, vm):
         """Whether a job handed to this VM is accepted."""
         _, status = await self.submit(ROUTE[0], [{"count": 1, "cpu": 1000, "mem-mb": 64,
