--- a/src/base/acceptor.c
+++ b/src/base/acceptor.c
@@ -41,7 +41,7 @@
 
 enum
 {
-  TURN_CONNECTIONS = 64, /* accepted before other sources of the main loop have their turn */
+  TURN_CONNECTIONS = 16, /* accepted before other sources of the main loop have their turn */
   PAUSE_MS = 100,
   BIND_INTERVAL_MS = 100, /* between two attempts to bind a port in use */
   BIND_TIMEOUT_MS = 30 * 1000
@@ -332,12 +332,18 @@
   return acceptor->refused_count;
 }
 
+static void
+append_sample (GString *out, const char *metric, const char *listener, guint64 value)
+{
+  g_string_append_printf (out, "mimosastair_listener_%s{listener=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          metric, listener, value);
+}
+
 void
-acceptor_append_metrics (const acceptor_t *acceptor, GString *out)
+acceptor_append_metrics (const acceptor_t *acceptor, guint connections, guint limit, GString *out)
 {
-  g_string_append_printf (
-      out,
-      "mimosastair_listener_pauses_total{listener=\"%s\"} %" G_GUINT64_FORMAT
-      "\nmimosastair_listener_refused_total{listener=\"%s\"} %" G_GUINT64_FORMAT "\n",
-      acceptor->name, acceptor->pause_count, acceptor->name, acceptor->refused_count);
+  append_sample (out, "connections", acceptor->name, connections);
+  append_sample (out, "connections_limit", acceptor->name, limit);
+  append_sample (out, "pauses_total", acceptor->name, acceptor->pause_count);
+  append_sample (out, "refused_total", acceptor->name, acceptor->refused_count);
 }
--- a/src/base/acceptor.h
+++ b/src/base/acceptor.h
@@ -58,5 +58,6 @@
 /* Returns the number of connections closed because has_room() returned false. */
 guint64 acceptor_refused_count (const acceptor_t *acceptor);
 
-/* Appends mimosastair_listener_* samples. */
-void acceptor_append_metrics (const acceptor_t *acceptor, GString *out);
+/* Appends mimosastair_listener_* samples, with the open connections and their bound. */
+void
+acceptor_append_metrics (const acceptor_t *acceptor, guint connections, guint limit, GString *out);
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -29,6 +29,7 @@
   connection_state_t state;
   gint64 state_since_us;  /* time of the last state change */
   gint64 closed_since_us; /* 0: not known to be closed */
+  bool is_replaced;       /* shut down for a new one, and not released yet */
   bool has_headers;       /* the headers of a request were received */
   bool is_refused;        /* this layer responds to the request with an error */
   goffset body_bytes;     /* received so far of the current request */
@@ -44,6 +45,7 @@
   list_node_t connection_list;
   GHashTable *connections; /* GSocketAddress, by identity -> connection_t */
   guint connection_count;
+  guint replaced_count; /* of connection_count */
   guint open_request_count;
   guint sweep_timer;
   bool is_stopping;
@@ -87,6 +89,7 @@
   g_hash_table_remove (server->connections, connection->remote_address);
   g_object_unref (connection->remote_address);
   server->connection_count--;
+  server->replaced_count -= connection->is_replaced;
   g_free (connection);
 }
 
@@ -380,14 +383,49 @@
   return connection;
 }
 
+static connection_t *
+find_longest_idle (const http_server_t *server)
+{
+  connection_t *longest = NULL;
+
+  for (list_node_t *node = server->connection_list.next; node != &server->connection_list;
+       node = node->next)
+    {
+      connection_t *connection = LIST_ENTRY (node, connection_t, node);
+
+      if (connection->state == CONNECTION_RESPONDING || connection->is_replaced)
+        continue;
+      if (longest == NULL || connection->state_since_us < longest->state_since_us)
+        longest = connection;
+    }
+  return longest;
+}
+
+/* The replaced connection is released later, so that at most twice the bound are open. */
+static bool
+replace_idle_connection (http_server_t *server)
+{
+  connection_t *connection = find_longest_idle (server);
+
+  if (connection == NULL || server->replaced_count >= server->limits.connections)
+    return false;
+  connection->is_replaced = true;
+  server->replaced_count++;
+  connection_shutdown (connection);
+  return true;
+}
+
 static bool
 has_room (void *data)
 {
   http_server_t *server = data;
+  guint limit = server->limits.connections;
 
-  if (server->connection_count >= server->limits.connections)
+  if (server->connection_count - server->replaced_count >= limit)
     close_dead_connections (server);
-  return server->connection_count < server->limits.connections;
+  if (server->connection_count - server->replaced_count < limit)
+    return true;
+  return server->limits.replaces_idle && replace_idle_connection (server);
 }
 
 static void
@@ -591,7 +629,8 @@
 http_server_append_metrics (const http_server_t *server, GString *out)
 {
   if (server->acceptor != NULL)
-    acceptor_append_metrics (server->acceptor, out);
+    acceptor_append_metrics (server->acceptor, server->connection_count, server->limits.connections,
+                             out);
 }
 
 const char *
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -18,7 +18,8 @@
 typedef struct
 {
   const char *listener;  /* name in log lines and metrics; static */
-  guint connections;     /* 1 to 100,000 */
+  guint connections;     /* 1 to 1,000,000 */
+  bool replaces_idle;    /* the longest idle connection gives way to a new one */
   guint header_bytes;    /* 256 to 65,536 */
   guint body_bytes;      /* 0 to 64 MiB */
   guint read_timeout_ms; /* for one complete request, including the idle time before it */
--- a/src/base/process.c
+++ b/src/base/process.c
@@ -29,6 +29,17 @@
   };
 }
 
+void
+process_raise_descriptor_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == limit.rlim_max)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  (void) setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 gint64
 process_descriptor_count (void)
 {
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -21,6 +21,9 @@
 /* Returns the soft limits in force. */
 process_limits_t process_limits (void);
 
+/* Raises the soft limit of descriptors to the hard one, as far as the system allows it. */
+void process_raise_descriptor_limit (void);
+
 /* Returns the number of open descriptors, or PROCESS_UNKNOWN. */
 gint64 process_descriptor_count (void);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,6 +3,7 @@
 #include "entry/entry.h"
 
 #include "base/clock.h"
+#include "base/descriptor_budget.h"
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/loop.h"
@@ -54,8 +55,7 @@
   LEADER_CLOSE_TIMEOUT_MS = 400, /* limit for storing pending records before resigning */
   LEADER_PACE_US = 2000,         /* small beside the round trips of the orders */
   FULL_ROUND_INTERVAL_MS = 25,   /* bounds the leader's work for what waits long anyway */
-  RESIGN_NOTICE_MS = 50,         /* time to send the resignation to the other VMs */
-  METRICS_CONNECTIONS = 16
+  RESIGN_NOTICE_MS = 50          /* time to send the resignation to the other VMs */
 };
 
 /* ---- Desired state. */
@@ -352,21 +352,48 @@
 
 static const job_api_callbacks_t job_api_callbacks = { can_accept_jobs, get_desired_age_us };
 
+/* Returns the budget of the smaller of the process's limit and the setting. */
+static descriptor_budget_t
+divide_descriptors (const entry_options_t *options)
+{
+  gint64 process_limit;
+  guint limit;
+  descriptor_budget_t budget;
+
+  process_raise_descriptor_limit ();
+  process_limit = CLAMP (process_limits ().descriptors, 0, G_MAXINT32);
+  limit = descriptor_limit ((guint) process_limit, (guint) options->max_descriptors);
+  budget = descriptor_budget (limit);
+  LOG_INFO ("descriptor_budget",
+            "limit=%u customers=%u readiness=%u metrics=%u vms=%u executors=%u store=%u advice=%u"
+            " files=%u",
+            limit, budget.customers, budget.readiness, budget.metrics, budget.vms, budget.executors,
+            budget.store, budget.advice, budget.files);
+  if (options->max_connections > budget.customers)
+    LOG_WARN ("max_connections_lowered", "max_connections=%" G_GINT64_FORMAT " fits=%u",
+              options->max_connections, budget.customers);
+  return budget;
+}
+
 static bool
 start_servers (entry_t *entry, error_info_t *error)
 {
+  descriptor_budget_t budget = divide_descriptors (&entry->options);
   job_api_config_t api = {
     .listen = entry->options.listen,
     .ready_listen = entry->options.ready_listen,
-    .max_connections = (guint) entry->options.max_connections,
+    .max_connections = MIN ((guint) entry->options.max_connections, budget.customers),
+    .max_ready_connections = budget.readiness,
   };
   http_limits_t limits = { .listener = "metrics",
-                           .connections = METRICS_CONNECTIONS,
+                           .connections = budget.metrics,
+                           .replaces_idle = true,
                            .header_bytes = 8192,
                            .body_bytes = 0,
                            .read_timeout_ms = 5000 };
 
-  entry->listener = listener_new (entry->options.peer_listen, accept_peer, entry, error);
+  entry->listener
+      = listener_new (entry->options.peer_listen, budget.vms, accept_peer, entry, error);
   if (entry->listener == NULL)
     return false;
   entry->api = job_api_new (&api, entry->intake, &job_api_callbacks, entry, error);
--- a/tests/peer.c
+++ b/tests/peer.c
@@ -76,7 +76,7 @@
   *server = (server_t){ .reads = reads };
   server->links = g_ptr_array_new_with_free_func ((GDestroyNotify) link_free);
   server->connections = g_ptr_array_new_with_free_func (g_object_unref);
-  server->listener = listener_new ("127.0.0.1:0", accepted, server, &error);
+  server->listener = listener_new ("127.0.0.1:0", 100, accepted, server, &error);
   CU_ASSERT_PTR_NOT_NULL_FATAL (server->listener);
   server->address = g_strdup_printf ("127.0.0.1:%u", listener_port (server->listener));
 }
--- a/tests/process/descriptors.py
+++ b/tests/process/descriptors.py
@@ -2,7 +2,6 @@
 import asyncio
 import os
 import resource
-import socket
 import time
 
 import harness
@@ -15,24 +14,12 @@
 CONNECTIONS = 12  # to each listener while no descriptor is free
 
 
-def connect(address, count):
-    """Opens connections and sends nothing on them."""
-    host, _, port = address.partition(":")
-    opened = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.setblocking(False)
-        sock.connect_ex((host, int(port)))
-        opened.append(sock)
-    return opened
-
-
 async def flood(lab):
     """More connections on each port of each VM than the VM has descriptors."""
     opened = []
     for vm, limit in zip(lab.vms, DESCRIPTORS):
         for listener in harness.LISTENERS:
-            opened += connect(lab.address(vm, listener), limit * 3 // 2)
+            opened += harness.connect(lab.address(vm, listener), limit * 3 // 2)
             await asyncio.sleep(0)
     await asyncio.sleep(FLOOD_S)
     for sock in opened:
@@ -76,7 +63,7 @@
     # Not below what is open: poll() refuses more descriptors than the limit.
     used = len(os.listdir(f"/proc/{pid}/fd"))
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, before[1]))
-    opened = [sock for name in harness.LISTENERS for sock in connect(lab.address(vm, name), CONNECTIONS)]
+    opened = [sock for name in harness.LISTENERS for sock in harness.connect(lab.address(vm, name), CONNECTIONS)]
     await asyncio.sleep(EXHAUSTED_S)
     for sock in opened:
         sock.close()
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -8,6 +8,7 @@
 import re
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -26,6 +27,18 @@
 LISTENERS = ("front", "ready", "peer", "metrics")
 
 
+def connect(address, count):
+    """Opens connections and sends nothing on them."""
+    host, _, port = address.partition(":")
+    opened = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex((host, int(port)))
+        opened.append(sock)
+    return opened
+
+
 class ProcessLab(laboratory.Lab):
     """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
 
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -1,4 +1,5 @@
 /* Unit tests of errors, histograms, settings, environment documents, timers and job records. */
+#include "base/descriptor_budget.h"
 #include "base/error.h"
 #include "base/histogram.h"
 #include "base/settings.h"
@@ -243,6 +244,27 @@
   CU_ASSERT (index == 1 && attempt == 4);
 }
 
+static void
+test_descriptor_budget (void)
+{
+  static const guint limits[] = { 64, 65, 256, 1024, 4100, 20000, 1000000 };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      descriptor_budget_t budget = descriptor_budget (limits[i]);
+      guint sum = budget.customers + 2 * budget.readiness + 2 * budget.metrics + budget.vms
+                  + budget.executors + budget.store + budget.advice + budget.files;
+
+      CU_ASSERT_EQUAL (sum, limits[i]);
+      CU_ASSERT_TRUE (budget.readiness >= 4 && budget.metrics >= 4 && budget.vms >= 4);
+      CU_ASSERT_TRUE (budget.customers > budget.vms && budget.executors > budget.vms);
+    }
+  CU_ASSERT_EQUAL (descriptor_budget (4100).files, 200);
+  CU_ASSERT_EQUAL (descriptor_limit (0, 4100), 4100);
+  CU_ASSERT_EQUAL (descriptor_limit (1024, 0), 1024);
+  CU_ASSERT_EQUAL (descriptor_limit (1024, 4100), 1024);
+}
+
 int
 main (void)
 {
@@ -256,6 +278,7 @@
   CU_add_test (suite, "settings are read from flags and environment and are checked",
                test_settings);
   CU_add_test (suite, "all problems of a document are listed at once", test_document_problems);
+  CU_add_test (suite, "the shares of descriptors fit into any limit", test_descriptor_budget);
   CU_add_test (suite, "timers fire once, even after a long pause", test_timers_fire_once);
   CU_add_test (suite, "lease expiry allows for clock drift and late delivery",
                test_lease_expiry_allows_for_clock_drift);
