--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -2,7 +2,6 @@
 
 #include "base/http_server.h"
 
-#include "base/acceptor.h"
 #include "base/json.h"
 #include "base/list.h"
 #include "base/log.h"
@@ -30,6 +29,7 @@
   connection_state_t state;
   gint64 state_since_us;  /* time of the last state change */
   gint64 closed_since_us; /* 0: not known to be closed */
+  bool is_replaced;       /* shut down for a new one, and not released yet */
   bool has_headers;       /* the headers of a request were received */
   bool is_refused;        /* this layer responds to the request with an error */
   goffset body_bytes;     /* received so far of the current request */
@@ -45,9 +45,9 @@
   list_node_t connection_list;
   GHashTable *connections; /* GSocketAddress, by identity -> connection_t */
   guint connection_count;
+  guint replaced_count; /* of connection_count */
   guint open_request_count;
   guint sweep_timer;
-  guint16 port;
   bool is_stopping;
   http_counters_t counters;
 };
@@ -89,6 +89,7 @@
   g_hash_table_remove (server->connections, connection->remote_address);
   g_object_unref (connection->remote_address);
   server->connection_count--;
+  server->replaced_count -= connection->is_replaced;
   g_free (connection);
 }
 
@@ -382,14 +383,49 @@
   return connection;
 }
 
+static connection_t *
+find_longest_idle (const http_server_t *server)
+{
+  connection_t *longest = NULL;
+
+  for (list_node_t *node = server->connection_list.next; node != &server->connection_list;
+       node = node->next)
+    {
+      connection_t *connection = LIST_ENTRY (node, connection_t, node);
+
+      if (connection->state == CONNECTION_RESPONDING || connection->is_replaced)
+        continue;
+      if (longest == NULL || connection->state_since_us < longest->state_since_us)
+        longest = connection;
+    }
+  return longest;
+}
+
+/* The replaced connection is released later, so that at most twice the bound are open. */
+static bool
+replace_idle_connection (http_server_t *server)
+{
+  connection_t *connection = find_longest_idle (server);
+
+  if (connection == NULL || server->replaced_count >= server->limits.connections)
+    return false;
+  connection->is_replaced = true;
+  server->replaced_count++;
+  connection_shutdown (connection);
+  return true;
+}
+
 static bool
 has_room (void *data)
 {
   http_server_t *server = data;
+  guint limit = server->limits.connections;
 
-  if (server->connection_count >= server->limits.connections)
+  if (server->connection_count - server->replaced_count >= limit)
     close_dead_connections (server);
-  return server->connection_count < server->limits.connections;
+  if (server->connection_count - server->replaced_count < limit)
+    return true;
+  return server->limits.replaces_idle && replace_idle_connection (server);
 }
 
 static void
@@ -473,8 +509,8 @@
 {
   g_autoptr (GSocketAddress) loopback = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
   g_autoptr (GSocketAddress) own = NULL;
-  g_autoptr (GSocket) idle = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
-                                           G_SOCKET_PROTOCOL_UDP, problem);
+  g_autoptr (GSocket) idle
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, problem);
 
   if (idle == NULL || !g_socket_bind (idle, loopback, FALSE, problem))
     return false;
@@ -512,10 +548,7 @@
               problem->message);
   server->acceptor = acceptor_new (&config, &acceptor_events, server, error);
   if (server->acceptor != NULL)
-    {
-      server->port = acceptor_port (server->acceptor);
-      return server;
-    }
+    return server;
   http_server_free (server);
   return NULL;
 }
@@ -535,10 +568,16 @@
   g_free (server);
 }
 
+acceptor_state_t
+http_server_state (const http_server_t *server, error_info_t *error)
+{
+  return server->acceptor != NULL ? acceptor_state (server->acceptor, error) : ACCEPTOR_LISTENING;
+}
+
 guint16
 http_server_port (const http_server_t *server)
 {
-  return server->port;
+  return server->acceptor != NULL ? acceptor_port (server->acceptor) : 0;
 }
 
 void
@@ -590,7 +629,8 @@
 http_server_append_metrics (const http_server_t *server, GString *out)
 {
   if (server->acceptor != NULL)
-    acceptor_append_metrics (server->acceptor, out);
+    acceptor_append_metrics (server->acceptor, server->connection_count, server->limits.connections,
+                             out);
 }
 
 const char *
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -9,6 +9,7 @@
 import re
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -54,6 +55,18 @@
     return re.sub(r"\{\{([^}]*)\}\}", value, word)
 
 
+def connect(address, count):
+    """Opens connections and sends nothing on them."""
+    host, _, port = address.partition(":")
+    opened = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex((host, int(port)))
+        opened.append(sock)
+    return opened
+
+
 class ProcessLab(laboratory.Lab):
     """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
 
@@ -167,6 +180,14 @@
     async def is_ready(self, vm):
         return (await call(self.address(vm, "ready"), "GET", "/readiness", timeout=1.0))[0] == 200
 
+    async def becomes_ready(self, vm, within_s):
+        until = time.monotonic() + within_s
+        while not await self.is_ready(vm):
+            if time.monotonic() > until:
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
     async def serves(self, vm):
         """Whether a job handed to this VM is accepted."""
         _, status = await self.submit(ROUTE[0], [{"count": 1, "cpu": 1000, "mem-mb": 64,
