--- a/review/lab.py
+++ b/review/lab.py
@@ -89,7 +89,7 @@
     """A small HTTP/1.1 server with keep-alive.
 
     `handle(method, path, query, headers, body, connection)` is a coroutine that returns
-    (status, JSON value, headers), RESET or SILENT.
+    (status, JSON value, headers), RESET, SILENT, or a coroutine function that writes the answer.
     """
 
     def __init__(self, handle, port):
@@ -141,6 +141,9 @@
                     return
                 if answer is SILENT:
                     await asyncio.Event().wait()
+                if callable(answer):
+                    await answer(writer)
+                    continue
                 status, value, extra = (tuple(answer) + ({},))[:3]
                 text = json.dumps(value).encode()
                 out = [f"HTTP/1.1 {status} X", "Content-Type: application/json",
--- a/src/base/http_call.h
+++ b/src/base/http_call.h
@@ -16,6 +16,7 @@
   const char *body; /* NUL-terminated, borrowed; "" if there is none */
   gsize body_bytes;
   gint64 elapsed_us; /* since http_call() */
+  bool is_too_large; /* no response, as it was over its bound */
 } http_result_t;
 
 typedef void (*http_call_done_t) (const http_result_t *result, void *data);
@@ -33,8 +34,13 @@
   /* From each part of the response to the next, for large responses, whose duration depends on the
    * link; 0: timeout_ms limits the whole call. */
   guint stall_timeout_ms;
+  gsize max_bytes;      /* bound of the response body; a larger one counts as no response */
+  memory_share_t share; /* what the response body is taken from while it is read */
 } http_call_t;
 
 /* Starts a call.  `done` is called exactly once, after this function has returned, even if
  * the session is closed in the meantime. */
 void http_call (SoupSession *session, const http_call_t *call, http_call_done_t done, void *data);
+
+/* Appends mimosastair_answers_too_large_total. */
+void http_call_append_metrics (GString *out);
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -10,8 +10,8 @@
   GCancellable *cancel;
   GInputStream *stream;
   GByteArray *bytes;
-  gsize max_bytes;
-  http_fetch_progress_t progress; /* NULL: not wanted */
+  http_fetch_options_t options;
+  bool has_share;
   http_fetch_done_t done;
   void *data;
 } fetch_t;
@@ -50,13 +50,26 @@
   return message;
 }
 
+/* Returns the body, which a zero byte follows. */
+static GBytes *
+take_body (fetch_t *fetch)
+{
+  g_autoptr (GBytes) whole = NULL;
+
+  g_byte_array_append (fetch->bytes, (const guint8 *) "", 1);
+  whole = g_byte_array_free_to_bytes (g_steal_pointer (&fetch->bytes));
+  return g_bytes_new_from_bytes (whole, 0, g_bytes_get_size (whole) - 1);
+}
+
 static void
 fetch_complete (fetch_t *fetch, bool is_success)
 {
   g_autoptr (GBytes) body = NULL;
 
+  if (fetch->has_share)
+    memory_give_back (fetch->options.share, fetch->bytes->len);
   if (is_success && !g_cancellable_is_cancelled (fetch->cancel))
-    body = g_byte_array_free_to_bytes (g_steal_pointer (&fetch->bytes));
+    body = take_body (fetch);
   if (fetch->stream != NULL)
     (void) g_input_stream_close (fetch->stream, NULL, NULL);
   fetch->done (fetch->message, body, fetch->data);
@@ -67,6 +80,23 @@
   g_free (fetch);
 }
 
+/* Returns false if `size` more bytes of the body are over a bound. */
+static bool
+take_memory (const fetch_t *fetch, gsize size)
+{
+  if (fetch->bytes->len + size > fetch->options.max_bytes)
+    return false;
+  return !fetch->has_share || memory_take (fetch->options.share, fetch->bytes->len, (gint64) size);
+}
+
+static void
+fail_too_large (fetch_t *fetch)
+{
+  if (fetch->options.too_large != NULL)
+    fetch->options.too_large (fetch->data);
+  fetch_complete (fetch, false);
+}
+
 /* Reads the available data.  Returns false if the call has to wait for more, true if it has
  * completed. */
 static bool
@@ -82,14 +112,19 @@
 
       if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
         return false;
-      if (size <= 0 || fetch->bytes->len + (gsize) size > fetch->max_bytes)
+      if (size <= 0)
         {
           fetch_complete (fetch, size == 0);
           return true;
         }
+      if (!take_memory (fetch, (gsize) size))
+        {
+          fail_too_large (fetch);
+          return true;
+        }
       g_byte_array_append (fetch->bytes, buffer, (guint) size);
-      if (fetch->progress != NULL)
-        fetch->progress (fetch->data);
+      if (fetch->options.progress != NULL)
+        fetch->options.progress (fetch->data);
     }
 }
 
@@ -124,10 +159,23 @@
   fetch->stream = soup_session_send_finish (SOUP_SESSION (source), result, NULL);
   if (fetch->stream == NULL)
     fetch_complete (fetch, false);
+  else if (soup_message_headers_get_content_length (
+               soup_message_get_response_headers (fetch->message))
+           > (goffset) fetch->options.max_bytes)
+    fail_too_large (fetch);
   else if (!read_available (fetch))
     watch_stream (fetch);
 }
 
+static void
+fetch_start (SoupSession *session, SoupMessage *message, GCancellable *cancel, fetch_t *fetch)
+{
+  fetch->message = g_object_ref (message);
+  fetch->cancel = cancel != NULL ? g_object_ref (cancel) : g_cancellable_new ();
+  fetch->bytes = g_byte_array_new ();
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, fetch->cancel, on_sent, fetch);
+}
+
 void
 http_fetch (SoupSession *session,
             SoupMessage *message,
@@ -136,26 +184,27 @@
             http_fetch_done_t done,
             void *data)
 {
-  http_fetch_with_progress (session, message, max_bytes, cancel, NULL, done, data);
+  fetch_t *fetch = g_new0 (fetch_t, 1);
+
+  fetch->options.max_bytes = max_bytes;
+  fetch->done = done;
+  fetch->data = data;
+  fetch_start (session, message, cancel, fetch);
 }
 
 void
-http_fetch_with_progress (SoupSession *session,
-                          SoupMessage *message,
-                          gsize max_bytes,
-                          GCancellable *cancel,
-                          http_fetch_progress_t progress,
-                          http_fetch_done_t done,
-                          void *data)
+http_fetch_with_options (SoupSession *session,
+                         SoupMessage *message,
+                         const http_fetch_options_t *options,
+                         GCancellable *cancel,
+                         http_fetch_done_t done,
+                         void *data)
 {
   fetch_t *fetch = g_new0 (fetch_t, 1);
 
-  fetch->message = g_object_ref (message);
-  fetch->cancel = cancel != NULL ? g_object_ref (cancel) : g_cancellable_new ();
-  fetch->bytes = g_byte_array_new ();
-  fetch->max_bytes = max_bytes;
-  fetch->progress = progress;
+  fetch->options = *options;
+  fetch->has_share = true;
   fetch->done = done;
   fetch->data = data;
-  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, fetch->cancel, on_sent, fetch);
+  fetch_start (session, message, cancel, fetch);
 }
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -5,6 +5,8 @@
  */
 #pragma once
 
+#include "base/memory_budget.h"
+
 #include <libsoup/soup.h>
 
 /* Creates a session without content decoding or sniffing, authentication or proxies.  `connections`
@@ -17,7 +19,7 @@
  * or larger than `max_bytes`, or if the call was cancelled. */
 typedef void (*http_fetch_done_t) (SoupMessage *message, GBytes *body, void *data);
 
-/* Bytes of the response have arrived; the response may still be incomplete. */
+/* Tells how a call goes on. */
 typedef void (*http_fetch_progress_t) (void *data);
 
 /* Sends `message` and takes a reference to it.  `cancel` may be NULL.  `done` is called exactly
@@ -29,14 +31,23 @@
                  http_fetch_done_t done,
                  void *data);
 
-/* Like http_fetch(), but also calls `progress` each time that bytes of the response arrive. */
-void http_fetch_with_progress (SoupSession *session,
-                               SoupMessage *message,
-                               gsize max_bytes,
-                               GCancellable *cancel,
-                               http_fetch_progress_t progress,
-                               http_fetch_done_t done,
-                               void *data);
+typedef struct
+{
+  gsize max_bytes;                 /* bound of the response body */
+  memory_share_t share;            /* what the response body is taken from while it is read */
+  http_fetch_progress_t progress;  /* bytes of the response have arrived; more may follow */
+  http_fetch_progress_t too_large; /* the body is over its bound, or over what the share has left;
+                                    * `done` follows with no body */
+} http_fetch_options_t;
+
+/* Like http_fetch(), but the response takes its memory from a share.  A zero byte follows `body`
+ * in memory. */
+void http_fetch_with_options (SoupSession *session,
+                              SoupMessage *message,
+                              const http_fetch_options_t *options,
+                              GCancellable *cancel,
+                              http_fetch_done_t done,
+                              void *data);
 
 enum
 {
--- a/src/base/json_check.c
+++ b/src/base/json_check.c
@@ -173,6 +173,7 @@
 {
   cursor_t cursor = { .next = text, .end = text + bytes };
   guint depth = 0;
+  guint values = 0;
 
   if (bytes > JSON_TEXT_MAX_BYTES)
     return JSON_CHECK_TOO_LARGE;
@@ -181,6 +182,8 @@
       char c = *cursor.next;
       json_check_result_t result = JSON_CHECK_OK;
 
+      if (strchr (" \t\r\n,:]}", c) == NULL && ++values > JSON_VALUES_MAX)
+        return JSON_CHECK_TOO_MANY_VALUES;
       if (c == '-' || g_ascii_isdigit (c))
         result = check_number (&cursor);
       else if (take (&cursor, '"'))
@@ -209,6 +212,8 @@
       return "valid";
     case JSON_CHECK_TOO_LARGE:
       return "the text is too large";
+    case JSON_CHECK_TOO_MANY_VALUES:
+      return "the text has too many values";
     case JSON_CHECK_TOO_DEEP:
       return "the text is nested too deeply";
     case JSON_CHECK_MALFORMED:
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,9 +3,11 @@
 #include "entry/entry.h"
 
 #include "base/clock.h"
+#include "base/http_call.h"
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/loop.h"
+#include "base/memory_budget.h"
 #include "base/metrics.h"
 #include "base/process.h"
 #include "base/program.h"
@@ -247,6 +249,8 @@
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
                           desired_age_ms (entry));
   process_append_metrics (out);
+  memory_append_metrics (out);
+  http_call_append_metrics (out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
@@ -449,6 +453,7 @@
                                     &error);
   if (status >= 0)
     return status;
+  memory_set_limit_mb ((guint) options.memory_mb);
   entry = entry_new (&options, &error);
   if (entry == NULL)
     return program_start_error (&error);
--- a/src/entry/options.c
+++ b/src/entry/options.c
@@ -1,5 +1,7 @@
 #include "entry/options.h"
 
+#include "base/memory_budget.h"
+
 static entry_options_t loaded;
 
 static const setting_t settings[] = {
@@ -126,6 +128,14 @@
     .max = 100000,
     .placeholder = "COUNT",
     .help = "maximum number of connections from customers" },
+  { .flag = "memory-mb",
+    .kind = SETTING_INTEGER,
+    .value = &loaded.memory_mb,
+    .fallback = "256",
+    .min = MEMORY_MIN_MB,
+    .max = MEMORY_MAX_MB,
+    .placeholder = "MB",
+    .help = "memory that the process may use; requests and answers are refused before it is full" },
   { .flag = "drain-delay-ms",
     .kind = SETTING_INTEGER,
     .value = &loaded.drain_delay_ms,
--- a/src/entry/options.h
+++ b/src/entry/options.h
@@ -22,6 +22,7 @@
   gint64 remote_factor_milli;
   gint64 claim_ttl_ms; /* duration of the leader's lease */
   gint64 max_connections;
+  gint64 memory_mb; /* what the process may use */
   gint64 drain_delay_ms;
   gint64 drain_timeout_ms;
 } entry_options_t;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -33,11 +33,12 @@
 typedef struct
 {
   store_status_t status;
-  gint64 revision;  /* of the store, or of the transaction */
-  gint64 lease;     /* set by `lease` */
-  gint64 ttl_ms;    /* set by `lease` and `keep` */
-  GPtrArray *items; /* store_item_t; never NULL */
-  bool has_more;    /* the range continues after the last item */
+  gint64 revision;   /* of the store, or of the transaction */
+  gint64 lease;      /* set by `lease` */
+  gint64 ttl_ms;     /* set by `lease` and `keep` */
+  GPtrArray *items;  /* store_item_t; never NULL */
+  bool has_more;     /* the range continues after the last item */
+  bool is_too_large; /* STORE_LOST, as the answer was over its bound */
 } store_reply_t;
 
 /* `reply` is valid during the call only. */
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -238,6 +238,8 @@
        * no delay. */
       if (reply->status == STORE_MISSING)
         (void) start_full_read (watcher);
+      else if (reply->is_too_large)
+        retry_later (watcher, start_full_read); /* pages have less than all changes at once */
       else
         retry_later (watcher, pause_timer_fired);
       return;
--- a/tests/desired_state.c
+++ b/tests/desired_state.c
@@ -39,7 +39,8 @@
                        .path = path,
                        .header = "Host",
                        .header_value = "h.example",
-                       .timeout_ms = CALL_TIMEOUT_MS };
+                       .timeout_ms = CALL_TIMEOUT_MS,
+                       .max_bytes = HTTP_RESPONSE_MAX_BYTES };
   response_t response = { .is_done = false };
 
   http_call (session, &call, responded, &response);
--- a/tests/odd_entry.c
+++ b/tests/odd_entry.c
@@ -160,12 +160,16 @@
   };
   g_autofree char *deepest = nested_text ("[", JSON_DEPTH_MAX);
   g_autofree char *deeper = nested_text ("[", JSON_DEPTH_MAX + 1);
+  g_autofree char *many_values = nested_text ("0,", JSON_VALUES_MAX + 1);
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     CU_ASSERT_EQUAL (json_check_text (cases[i].text, strlen (cases[i].text)), cases[i].result);
   CU_ASSERT_EQUAL (json_check_text (deepest, JSON_DEPTH_MAX), JSON_CHECK_OK);
   CU_ASSERT_EQUAL (json_check_text (deeper, JSON_DEPTH_MAX + 1), JSON_CHECK_TOO_DEEP);
   CU_ASSERT_EQUAL (json_check_text ("{}\0[", 4), JSON_CHECK_MALFORMED);
+  CU_ASSERT_EQUAL (json_check_text (many_values, 2 * JSON_VALUES_MAX), JSON_CHECK_OK);
+  CU_ASSERT_EQUAL (json_check_text (many_values, 2 * JSON_VALUES_MAX + 1),
+                   JSON_CHECK_TOO_MANY_VALUES);
 }
 
 /* Values that the library would wrap or cut off name no executor either. */
@@ -243,7 +247,8 @@
                        .body = g_strdup (body),
                        .header = "Host",
                        .header_value = "h.example",
-                       .timeout_ms = CALL_TIMEOUT_MS };
+                       .timeout_ms = CALL_TIMEOUT_MS,
+                       .max_bytes = HTTP_RESPONSE_MAX_BYTES };
   response_t response = { .is_done = false };
 
   if (session == NULL)
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -29,9 +29,10 @@
 class ProcessLab(laboratory.Lab):
     """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
 
-    def __init__(self, folder, build, vms=3, executors=6):
+    def __init__(self, folder, build, vms=3, executors=6, memory_mb=260):
         super().__init__(folder, vms=vms)
         self.binary = Path(build).resolve() / "src" / "mimosastaird"
+        self.memory_mb = memory_mb  # memory setting of each VM
         self.limits = {}  # resource.RLIMIT_*: (soft, hard), of processes that start from now on
         self.extra = []  # flags added to the command line
         self.stdout = None  # file descriptor for the logs; None: a file
@@ -55,6 +56,7 @@
         for i in range(self.vm_count):
             name = f"vm-{i + 1}"
             vm = {"name": name, "settings": self.settings(name, self.zones[i % len(self.zones)])}
+            vm["settings"]["limits"]["memory-mb"] = self.memory_mb
             self.vms.append(vm)
             self.launch(vm)
 
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -1,6 +1,7 @@
 /* Unit tests of errors, histograms, settings, environment documents, timers and job records. */
 #include "base/error.h"
 #include "base/histogram.h"
+#include "base/memory_budget.h"
 #include "base/settings.h"
 #include "decide/job.h"
 #include "decide/timerwheel.h"
@@ -243,6 +244,29 @@
   CU_ASSERT (index == 1 && attempt == 4);
 }
 
+static void
+test_memory_shares (void)
+{
+  gint64 share_bytes = memory_share_bytes (MEMORY_LINKS, 16);
+  gint64 sum_bytes = 0;
+
+  for (memory_share_t share = 0; share < MEMORY_SHARE_COUNT; share++)
+    sum_bytes += memory_share_bytes (share, 16);
+  CU_ASSERT (sum_bytes < 16 * 1024 * 1024);
+  memory_set_limit_mb (16);
+  /* One holder gets half, and leaves half of the rest to the next. */
+  CU_ASSERT_FALSE (memory_take (MEMORY_LINKS, 0, share_bytes / 2 + 1));
+  CU_ASSERT (memory_take (MEMORY_LINKS, 0, share_bytes / 4));
+  CU_ASSERT (memory_take (MEMORY_LINKS, share_bytes / 4, share_bytes / 4));
+  CU_ASSERT_FALSE (memory_take (MEMORY_LINKS, share_bytes / 2, 1));
+  CU_ASSERT (memory_take (MEMORY_LINKS, 0, share_bytes / 4));
+  CU_ASSERT (memory_take (MEMORY_STORE_ANSWERS, 0, share_bytes / 4));
+  memory_give_back (MEMORY_LINKS, 3 * (share_bytes / 4));
+  memory_give_back (MEMORY_STORE_ANSWERS, share_bytes / 4);
+  CU_ASSERT_EQUAL (memory_used_bytes (MEMORY_LINKS), 0);
+  memory_set_limit_mb (MEMORY_DEFAULT_MB);
+}
+
 int
 main (void)
 {
@@ -261,6 +285,7 @@
                test_lease_expiry_allows_for_clock_drift);
   CU_add_test (suite, "a job record is read back as written, with its tasks recovering",
                test_job_record_round_trip);
+  CU_add_test (suite, "one holder of memory leaves room for others", test_memory_shares);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
