--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -4,9 +4,11 @@
 
 #include "base/clock.h"
 #include "base/descriptor_budget.h"
+#include "base/http_call.h"
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/loop.h"
+#include "base/memory_budget.h"
 #include "base/metrics.h"
 #include "base/process.h"
 #include "base/program.h"
@@ -263,6 +265,8 @@
   listener_append_metrics (entry->listener, out);
   job_api_append_metrics (entry->api, out);
   http_server_append_metrics (entry->metrics_server, out);
+  memory_append_metrics (out);
+  http_call_append_metrics (out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
@@ -536,6 +540,7 @@
                                     &error);
   if (status >= 0)
     return status;
+  memory_set_limit_mb ((guint) options.memory_mb);
   entry = entry_new (&options, &error);
   if (entry == NULL)
     return program_start_error (&error);
--- a/src/entry/options.c
+++ b/src/entry/options.c
@@ -1,5 +1,7 @@
 #include "entry/options.h"
 
+#include "base/memory_budget.h"
+
 enum
 {
   NAME_BYTES_MAX = 255,
@@ -145,8 +147,18 @@
     .fallback = "0",
     .min = 0,
     .max = 1000000,
+    .takes_nearest_bound = true,
     .placeholder = "COUNT",
     .help = "descriptors that this VM may use, 200 of them for files; 0: the process's limit" },
+  { .flag = "memory-mb",
+    .kind = SETTING_INTEGER,
+    .value = &loaded.memory_mb,
+    .fallback = "256",
+    .min = MEMORY_MIN_MB,
+    .max = MEMORY_MAX_MB,
+    .takes_nearest_bound = true,
+    .placeholder = "MB",
+    .help = "memory that the process may use; requests and answers are refused before it is full" },
   { .flag = "drain-delay-ms",
     .kind = SETTING_INTEGER,
     .value = &loaded.drain_delay_ms,
