--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -6,6 +6,7 @@
 #include "base/json.h"
 #include "base/list.h"
 #include "base/log.h"
+#include "base/memory_budget.h"
 
 #include <libsoup/soup.h>
 #include <netinet/in.h>
@@ -32,6 +33,9 @@
   bool has_headers;       /* the headers of a request were received */
   bool is_refused;        /* this layer responds to the request with an error */
   goffset body_bytes;     /* received so far of the current request */
+  gint64 held_bytes;      /* of MEMORY_REQUESTS, for the body of the current request */
+  gint64 window_start_us; /* of the body's rate */
+  goffset window_bytes;   /* received since */
 } connection_t;
 
 struct http_server
@@ -45,6 +49,7 @@
   guint connection_count;
   guint open_request_count;
   guint sweep_timer;
+  gint64 last_sweep_us;
   guint16 port;
   bool is_stopping;
   http_counters_t counters;
@@ -59,12 +64,26 @@
   GBytes *body;
   http_disconnected_t on_disconnected;
   void *disconnected_data;
+  gint64 held_bytes; /* of MEMORY_WORK */
   gulong finished_handler_id;
   bool is_finished;
   bool is_responded; /* the response was handed to libsoup */
 };
 
+enum
+{
+  /* A large body comes at this rate or faster, so that a client that stops gives its memory back
+   * before the timeout.  A small one has the whole timeout. */
+  BODY_LEAST_BYTES_PER_S = 16 * 1024,
+  SMALL_BODY_BYTES = 32 * 1024,
+  BODY_GRACE_US = G_USEC_PER_SEC,
+  BODY_WINDOW_US = G_USEC_PER_SEC,
+  WORK_COPIES = 4, /* of a body: its text, the job, its record, and the call that stores it */
+  RETRY_AFTER_MAX_S = 3
+};
+
 static const guint sweep_interval_ms = 250;
+static const gint64 late_sweep_us = 500 * 1000;
 static const int listen_backlog = 1024; /* connections not accepted yet */
 static const gint64 closed_grace_us = 100 * 1000;
 static const goffset refused_body_max_bytes = 4 * 1024 * 1024;
@@ -78,11 +97,19 @@
   connection->state_since_us = g_get_monotonic_time ();
 }
 
+static void
+connection_give_back (connection_t *connection)
+{
+  memory_give_back (MEMORY_REQUESTS, connection->held_bytes);
+  connection->held_bytes = 0;
+}
+
 static void
 connection_free (connection_t *connection)
 {
   http_server_t *server = connection->server;
 
+  connection_give_back (connection);
   list_remove (&connection->node);
   g_hash_table_remove (server->connections_by_socket, connection->socket);
   server->connection_count--;
@@ -132,14 +159,26 @@
   return json_builder_to_string (builder);
 }
 
+static error_kind_t
+refused_kind (guint status)
+{
+  switch (status)
+    {
+    case SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE:
+      return ERROR_TOO_LARGE;
+    case SOUP_STATUS_SERVICE_UNAVAILABLE:
+      return ERROR_OVERLOADED;
+    default:
+      return ERROR_BAD_REQUEST;
+    }
+}
+
 /* Responds with an error to a request that violates a limit, and closes the connection after
  * the response. */
 static void
 refuse_request (http_server_t *server, SoupServerMessage *message, guint status, const char *reason)
 {
-  error_info_t error
-      = { .kind
-          = status == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE ? ERROR_TOO_LARGE : ERROR_BAD_REQUEST };
+  error_info_t error = { .kind = refused_kind (status) };
   connection_t *connection = find_connection (server, message);
   char *text;
 
@@ -156,25 +195,66 @@
                                     strlen (text));
 }
 
-/* Responds before the body is read, since the length of the body is ambiguous.  The library
- * would read the body first. */
+/* Responds before the body is read.  The library would read the body first. */
 static void
-refuse_before_body (http_server_t *server, SoupServerMessage *message)
+refuse_before_body (http_server_t *server, SoupServerMessage *message, const char *text)
 {
-  static const char text[] = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
-                             "Content-Type: application/json\r\n\r\n"
-                             "{\"outcome\":\"not_run\",\"error\":\"bad_request\",\"reason\":"
-                             "\"the length of the body is given more than once\",\"retry\":false}";
   connection_t *connection = find_connection (server, message);
 
   if (connection == NULL)
     return;
-  (void) g_socket_send (connection->socket, text, sizeof text - 1, NULL, NULL);
+  (void) g_socket_send (connection->socket, text, strlen (text), NULL, NULL);
   /* Only the sending side is shut down.  The rest of the request is still read, because unread
    * data would reset the connection and the client would lose the response. */
   (void) g_socket_shutdown (connection->socket, FALSE, TRUE, NULL);
 }
 
+/* Spreads the clients that were refused for lack of memory over the seconds in which slow bodies
+ * give theirs back. */
+static gint64
+memory_retry_after_ms (const http_server_t *server)
+{
+  return (gint64) (1 + server->counters.refused_requests % RETRY_AFTER_MAX_S) * 1000;
+}
+
+static const error_info_t no_memory
+    = { .kind = ERROR_OVERLOADED, .detail = "the memory for requests is in use" };
+
+/* Refuses a request whose body has no room, and frees what was read of it. */
+static void
+refuse_for_memory (http_server_t *server, SoupServerMessage *message)
+{
+  gint64 retry_after_ms = memory_retry_after_ms (server);
+  g_autofree char *json = error_to_json (&no_memory, OUTCOME_NOT_RUN, retry_after_ms);
+  g_autofree char *text = g_strdup_printf (
+      "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+      "Content-Type: application/json\r\nMimosastair-Outcome: %s\r\n"
+      "Retry-After: %" G_GINT64_FORMAT "\r\nContent-Length: %zu\r\n\r\n%s",
+      outcome_name (OUTCOME_NOT_RUN), retry_after_ms / 1000, strlen (json), json);
+
+  refuse_request (server, message, SOUP_STATUS_SERVICE_UNAVAILABLE, no_memory.detail);
+  soup_message_body_truncate (soup_server_message_get_request_body (message));
+  refuse_before_body (server, message, text);
+}
+
+/* Takes the memory for `bytes` more of the body. */
+static bool
+take_body_memory (http_server_t *server, SoupServerMessage *message, goffset bytes)
+{
+  connection_t *connection = find_connection (server, message);
+
+  if (connection == NULL)
+    return true;
+  if (memory_take (MEMORY_REQUESTS, connection->held_bytes, bytes))
+    {
+      connection->held_bytes += bytes;
+      return true;
+    }
+  connection_give_back (connection);
+  refuse_for_memory (server, message);
+  return false;
+}
+
 typedef struct
 {
   gsize bytes;
@@ -200,6 +280,11 @@
 static bool
 check_headers (http_server_t *server, SoupServerMessage *message)
 {
+  static const char ambiguous_length[]
+      = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+        "Content-Type: application/json\r\n\r\n"
+        "{\"outcome\":\"not_run\",\"error\":\"bad_request\",\"reason\":"
+        "\"the length of the body is given more than once\",\"retry\":false}";
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   header_totals_t totals = { .bytes = 0 };
 
@@ -215,7 +300,7 @@
     {
       refuse_request (server, message, SOUP_STATUS_BAD_REQUEST,
                       "the length of the body is given more than once");
-      refuse_before_body (server, message);
+      refuse_before_body (server, message, ambiguous_length);
       return false;
     }
   if (totals.idempotency_keys > 1)
@@ -230,7 +315,7 @@
                       "the body is larger than allowed");
       return false;
     }
-  return true;
+  return take_body_memory (server, message, soup_message_headers_get_content_length (headers));
 }
 
 static void
@@ -244,7 +329,11 @@
   connection_t *connection = find_connection (server, message);
 
   if (connection != NULL)
-    connection->has_headers = true;
+    {
+      connection->has_headers = true;
+      connection->window_start_us = g_get_monotonic_time () + BODY_GRACE_US;
+      connection->window_bytes = 0;
+    }
   (void) check_headers (server, message);
 }
 
@@ -262,8 +351,15 @@
   if (connection->is_refused)
     limit_bytes = MAX (limit_bytes, refused_body_max_bytes);
   connection->body_bytes += (goffset) g_bytes_get_size (chunk);
+  if (g_get_monotonic_time () >= connection->window_start_us)
+    connection->window_bytes += (goffset) g_bytes_get_size (chunk);
   if (connection->body_bytes <= limit_bytes)
-    return;
+    {
+      /* Only a chunked body is not taken at its headers. */
+      if (!connection->is_refused && connection->body_bytes > connection->held_bytes)
+        (void) take_body_memory (server, message, connection->body_bytes - connection->held_bytes);
+      return;
+    }
   server->counters.refused_requests++;
   connection_shutdown (connection);
 }
@@ -272,6 +368,7 @@
 request_free (http_request_t *request)
 {
   request->server->open_request_count--;
+  memory_give_back (MEMORY_WORK, request->held_bytes);
   g_signal_handler_disconnect (request->message, request->finished_handler_id);
   g_object_unref (request->message);
   g_bytes_unref (request->body);
@@ -296,6 +393,17 @@
     on_disconnected (request->disconnected_data);
 }
 
+static bool
+take_work_memory (http_request_t *request)
+{
+  gint64 bytes = (gint64) g_bytes_get_size (request->body) * WORK_COPIES;
+
+  if (!memory_take (MEMORY_WORK, 0, bytes))
+    return false;
+  request->held_bytes = bytes;
+  return true;
+}
+
 static void
 on_message (SoupServer *soup G_GNUC_UNUSED,
             SoupServerMessage *message,
@@ -316,7 +424,10 @@
   request->finished_handler_id
       = g_signal_connect (message, "finished", G_CALLBACK (on_message_finished), request);
   soup_server_message_pause (message);
-  server->handler (request, server->data);
+  if (take_work_memory (request))
+    server->handler (request, server->data);
+  else
+    http_respond_error (request, &no_memory, OUTCOME_NOT_RUN, memory_retry_after_ms (server));
 }
 
 /* Returns whether the client has closed its side and all data from it has been read. */
@@ -410,6 +521,7 @@
   connection->has_headers = false;
   connection->is_refused = false;
   connection->body_bytes = 0;
+  connection_give_back (connection);
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_body_chunk), server);
 }
 
@@ -418,8 +530,10 @@
 {
   connection_t *connection = find_connection (data, message);
 
-  if (connection != NULL)
-    connection_set_state (connection, CONNECTION_RESPONDING);
+  if (connection == NULL)
+    return;
+  connection_set_state (connection, CONNECTION_RESPONDING);
+  connection_give_back (connection);
 }
 
 static void
@@ -431,19 +545,42 @@
     connection_set_state (connection, CONNECTION_IDLE);
 }
 
+/* Returns whether a large body came too slowly since the last window, and begins the next one.
+ * While the process itself was late, nothing is known of its clients. */
+static bool
+is_body_too_slow (connection_t *connection, gint64 now_us, bool was_late)
+{
+  bool is_too_slow;
+
+  if (connection->state != CONNECTION_READING || !connection->has_headers
+      || connection->held_bytes <= SMALL_BODY_BYTES)
+    return false;
+  if (!was_late && now_us < connection->window_start_us + BODY_WINDOW_US)
+    return false;
+  is_too_slow = !was_late && connection->window_bytes < BODY_LEAST_BYTES_PER_S;
+  connection->window_start_us = MAX (connection->window_start_us, now_us);
+  connection->window_bytes = 0;
+  return is_too_slow;
+}
+
 static gboolean
 sweep_connections (gpointer data)
 {
   http_server_t *server = data;
-  gint64 read_cutoff_us = g_get_monotonic_time () - (gint64) server->limits.read_timeout_ms * 1000;
+  gint64 now_us = g_get_monotonic_time ();
+  gint64 read_cutoff_us = now_us - (gint64) server->limits.read_timeout_ms * 1000;
+  bool was_late = now_us - server->last_sweep_us > late_sweep_us;
 
+  server->last_sweep_us = now_us;
   close_dead_connections (server);
   for (list_node_t *node = server->connection_list.next; node != &server->connection_list;
        node = node->next)
     {
       connection_t *connection = LIST_ENTRY (node, connection_t, node);
 
-      if (connection->state == CONNECTION_RESPONDING || connection->state_since_us > read_cutoff_us)
+      if (connection->state == CONNECTION_RESPONDING
+          || (connection->state_since_us > read_cutoff_us
+              && !is_body_too_slow (connection, now_us, was_late)))
         continue;
       server->counters.timeouts += connection->state == CONNECTION_READING;
       connection_set_state (connection, CONNECTION_IDLE);
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -1,10 +1,12 @@
 /* HTTP server on libsoup with resource limits.
  *
- * The number of connections, the size of headers and bodies, and the time to send a request
- * are limited.  A client that exceeds a limit gets a 4xx response with the reason, or its
- * connection is closed, before it uses more resources.  The handler is called once the body of
- * a request is complete.  It must respond with http_respond() exactly once, immediately or
- * later.
+ * Bodies take their memory from MEMORY_REQUESTS while they are read and from MEMORY_WORK until the
+ * response; a request that has no room gets 503 with Retry-After and is not handled, at its headers
+ * if they tell the length.  The number of connections, the size of headers and bodies, and the time
+ * to send a request are limited, and a large body has a least rate.  A client that exceeds a limit
+ * gets a 4xx response with the reason, or its connection is closed, before it uses more resources.
+ * The handler is called once the body of a request is complete.  It must respond with
+ * http_respond() exactly once, immediately or later.
  */
 #pragma once
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,3 +1,4 @@
+#include "base/memory_budget.h"
 #include "base/program.h"
 #include "daemon/daemon.h"
 #include "entry/entry.h"
@@ -21,6 +22,7 @@
                                     &error);
   if (status >= 0)
     return status;
+  memory_set_limit_mb (MEMORY_MAX_MB); /* its bodies are bounded by connections and size alone */
   daemon = daemon_new (&options, &error);
   if (daemon == NULL)
     return program_start_error (&error);
--- /dev/null
+++ b/tests/process/half_bodies.py
@@ -0,0 +1,115 @@
+"""Many clients that send a part of a large body and no more leave each VM within its memory.
+
+A client that is refused is told so before it has sent the rest.  Small jobs of other clients are accepted beside
+them, also slow ones.  With the sanitizer the resident size is not checked.
+"""
+import asyncio
+import resource
+import socket
+import sys
+
+import harness
+from lab import HOST
+from traffic import STEP, Client, Watch
+
+CLIENTS = 1300  # on each VM
+BODY_BYTES = 250_000
+SENDING = 200  # clients that send at the same time
+STAY_S = 4.0
+FLOOD_S = 8.0
+LEAST_JOBS = 10
+VM_DESCRIPTORS = 4200  # of the small sites
+HEAD = ("POST /checks/%016x HTTP/1.1\r\nHost: jobs.example\r\nContent-Type: application/json\r\n%s\r\n\r\n")
+
+
+class HalfClient:
+    """Sends a part of a body, then waits for an answer."""
+
+    count = 0
+
+    def __init__(self, port, part, chunked):
+        HalfClient.count += 1
+        self.port = port
+        size = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {BODY_BYTES}"
+        first = b"%x\r\n" % BODY_BYTES if chunked else b""
+        self.head = (HEAD % (2 ** 40 + HalfClient.count, size)).encode() + first
+        self.part = part
+        self.answer = b""
+        self.socket = None
+
+    async def send(self, gate):
+        loop = asyncio.get_running_loop()
+        self.socket = socket.socket()
+        self.socket.setblocking(False)
+        async with gate:
+            try:
+                await asyncio.wait_for(loop.sock_connect(self.socket, (HOST, self.port)), 5)
+                await asyncio.wait_for(loop.sock_sendall(self.socket, self.head + self.part), 5)
+            except (OSError, asyncio.TimeoutError):
+                pass
+        try:
+            self.answer = await asyncio.wait_for(loop.sock_recv(self.socket, 4096), STAY_S)
+        except (OSError, asyncio.TimeoutError):
+            pass
+
+    def close(self):
+        if self.socket is not None:
+            self.socket.close()
+
+
+async def flood(lab, watch, what, share, chunked):
+    """Half bodies on every VM beside ordinary jobs."""
+    part = b"x" * int(BODY_BYTES * share)
+    gate = asyncio.Semaphore(SENDING)
+    client = Client(lab)
+    until = asyncio.get_running_loop().time() + FLOOD_S
+    halves = [HalfClient(int(lab.address(vm, "front").rpartition(":")[2]), part, chunked)
+              for _ in range(CLIENTS) for vm in lab.vms]
+    await asyncio.gather(*(half.send(gate) for half in halves))
+    await asyncio.sleep(until - asyncio.get_running_loop().time())
+    refused = [half.answer for half in halves if half.answer]
+    print(f"{what}: {len(halves)} clients, {len(refused)} answered")
+    for answer in refused:
+        if not answer.startswith(b"HTTP/1.1 503") or b"Retry-After: " not in answer or b"not_run" not in answer:
+            lab.fail(f"{what}: answered {answer[:300]}")
+            break
+    if not chunked and len(refused) < len(halves) / 2:
+        lab.fail(f"{what}: only {len(refused)} of {len(halves)} were told at their headers")
+    for half in halves:
+        half.close()
+    if "asan" not in sys.argv[1]:
+        watch.check(what)
+    await client.check(LEAST_JOBS)
+
+
+async def slow_small_job(lab):
+    """A small body that takes 3 s is accepted."""
+    body = b'{"spec":"{\\"ms\\": 50}","job-steps":[%s]}' % str(STEP).replace("'", '"').encode()
+    host, _, port = lab.address(lab.vms[0], "front").partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write((HEAD % (2 ** 50, f"Content-Length: {len(body)}")).encode())
+    for i in range(6):
+        writer.write(body[i * len(body) // 6:(i + 1) * len(body) // 6])
+        await writer.drain()
+        await asyncio.sleep(0.5)
+    head = await asyncio.wait_for(reader.read(4096), 5)
+    writer.close()
+    if not head.startswith(b"HTTP/1.1 200"):
+        lab.fail(f"a slow client of a small body got {head[:200]}")
+
+
+async def case(lab):
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    lab.limits[resource.RLIMIT_NOFILE] = (VM_DESCRIPTORS, VM_DESCRIPTORS)
+    await lab.start()
+    watch = Watch(lab)
+    for what, share, chunked in (("half", 0.5, False), ("nearly all", 0.99, False), ("half, chunked", 0.5, True)):
+        slow = asyncio.create_task(slow_small_job(lab))
+        await flood(lab, watch, what, share, chunked)
+        await slow
+    await lab.check_all_serve()
+    lab.check_no_ends()
+
+
+harness.run(case, memory_mb=160)
