--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/clock.h"
+#include "base/memory_budget.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -17,6 +18,7 @@
   GByteArray *unwritten;     /* frames that are not written yet */
   guint written_bytes;       /* of `unwritten` */
   GByteArray *received;      /* bytes after the last complete frame */
+  gint64 held_bytes;         /* of MEMORY_LINKS, for both */
   GSource *read_source;
   GSource *write_source; /* NULL: the connection takes all that is written, or nothing waits */
   guint flush_source;
@@ -44,9 +46,31 @@
   g_clear_pointer (source, g_source_unref);
 }
 
+/* Takes the memory for `bytes` more, or returns false. */
+static bool
+take_memory (link_t *link, gsize bytes)
+{
+  if (!memory_take (MEMORY_LINKS, link->held_bytes, (gint64) bytes))
+    return false;
+  link->held_bytes += (gint64) bytes;
+  return true;
+}
+
+/* Gives back the memory of what was written or handed over. */
+static void
+give_back_memory (link_t *link)
+{
+  gint64 kept_bytes = (gint64) link->unwritten->len + link->received->len;
+
+  g_assert (kept_bytes <= link->held_bytes);
+  memory_give_back (MEMORY_LINKS, link->held_bytes - kept_bytes);
+  link->held_bytes = kept_bytes;
+}
+
 static void
 destroy (link_t *link)
 {
+  memory_give_back (MEMORY_LINKS, link->held_bytes);
   g_clear_object (&link->client);
   g_clear_object (&link->connection);
   g_object_unref (link->cancellable);
@@ -161,8 +185,16 @@
       report_broken (link, "closed");
       return G_SOURCE_REMOVE;
     }
+  if (!take_memory (link, (gsize) size))
+    {
+      report_broken (link, "no_memory");
+      return G_SOURCE_REMOVE;
+    }
   g_byte_array_append (link->received, buffer, (guint) size);
-  return handle_received (link) ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+  if (!handle_received (link))
+    return G_SOURCE_REMOVE;
+  give_back_memory (link);
+  return G_SOURCE_CONTINUE;
 }
 
 static void
@@ -207,6 +239,7 @@
         {
           g_byte_array_remove_range (link->unwritten, 0, link->written_bytes);
           link->written_bytes = 0;
+          give_back_memory (link);
           wait_until_writable (link, out);
           return;
         }
@@ -219,6 +252,7 @@
     }
   g_byte_array_set_size (link->unwritten, 0);
   link->written_bytes = 0;
+  give_back_memory (link);
 }
 
 static gboolean
@@ -260,7 +294,8 @@
 
   if (link->is_broken || link->broken_source != 0 || link->connection == NULL || size == 0)
     return false;
-  if (start - link->written_bytes + size > QUEUE_MAX_BYTES)
+  if (start - link->written_bytes + size > QUEUE_MAX_BYTES
+      || !take_memory (link, sizeof length + size))
     {
       /* Not reported from here: the caller goes on to use what the report may free. */
       link->broken_source = g_idle_add_full (G_PRIORITY_DEFAULT, report_full_queue, link, NULL);
