--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,3 +1,4 @@
+#include "base/memory_budget.h"
 #include "base/process.h"
 #include "base/program.h"
 #include "base/signals.h"
@@ -25,6 +26,7 @@
                                     &error);
   if (status >= 0)
     return status;
+  memory_set_limit_mb (MEMORY_MAX_MB); /* its bodies are bounded by connections and size alone */
   daemon = daemon_new (&options, &error);
   if (daemon == NULL)
     return program_start_error (&error);
