--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -170,7 +170,7 @@
             self.fail(f"{name}: ended by itself with {code} after {at:.1f} s")
 
 
-def run(case, **options):
+def run(case, timeout_s=110, **options):
     """Plays `case(lab)` and exits with 1 if a check failed, 0 if all held, 2 if it could not run."""
     build = sys.argv[1]
     name = Path(sys.argv[0]).stem
@@ -181,7 +181,7 @@
         lab = ProcessLab(folder, build, **options)
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         try:
-            await asyncio.wait_for(case(lab), 110)
+            await asyncio.wait_for(case(lab), timeout_s)
         except Exception as error:  # pylint: disable=broad-except
             lab.record("test", f"could not run: {error!r}")
             print(f"{name}: could not run: {error!r}")
--- /dev/null
+++ b/tests/process/soak.py
@@ -0,0 +1,448 @@
+"""A soak of entry VMs: a seed draws troubles of the machines, the store, the executors, the desired state and the
+clients, in series that overlap.  What is drawn follows the seed; which of two events comes first, the machine.
+
+usage: soak.py BUILD_DIR [--seed N] [--seconds S] [--vms N] [--lies] [--limits]
+
+Each finding is printed with its rule; the exit status is 1 if there is one.  With `--lies`, executors and the store
+also answer with changed values, after which the rules LOST and TWICE are not checked.  `--limits` adds floods, ports
+in use, signals before the handlers and low limits.
+"""
+import argparse
+import asyncio
+import base64
+import json
+import logging
+import random
+import re
+import resource
+import signal
+import socket
+import sys
+import time
+
+import harness
+import nonsense
+from harness import HOST, ROUTE
+from lab import RESET, Executor, call, reset
+
+parser = argparse.ArgumentParser()
+parser.add_argument("build")
+parser.add_argument("--seed", type=int, default=1)
+parser.add_argument("--seconds", type=float, default=45.0)
+parser.add_argument("--vms", type=int, default=3)
+parser.add_argument("--lies", action="store_true")
+parser.add_argument("--limits", action="store_true")
+options = parser.parse_args()
+
+EXECUTORS = 10
+SERIES = 5  # troubles that overlap
+JOBS_PER_S = 5.0
+SHORT_LEASE_MS = 60_000  # longer ones do not expire in a short outage of the store
+GRACE_S = 6.0  # from SIGTERM to the end of the process
+FINISH_S = 25.0  # accepted jobs end this long after the last trouble
+STARTUP_S = 1.0  # younger processes get no signals but SIGKILL without --limits
+DESCRIPTORS_QUIET = 200
+RESIDENT_MB_MAX = 260
+KINDS = ("slow", "silent", "reset", "lose", "status", "mixed", "some")  # of bad answers
+FINDINGS = re.compile(r"AddressSanitizer|runtime error:|event=fatal_signal|module=library .*|level=critical")
+QUIET = re.compile(r"level=(info|debug)")
+
+
+class Door:
+    """Stands between a stand-in and those who call it: `trouble()` may answer, delay or lose."""
+
+    def __init__(self, server):
+        self.inner = server.handle
+        self.trouble = None
+        server.handle = self.handle
+
+    async def handle(self, *request):
+        if self.trouble is None:
+            return await self.inner(*request)
+        return await self.trouble(self.inner, request)
+
+
+class Soak:
+    def __init__(self, lab):
+        self.lab = lab
+        self.draw = random.Random(options.seed)
+        self.accepted = {}  # job -> whether a cancel was sent
+        self.attempts = []
+        self.until = 0.0
+        self.version = 100
+        self.doors = {}
+        self.starts = 0
+
+    def find(self, rule, text):
+        self.lab.fail(f"{rule}: {text} (seed {options.seed})")
+
+    def seconds(self, low, high):
+        return asyncio.sleep(self.draw.uniform(low, high))
+
+    # ---- Processes.
+
+    def track(self, vm):
+        self.starts += 1
+        vm.update(is_restarting=False, expected=set(), since=time.monotonic(), term_at=None, is_stopped=False)
+
+    async def supervise(self):
+        """Restarts processes that end, as the platform does, and records ends that no signal explains."""
+        while True:
+            await asyncio.sleep(0.02)
+            for vm in self.lab.vms:
+                code = vm["process"].poll()
+                late = vm["term_at"] and not vm["is_stopped"] and time.monotonic() - vm["term_at"] > GRACE_S
+                if code is None and late:
+                    self.find("Fault", f"{vm['name']} lives {GRACE_S} s after SIGTERM")
+                    self.signal(vm, signal.SIGKILL)
+                if code is None or vm["is_restarting"]:
+                    continue
+                if code not in vm["expected"]:
+                    self.find("Fault", f"{vm['name']} process {vm['process'].pid} ended with {code}, "
+                                       f"signals explain {vm['expected'] or 'none'}")
+                vm["is_restarting"] = True
+                asyncio.create_task(self.restart(vm))
+
+    async def restart(self, vm):
+        await self.seconds(0.0, 0.6)
+        self.lab.launch(vm)
+        self.track(vm)
+
+    def signal(self, vm, number):
+        if vm["process"].poll() is not None or vm["is_restarting"]:
+            return
+        is_young = time.monotonic() - vm["since"] < STARTUP_S
+        if is_young and number in (signal.SIGTERM, signal.SIGHUP) and not options.limits:
+            return
+        if number == signal.SIGKILL:
+            vm["expected"].add(-9)
+        if number == signal.SIGTERM:
+            vm["expected"].add(0)
+            vm["term_at"] = vm["term_at"] or time.monotonic()
+        self.lab.record(vm["name"], f"{signal.Signals(number).name}")
+        self.lab.signal(vm, number)
+
+    async def end_one(self):
+        self.signal(self.draw.choice(self.lab.vms), self.draw.choice((signal.SIGKILL, signal.SIGTERM)))
+
+    async def terminate_then_kill(self):
+        vm = self.draw.choice(self.lab.vms)
+        self.signal(vm, signal.SIGTERM)
+        await self.seconds(0.0, 1.5)
+        self.signal(vm, signal.SIGKILL)
+
+    async def restart_all(self):
+        for vm in self.lab.vms:
+            self.signal(vm, self.draw.choice((signal.SIGKILL, signal.SIGTERM)))
+
+    async def restart_series(self):
+        for _ in range(self.draw.randrange(4, 15)):
+            number = self.draw.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGHUP))
+            self.signal(self.draw.choice(self.lab.vms), number)
+            await self.seconds(0.0, 0.6)
+
+    async def freeze(self):
+        vm = self.draw.choice(self.lab.vms)
+        process = vm["process"]
+        if vm["is_stopped"]:
+            return
+        vm["is_stopped"] = True
+        self.signal(vm, signal.SIGSTOP)
+        await self.seconds(0.1, 6.0)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+        if vm["process"] is process:
+            vm["is_stopped"] = False
+            vm["term_at"] = vm["term_at"] and time.monotonic()
+
+    async def hang_up(self):
+        vm = self.draw.choice(self.lab.vms)
+        for _ in range(self.draw.randrange(1, 40)):
+            self.signal(vm, signal.SIGHUP)
+            await self.seconds(0.0, 0.05)
+
+    # ---- Stand-ins.
+
+    async def disturb(self, stand_in, low, high):
+        """Lets a stand-in answer badly for a time."""
+        door = self.doors.get(stand_in) or self.doors.setdefault(stand_in, Door(stand_in.http))
+        if door.trouble is not None:
+            return
+        kind = self.draw.choice(KINDS + (("lie", "lie") if options.lies else ()))
+        odd_status = nonsense.STATUS if stand_in is not self.lab.store or options.lies else ()
+        refused = {}
+        draw = self.draw
+        silence = asyncio.Event()
+
+        async def trouble(inner, request):
+            how = draw.choice(KINDS[:5] + ("plain", "plain")) if kind == "mixed" else kind
+            if how == "some":
+                how = refused.setdefault(asyncio.current_task(), draw.choice(("plain", "reset", "silent", "status")))
+            if how == "slow":
+                await self.seconds(0.0, draw.choice((0.1, 2.5)))
+            if how == "reset":
+                return RESET
+            if how == "silent" or (how == "lose" and draw.random() < 0.5):
+                await (inner(*request) if how == "lose" else asyncio.sleep(0))
+                await silence.wait()
+                return RESET
+            if how == "status":
+                return draw.choice((429, 503, 503) + odd_status), {}
+            answer = await inner(*request)
+            if how == "lose":
+                return RESET
+            if how == "lie" and isinstance(answer, tuple):
+                return answer[0], nonsense.mutate(answer[1], draw)
+            return answer
+
+        self.lab.record("trouble", f"{getattr(stand_in, 'id', 'store')} {kind}")
+        door.trouble = trouble
+        await self.seconds(low, high)
+        door.trouble = None
+        await self.seconds(0.0, 5.0)
+        silence.set()
+
+    async def bad_executor(self):
+        await self.disturb(self.draw.choice(self.lab.executors), 0.5, 6.0)
+
+    async def bad_store(self):
+        await self.disturb(self.lab.store, 0.3, 4.0)
+
+    async def store_down(self):
+        server = self.lab.store.http
+        server.stop()
+        await self.seconds(0.2, 4.0)
+        if server.server is None:
+            await server.start()
+
+    async def forget(self):
+        self.lab.store.compact()
+
+    async def end_leases(self):
+        for lease, (_, ttl_ms) in list(self.lab.store.leases.items()):
+            if ttl_ms <= SHORT_LEASE_MS and self.draw.random() < 0.4:
+                self.lab.store.end_lease(lease)
+
+    async def cut_connections(self):
+        server = self.draw.choice([self.lab.store] + self.lab.executors).http
+        for writer in list(server.connections):
+            reset(writer)
+
+    async def blind_watches(self):
+        self.lab.store.watch_blind = True
+        await self.seconds(0.5, 3.0)
+        self.lab.store.watch_blind = False
+
+    async def crash(self):
+        """An executor ends, and begins again under its id or as another one at its address."""
+        executor = self.draw.choice(self.lab.executors)
+        if not executor.is_up:
+            return
+        executor.crash()
+        await self.seconds(0.0, 3.0)
+        if self.draw.random() < 0.7:
+            await executor.start()
+            return
+        self.lab.executors.remove(executor)
+        other = Executor(self.lab, f"n-{self.draw.getrandbits(32):08x}", ROUTE[1], executor.zone)
+        other.http.port = executor.http.port
+        self.lab.executors.append(other)
+        await other.start()
+        await self.seconds(0.0, 4.5)
+        self.lab.store.delete(f"servers/{executor.id}")
+
+    async def odd_entry(self):
+        key = f"servers/odd-{self.draw.randrange(4)}"
+        address = self.draw.choice((f"{HOST}:1", "", ":1", "x", "[::1]:1", f"{HOST}:99999", f"{HOST}:0"))
+        entry = {"service": ROUTE[1], "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+                 "cold-left-ms": 0, "seq": 1, "born": 1, "clock-ms": 1, "labels": ["a", "r1"],
+                 "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 0}}
+        self.lab.store.put(key, nonsense.mutate(entry, self.draw))
+        await self.seconds(0.1, 3.0)
+        self.lab.store.delete(key)
+
+    async def desired_state(self):
+        """Desired states in quick succession; some cannot be read; for a time there is none."""
+        queues = [ROUTE] + [(f"q{k}", ROUTE[1], {}) for k in range(self.draw.randrange(40))]
+        for _ in range(self.draw.randrange(1, 12)):
+            value = self.next_version(self.draw.sample(queues[1:], len(queues) // 2) + [ROUTE])
+            self.lab.store.put("op/config", nonsense.mutate(value, self.draw) if self.draw.random() < 0.3 else value)
+            await self.seconds(0.0, 0.4)
+        if self.draw.random() < 0.4:
+            self.lab.store.delete("op/config")
+            await self.seconds(0.0, 2.0)
+        self.settle_desired_state()
+
+    def next_version(self, queues):
+        """The desired state with these queues and the next version."""
+        self.version += self.draw.randrange(1, 9)
+        self.lab.routes(queues)
+        return {**json.loads(base64.b64decode(self.lab.store.items["op/config"]["value"])), "version": self.version}
+
+    def settle_desired_state(self):
+        self.lab.store.put("op/config", self.next_version([ROUTE]))
+
+    # ---- Clients.
+
+    async def clients(self):
+        while time.monotonic() < self.until:
+            await asyncio.sleep(self.draw.expovariate(JOBS_PER_S))
+            self.attempts.append(asyncio.create_task(self.client()))
+
+    async def client(self):
+        steps = [{"count": self.draw.randrange(1, 5), "cpu": 2000, "mem-mb": 64, "est-runtime-ms": 300}]
+        if self.draw.random() < 0.3:
+            steps.append({"count": 2, "cpu": 1000, "mem-mb": 64, "est-runtime-ms": 200, "after": [0]})
+        if self.draw.random() < 0.15:
+            steps[0]["gang"] = True
+        job, status = await self.lab.submit(ROUTE[0], steps, self.draw.choice((50, 300, 900)))
+        if status != 200:
+            return
+        self.accepted[job] = False
+        for _ in range(self.draw.randrange(4)):
+            await self.seconds(0.0, 1.0)
+            await self.lab.request("GET", f"/{ROUTE[0]}/{job}")
+        if self.draw.random() < 0.15:
+            self.accepted[job] = True
+            await self.lab.request("DELETE", f"/{ROUTE[0]}/{job}")
+
+    async def garbage(self):
+        """Half requests, nonsense and early ends on a listener."""
+        vm = self.draw.choice(self.lab.vms)
+        listener = self.draw.choice(harness.LISTENERS)
+        host, port = self.lab.address(vm, listener).split(":")
+        is_flood = options.limits and self.draw.random() < 0.2
+        count = self.draw.randrange(200, 600) if is_flood else self.draw.randrange(1, 12)
+        writers = []
+        for _ in range(count):
+            try:
+                _, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1.0)
+                writers.append(writer)
+                writer.write(nonsense.for_listener(listener, self.draw))
+            except (OSError, asyncio.TimeoutError):
+                break
+        await self.seconds(0.0, 2.0)
+        for writer in writers:
+            reset(writer) if self.draw.random() < 0.5 else writer.close()
+
+    # ---- Limits.
+
+    async def early_signal(self):
+        vm = self.draw.choice(self.lab.vms)
+        self.signal(vm, signal.SIGKILL)
+        process = vm["process"]
+        while vm["process"] is process:
+            await asyncio.sleep(0.001)
+        await self.seconds(0.0, 0.05)
+        self.signal(vm, self.draw.choice((signal.SIGHUP, signal.SIGTERM)))
+
+    async def port_in_use(self):
+        vm = self.draw.choice(self.lab.vms)
+        host, port = self.lab.address(vm, self.draw.choice(harness.LISTENERS)).split(":")
+        process = vm["process"]
+        self.signal(vm, signal.SIGKILL)
+        process.wait()
+        try:
+            with socket.create_server((host, int(port))):
+                await self.seconds(0.5, 2.0)
+        except OSError:
+            pass
+
+    async def low_limits(self):
+        self.lab.limits = self.draw.choice(({resource.RLIMIT_NOFILE: (256, 256)},
+                                            {resource.RLIMIT_FSIZE: (100000, 100000)}))
+        self.signal(self.draw.choice(self.lab.vms), signal.SIGKILL)
+        await self.seconds(2.0, 4.0)
+        self.lab.limits = {}
+
+    # ---- The soak.
+
+    def kinds(self):
+        kinds = [self.end_one, self.end_one, self.terminate_then_kill, self.restart_all, self.restart_series,
+                 self.freeze, self.hang_up, self.bad_executor, self.bad_executor, self.bad_store, self.store_down,
+                 self.forget, self.end_leases, self.cut_connections, self.blind_watches, self.crash, self.crash,
+                 self.odd_entry, self.odd_entry, self.desired_state, self.garbage, self.garbage, self.garbage]
+        return kinds + ([self.early_signal, self.port_in_use, self.low_limits] if options.limits else [])
+
+    async def series(self):
+        while time.monotonic() < self.until:
+            trouble = self.draw.choice(self.kinds())
+            self.lab.record("trouble", trouble.__name__)
+            await trouble()
+            await self.seconds(0.0, 1.5)
+
+    async def play(self):
+        lab = self.lab
+        await lab.start_stand_ins()
+        start_trouble = self.bad_store() if self.draw.random() < 0.3 else asyncio.sleep(0)
+        lab.start_vms()
+        for vm in lab.vms:
+            self.track(vm)
+        supervisor = asyncio.create_task(self.supervise())
+        await start_trouble
+        try:
+            await lab.until_ready()
+        except RuntimeError as error:
+            self.find("Ready", f"at the start: {error}")
+        self.until = time.monotonic() + options.seconds
+        await asyncio.gather(self.clients(), *(self.series() for _ in range(SERIES)))
+        self.settle_desired_state()
+        quiet = time.monotonic()
+        while any(vm["is_restarting"] or vm["process"].poll() is not None for vm in lab.vms):
+            await asyncio.sleep(0.05)
+        await lab.check_all_serve(harness.READY_S - (time.monotonic() - quiet))
+        await asyncio.gather(*self.attempts)
+        await self.check_jobs(quiet + FINISH_S)
+        await self.check_processes()
+        if supervisor.done():
+            raise supervisor.exception()
+        self.check_runs()
+        self.check_logs()
+        print(f"seed {options.seed}: {len(self.accepted)} jobs, {len(lab.runs)} events of executors, "
+              f"{self.starts} processes, findings {len(lab.broken)}")
+
+    async def check_jobs(self, until):
+        """Accepted jobs are known, and end."""
+        for job, is_cancelled in self.accepted.items():
+            status, state = await self.lab.state(ROUTE[0], job)
+            while state in ("queued", "running") and time.monotonic() < until:
+                await asyncio.sleep(0.3)
+                status, state = await self.lab.state(ROUTE[0], job)
+            ends = ("succeeded", "failed", "cancelled") if is_cancelled else ("succeeded", "failed")
+            if not options.lies and (status != 200 or state not in ends):
+                self.find("LOST", f"job {job} is {status} {state}")
+
+    async def check_processes(self):
+        """Descriptors and memory are given back."""
+        is_asan = b"__asan_init" in self.lab.binary.read_bytes()
+        for vm in self.lab.vms:
+            metrics = await self.lab.metrics(vm)
+            descriptors = metrics.get("mimosastair_process_descriptors", 0)
+            if descriptors > DESCRIPTORS_QUIET:
+                self.find("Growth", f"{vm['name']} has {descriptors} descriptors")
+            if not is_asan and self.lab.resident_mb(vm) > RESIDENT_MB_MAX:
+                self.find("Growth", f"{vm['name']} has {self.lab.resident_mb(vm):.0f} MB")
+
+    def check_runs(self):
+        if options.lies:
+            return
+        for overlap in self.lab.overlaps():
+            self.find("TWICE", f"overlap {overlap}")
+        for start in self.lab.starts_after_done():
+            self.find("TWICE", f"start after done {start}")
+
+    def check_logs(self):
+        for vm in self.lab.vms:
+            text = re.sub(r"(time|up)=\S+ ", "", self.lab.log_text(vm))
+            lines = {line for line in text.splitlines() if FINDINGS.search(line) and not QUIET.search(line)}
+            for line in sorted(lines)[:10]:
+                self.find("Fault", f"{vm['name']} log: {line[:400]}")
+
+
+async def case(lab):
+    random.seed(options.seed)
+    await Soak(lab).play()
+
+
+logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+harness.run(case, timeout_s=options.seconds + 120.0, vms=options.vms, executors=EXECUTORS)
