--- a/src/base/log.c
+++ b/src/base/log.c
@@ -20,6 +20,20 @@
 static gsize buffered_bytes;
 static guint64 dropped;
 static guint64 dropped_reported;
+static guint64 write_errors;
+static log_last_event_t last_event;
+
+enum
+{
+  LIBRARY_ERROR,
+  LIBRARY_CRITICAL,
+  LIBRARY_WARNING,
+  LIBRARY_LEVELS
+};
+
+static const char *const library_levels[LIBRARY_LEVELS] = { "error", "critical", "warning" };
+static gint library_messages[LIBRARY_LEVELS]; /* atomic: libraries have threads of their own */
+static bool is_stalled; /* the last flush left lines; the next one is the timer's */
 static guint flush_timer;
 static gint64 start_ms; /* monotonic */
 
@@ -54,9 +68,13 @@
         break;
       written = write (STDOUT_FILENO, buffer + written_bytes, size);
       if (written <= 0)
-        break;
+        {
+          write_errors++;
+          break;
+        }
       written_bytes += (gsize) written;
     }
+  is_stalled = written_bytes < buffered_bytes;
   memmove (buffer, buffer + written_bytes, buffered_bytes - written_bytes);
   buffered_bytes -= written_bytes;
 }
@@ -66,10 +84,9 @@
 static gsize
 put_text (char *line, gsize length, const char *text)
 {
-  gsize size = MIN (strlen (text), LINE_BYTES - 1 - length);
-
-  memcpy (line + length, text, size);
-  return length + size;
+  while (*text != '\0' && length < LINE_BYTES - 1)
+    line[length++] = *text++;
+  return length;
 }
 
 /* Writes thousandths as a decimal number. */
@@ -118,7 +135,7 @@
 static bool
 buffer_append (const char *line, gsize length)
 {
-  if (buffered_bytes + length > sizeof buffer)
+  if (buffered_bytes + length > sizeof buffer && !is_stalled)
     log_flush ();
   if (buffered_bytes + length > sizeof buffer)
     {
@@ -186,6 +203,17 @@
     log_flush ();
 }
 
+static void
+count_library_message (GLogLevelFlags level)
+{
+  if (level & G_LOG_LEVEL_ERROR)
+    g_atomic_int_inc (&library_messages[LIBRARY_ERROR]);
+  else if (level & G_LOG_LEVEL_CRITICAL)
+    g_atomic_int_inc (&library_messages[LIBRARY_CRITICAL]);
+  else if (level & G_LOG_LEVEL_WARNING)
+    g_atomic_int_inc (&library_messages[LIBRARY_WARNING]);
+}
+
 /* Logs a message of a library, which has no key=value pairs, as one quoted value. */
 static GLogWriterOutput
 write_library_line (GLogLevelFlags level,
@@ -197,6 +225,7 @@
   g_autofree char *quoted = NULL;
   g_autofree char *text = NULL;
 
+  count_library_message (level);
   if ((level & G_LOG_LEVEL_MASK) > threshold)
     return G_LOG_WRITER_HANDLED;
   for (gsize i = 0; i < count; i++)
@@ -237,6 +266,7 @@
 
   if (level > threshold)
     return;
+  last_event = (log_last_event_t){ module, event, last_event.count + 1 };
   if (format != NULL)
     {
       va_start (args, format);
@@ -251,3 +281,21 @@
 {
   return dropped;
 }
+
+log_last_event_t
+log_last_event (void)
+{
+  return last_event;
+}
+
+void
+log_append_metrics (GString *out)
+{
+  g_string_append_printf (out, "mimosastair_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
+                          dropped);
+  g_string_append_printf (out, "mimosastair_log_write_errors_total %" G_GUINT64_FORMAT "\n",
+                          write_errors);
+  for (guint i = 0; i < LIBRARY_LEVELS; i++)
+    g_string_append_printf (out, "mimosastair_library_messages_total{level=\"%s\"} %d\n",
+                            library_levels[i], g_atomic_int_get (&library_messages[i]));
+}
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -18,9 +18,16 @@
   PROCESS_UNKNOWN = -1 /* the system does not tell */
 };
 
+/* Opens each standard descriptor that the process was started without, so that no connection or
+ * file takes its number.  Writing to it fails. */
+void process_open_standard_descriptors (void);
+
 /* Returns the soft limits in force. */
 process_limits_t process_limits (void);
 
+/* Raises the soft limit of descriptors to the hard one, as far as the system allows it. */
+void process_raise_descriptor_limit (void);
+
 /* Returns the number of open descriptors, or PROCESS_UNKNOWN. */
 gint64 process_descriptor_count (void);
 
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -4,6 +4,7 @@
 
 #include "base/fatal_signal.h"
 #include "base/log.h"
+#include "base/loop.h"
 #include "base/process.h"
 
 #include <unistd.h>
@@ -47,6 +48,8 @@
       fatal_signal_install ();
       LOG_INFO ("starting", "version=%s pid=%d", MIMOSASTAIR_VERSION, (int) getpid ());
       process_log_limits ();
+      settings_log_adjusted ();
+      loop_watch_turns ();
       log_flush ();
       return -1;
     }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,4 +1,6 @@
+#include "base/process.h"
 #include "base/program.h"
+#include "base/signals.h"
 #include "daemon/daemon.h"
 #include "entry/entry.h"
 
@@ -14,6 +16,8 @@
   error_info_t error = { .kind = ERROR_NONE };
   daemon_t *daemon;
 
+  signals_prepare ();
+  process_open_standard_descriptors ();
   if (argc > 1 && strcmp (argv[1], "entry") == 0)
     return entry_main (argc - 1, argv + 1);
   is_loaded = daemon_options_load (&options, argc, argv, &result, &error);
@@ -24,7 +28,8 @@
   daemon = daemon_new (&options, &error);
   if (daemon == NULL)
     return program_start_error (&error);
-  daemon_run (daemon);
+  if (!daemon_run (daemon, &error))
+    return program_start_error (&error);
   daemon_free (daemon);
   daemon_options_clear (&options);
   return 0;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,12 +3,14 @@
 #include "entry/entry.h"
 
 #include "base/clock.h"
+#include "base/descriptor_budget.h"
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/loop.h"
 #include "base/metrics.h"
 #include "base/process.h"
 #include "base/program.h"
+#include "base/signals.h"
 #include "entry/desired_follower.h"
 #include "entry/election.h"
 #include "entry/intake.h"
@@ -20,7 +22,6 @@
 #include "platform/store_kv.h"
 
 #include <glib-unix.h>
-#include <signal.h>
 
 struct entry
 {
@@ -38,6 +39,10 @@
   listener_t *listener;    /* for other entry VMs */
   http_server_t *metrics_server;
   desired_follower_t *desired;
+  bool has_desired;
+  guint listen_timer; /* while a port is in use; 0: none */
+  bool is_listening;  /* on all ports */
+  error_info_t start_error;
   bool is_stopping;
   gint64 drain_until_us;
   guint drain_timer;
@@ -46,17 +51,25 @@
 enum
 {
   DRAIN_POLL_MS = 50,
+  LISTEN_POLL_MS = 50,
   LEADER_CLOSE_TIMEOUT_MS = 400, /* limit for storing pending records before resigning */
   LEADER_PACE_US = 2000,         /* small beside the round trips of the orders */
   FULL_ROUND_INTERVAL_MS = 25,   /* bounds the leader's work for what waits long anyway */
-  RESIGN_NOTICE_MS = 50,         /* time to send the resignation to the other VMs */
-  METRICS_CONNECTIONS = 16
+  RESIGN_NOTICE_MS = 50          /* time to send the resignation to the other VMs */
 };
 
 /* ---- Desired state. */
 
 static void join_election (entry_t *entry);
 
+/* A VM that does not listen yet cannot lead, and its former process may still be a member. */
+static void
+join_election_if_due (entry_t *entry)
+{
+  if (entry->election == NULL && entry->has_desired && entry->is_listening && !entry->is_stopping)
+    join_election (entry);
+}
+
 static void
 desired_state_changed (const desired_state_t *desired, void *data)
 {
@@ -65,8 +78,8 @@
   job_api_set_desired (entry->api, desired);
   if (entry->leader != NULL)
     leader_apply_desired (entry->leader);
-  if (entry->election == NULL && !entry->is_stopping)
-    join_election (entry);
+  entry->has_desired = true;
+  join_election_if_due (entry);
 }
 
 static gint64
@@ -240,13 +253,16 @@
                           uplink_executor_count (entry->uplink));
   g_string_append_printf (out, "mimosastair_decider_known %d\n",
                           (int) uplink_is_ready (entry->uplink));
-  g_string_append_printf (out, "mimosastair_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
-                          log_dropped_line_count ());
+  log_append_metrics (out);
+  loop_append_metrics (out);
   g_string_append_printf (out, "mimosastair_desired_version %" G_GINT64_FORMAT "\n",
                           desired_follower_version (entry->desired));
   g_string_append_printf (out, "mimosastair_desired_age_ms %" G_GINT64_FORMAT "\n",
                           desired_age_ms (entry));
   process_append_metrics (out);
+  listener_append_metrics (entry->listener, out);
+  job_api_append_metrics (entry->api, out);
+  http_server_append_metrics (entry->metrics_server, out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
@@ -297,6 +313,9 @@
   if (entry->is_stopping)
     return G_SOURCE_CONTINUE;
   entry->is_stopping = true;
+  if (entry->listen_timer != 0)
+    g_source_remove (entry->listen_timer);
+  entry->listen_timer = 0;
   LOG_INFO ("stopping", "decider=%d open=%u", (int) (entry->leader != NULL),
             intake_open_count (entry->intake));
   entry->drain_until_us
@@ -320,33 +339,61 @@
 
 /* ---- Startup and shutdown. */
 
-/* Returns true while this VM is not stopping, and either the store answers it or a leader is ready
- * that may store jobs for it. */
+/* Returns true while this VM listens on all ports and is not stopping, and either the store answers
+ * it or a leader is ready that may store jobs for it. */
 static bool
 can_accept_jobs (void *data)
 {
   const entry_t *entry = data;
 
-  return !entry->is_stopping
+  return entry->is_listening && !entry->is_stopping
          && (store_is_healthy (entry->store, clock_now_us ()) || uplink_is_ready (entry->uplink));
 }
 
 static const job_api_callbacks_t job_api_callbacks = { can_accept_jobs, get_desired_age_us };
 
+/* Returns the budget of the smaller of the process's limit and the setting. */
+static descriptor_budget_t
+divide_descriptors (const entry_options_t *options)
+{
+  gint64 process_limit;
+  guint limit;
+  descriptor_budget_t budget;
+
+  process_raise_descriptor_limit ();
+  process_limit = CLAMP (process_limits ().descriptors, 0, G_MAXINT32);
+  limit = descriptor_limit ((guint) process_limit, (guint) options->max_descriptors);
+  budget = descriptor_budget (limit);
+  LOG_INFO ("descriptor_budget",
+            "limit=%u customers=%u readiness=%u metrics=%u vms=%u executors=%u store=%u advice=%u"
+            " files=%u",
+            limit, budget.customers, budget.readiness, budget.metrics, budget.vms, budget.executors,
+            budget.store, budget.advice, budget.files);
+  if (options->max_connections > budget.customers)
+    LOG_WARN ("max_connections_lowered", "max_connections=%" G_GINT64_FORMAT " fits=%u",
+              options->max_connections, budget.customers);
+  return budget;
+}
+
 static bool
 start_servers (entry_t *entry, error_info_t *error)
 {
+  descriptor_budget_t budget = divide_descriptors (&entry->options);
   job_api_config_t api = {
     .listen = entry->options.listen,
     .ready_listen = entry->options.ready_listen,
-    .max_connections = (guint) entry->options.max_connections,
+    .max_connections = MIN ((guint) entry->options.max_connections, budget.customers),
+    .max_ready_connections = budget.readiness,
   };
-  http_limits_t limits = { .connections = METRICS_CONNECTIONS,
+  http_limits_t limits = { .listener = "metrics",
+                           .connections = budget.metrics,
+                           .replaces_idle = true,
                            .header_bytes = 8192,
                            .body_bytes = 0,
                            .read_timeout_ms = 5000 };
 
-  entry->listener = listener_new (entry->options.peer_listen, accept_peer, entry, error);
+  entry->listener
+      = listener_new (entry->options.peer_listen, budget.vms, accept_peer, entry, error);
   if (entry->listener == NULL)
     return false;
   entry->api = job_api_new (&api, entry->intake, &job_api_callbacks, entry, error);
@@ -357,6 +404,36 @@
   return entry->metrics_server != NULL;
 }
 
+static acceptor_state_t
+listen_state (const entry_t *entry, error_info_t *error)
+{
+  acceptor_state_t state = listener_state (entry->listener, error);
+
+  state = MAX (state, job_api_listen_state (entry->api, error));
+  return MAX (state, http_server_state (entry->metrics_server, error));
+}
+
+static gboolean
+check_listening (gpointer data)
+{
+  entry_t *entry = data;
+
+  switch (listen_state (entry, &entry->start_error))
+    {
+    case ACCEPTOR_WAITING:
+      return G_SOURCE_CONTINUE;
+    case ACCEPTOR_LISTENING:
+      entry->is_listening = true;
+      join_election_if_due (entry);
+      break;
+    case ACCEPTOR_FAILED:
+      g_main_loop_quit (entry->loop);
+      break;
+    }
+  entry->listen_timer = 0;
+  return G_SOURCE_REMOVE;
+}
+
 entry_t *
 entry_new (const entry_options_t *options, error_info_t *error)
 {
@@ -389,14 +466,17 @@
       entry_free (entry);
       return NULL;
     }
+  if (check_listening (entry) == G_SOURCE_CONTINUE)
+    entry->listen_timer = g_timeout_add (LISTEN_POLL_MS, check_listening, entry);
   (void) g_unix_signal_add (SIGTERM, stop_requested, entry);
   (void) g_unix_signal_add (SIGINT, stop_requested, entry);
   (void) g_unix_signal_add (SIGHUP, reload_requested, entry);
+  signals_accept ();
   return entry;
 }
 
-void
-entry_run (entry_t *entry)
+bool
+entry_run (entry_t *entry, error_info_t *error)
 {
   LOG_INFO ("started",
             "vm=%s zone=%s listen=%s peer=%s store=%s cpu_milli=%" G_GINT64_FORMAT
@@ -405,8 +485,14 @@
             entry->options.peer_listen, entry->options.store, entry->options.cpu_milli,
             entry->options.hold_ms);
   g_main_loop_run (entry->loop);
+  if (entry->start_error.kind != ERROR_NONE)
+    {
+      *error = entry->start_error;
+      return false;
+    }
   LOG_INFO ("stopped", "open=%u", intake_open_count (entry->intake));
   log_flush ();
+  return true;
 }
 
 void
@@ -418,6 +504,8 @@
     g_source_remove (entry->drain_timer);
   if (entry->leader_free_timer != 0)
     g_source_remove (entry->leader_free_timer);
+  if (entry->listen_timer != 0)
+    g_source_remove (entry->listen_timer);
   leader_free (entry->leader);
   election_free (entry->election);
   job_api_free (entry->api);
@@ -443,7 +531,6 @@
   error_info_t error = { .kind = ERROR_NONE };
   entry_t *entry;
 
-  (void) signal (SIGPIPE, SIG_IGN);
   is_loaded = entry_options_load (&options, argc, argv, &result, &error);
   status = program_process_options (is_loaded, result, options.log_level, entry_options_print_help,
                                     &error);
@@ -452,7 +539,8 @@
   entry = entry_new (&options, &error);
   if (entry == NULL)
     return program_start_error (&error);
-  entry_run (entry);
+  if (!entry_run (entry, &error))
+    return program_start_error (&error);
   /* The entry is not freed: when the process exits, the kernel delivers what was written to the
    * connections and closes them. */
   return 0;
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -4,10 +4,12 @@
 A test is a script `NAME.py BUILD_DIR` that calls run().  The program is BUILD_DIR/src/mimosastaird.
 """
 import asyncio
+import itertools
 import os
 import re
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -23,18 +25,59 @@
 ROUTE = ("checks", "rota", {})
 # The sanitizer reports faults of memory, and leaves the signals to the program.
 ASAN_OPTIONS = "handle_segv=0:handle_sigbus=0:handle_sigfpe=0:detect_leaks=0"
+PAIRS_PER_BLOCK = 99
+port_holders = []
 LISTENERS = ("front", "ready", "peer", "metrics")
 
 
+PORT_PAIRS_PER_VM = 4
+
+
+def reserve_ports(pairs):
+    """Takes further blocks of ports where one doesn't do."""
+    while pairs > 0:
+        holder, ports = laboratory.take_port_block()
+        port_holders.append(holder)
+        laboratory.PORTS = itertools.chain(laboratory.PORTS, ports)
+        pairs -= PAIRS_PER_BLOCK
+
+
+def fill(word, settings):
+    """Fills the placeholders of one word of the deploy file; one without a value gives nothing."""
+    def value(match):
+        found = settings
+        for part in match[1].split("."):
+            if isinstance(found, list):
+                found = found[int(part)] if int(part) < len(found) else None
+            else:
+                found = (found or {}).get(part)
+        return "" if found is None else str(found)
+    return re.sub(r"\{\{([^}]*)\}\}", value, word)
+
+
+def connect(address, count):
+    """Opens connections and sends nothing on them."""
+    host, _, port = address.partition(":")
+    opened = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex((host, int(port)))
+        opened.append(sock)
+    return opened
+
+
 class ProcessLab(laboratory.Lab):
     """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
 
     def __init__(self, folder, build, vms=3, executors=6):
+        reserve_ports(PORT_PAIRS_PER_VM * vms)
         super().__init__(folder, vms=vms)
         self.binary = Path(build).resolve() / "src" / "mimosastaird"
         self.limits = {}  # resource.RLIMIT_*: (soft, hard), of processes that start from now on
         self.extra = []  # flags added to the command line
         self.stdout = None  # file descriptor for the logs; None: a file
+        self.closed = ()  # standard descriptors that processes start without
         self.ends = []  # (seconds since the start, VM, exit status)
         self.began = time.monotonic()
         self.routes([ROUTE])
@@ -53,29 +96,35 @@
 
     def start_vms(self):
         for i in range(self.vm_count):
-            name = f"vm-{i + 1}"
-            vm = {"name": name, "settings": self.settings(name, self.zones[i % len(self.zones)])}
-            self.vms.append(vm)
-            self.launch(vm)
+            self.start_vm(i)
+
+    def start_vm(self, i):
+        name = f"vm-{i + 1}"
+        vm = {"name": name, "settings": self.settings(name, self.zones[i % len(self.zones)])}
+        self.vms.append(vm)
+        self.launch(vm)
 
     def launch(self, vm):
         """Starts the process of an entry VM with the command line of the deploy file."""
         text = (laboratory.REPOSITORY / "deploy" / "system.toml").read_text()
         command = re.search(r'^run = "(.*)"$', text, re.MULTILINE)[1]
-        words = [laboratory.fill(word, vm["settings"]) for word in command.split()]
+        words = [fill(word, vm["settings"]) for word in command.split()]
         words[0] = str(self.binary)
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         environment["ASAN_OPTIONS"] = ASAN_OPTIONS
         limits = dict(self.limits)
+        closed = self.closed
 
         def set_limits():
             for kind, pair in limits.items():
                 resource.setrlimit(kind, pair)
+            for descriptor in closed:
+                os.close(descriptor)
 
         with open(self.log_path(vm), "ab") as log:
             out = log if self.stdout is None else self.stdout
             vm["process"] = subprocess.Popen(words + self.extra, env=environment, stdout=out, stderr=log,
-                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits)
+                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits if limits else None)
         vm["ended"] = False
         self.record(vm["name"], f"process {vm['process'].pid} started")
 
@@ -131,6 +180,14 @@
     async def is_ready(self, vm):
         return (await call(self.address(vm, "ready"), "GET", "/readiness", timeout=1.0))[0] == 200
 
+    async def becomes_ready(self, vm, within_s):
+        until = time.monotonic() + within_s
+        while not await self.is_ready(vm):
+            if time.monotonic() > until:
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
     async def serves(self, vm):
         """Whether a job handed to this VM is accepted."""
         _, status = await self.submit(ROUTE[0], [{"count": 1, "cpu": 1000, "mem-mb": 64,
@@ -173,7 +230,7 @@
 def run(case, timeout_s=110, **options):
     """Plays `case(lab)` and exits with 1 if a check failed, 0 if all held, 2 if it could not run."""
     build = sys.argv[1]
-    name = Path(sys.argv[0]).stem
+    name = "-".join([Path(sys.argv[0]).stem] + [word.replace("/", "_") for word in sys.argv[2:]])
     folder = Path(build).resolve() / "process-tests" / name
     folder.mkdir(parents=True, exist_ok=True)
 
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -1,6 +1,9 @@
 /* Unit tests of errors, histograms, settings, environment documents, timers and job records. */
+#include "base/descriptor_budget.h"
 #include "base/error.h"
 #include "base/histogram.h"
+#include "base/log.h"
+#include "base/loop.h"
 #include "base/settings.h"
 #include "decide/job.h"
 #include "decide/timerwheel.h"
@@ -55,11 +58,14 @@
   char *text;
   char *address;
   gint64 thousandths;
+  gint64 wait_ms;
+  char *key;
+  bool key_is_required;
 } test_settings_t;
 
-/* Loads the settings of a small program from one argument, or from none when it is NULL. */
+/* Loads the settings of a small program from arguments that are separated by spaces; NULL: none. */
 static bool
-load_settings (test_settings_t *values, const char *argument, error_info_t *error)
+load_settings (test_settings_t *values, const char *arguments, error_info_t *error)
 {
   const setting_t settings[] = { { .flag = "count",
                                    .kind = SETTING_INTEGER,
@@ -86,24 +92,48 @@
                                    .fallback = "0.25",
                                    .min = 10,
                                    .max = 4000,
-                                   .help = "a share" } };
-  char program[] = "test";
-  g_autofree char *copy = g_strdup (argument);
-  char *argv[] = { program, copy, NULL };
+                                   .help = "a share" },
+                                 { .flag = "wait-ms",
+                                   .kind = SETTING_INTEGER,
+                                   .value = &values->wait_ms,
+                                   .fallback = "50",
+                                   .min = 10,
+                                   .max = 100,
+                                   .takes_nearest_bound = true,
+                                   .help = "a bound of the platform" },
+                                 { .flag = "key",
+                                   .kind = SETTING_STRING,
+                                   .value = &values->key,
+                                   .fallback = values->key_is_required ? NULL : "k",
+                                   .min = 1,
+                                   .max = 4,
+                                   .help = "a key" } };
+  g_autofree char *line = g_strjoin (" ", "test", arguments, NULL);
+  g_auto (GStrv) argv = g_strsplit (line, " ", -1);
   settings_result_t result;
 
-  return settings_load (settings, G_N_ELEMENTS (settings), argument != NULL ? 2 : 1, argv, &result,
-                        error);
+  return settings_load (settings, G_N_ELEMENTS (settings), (int) g_strv_length (argv), argv,
+                        &result, error);
+}
+
+static void
+clear_settings (test_settings_t *values)
+{
+  g_free (values->text);
+  g_free (values->address);
+  g_free (values->key);
 }
 
 static void
 test_settings (void)
 {
   static const char *const bad[]
-      = { "--count=0",    "--count=10",      "--count=two",        "--name=",
+      = { "--count=0",    "--count=10",      "--count=two",        "--count=0.9",
           "--name=abcde", "--listen=nohost", "--listen=host.x:80", "--listen=1.2.3.4:99999",
           "--unknown=1",  "--share=0.009",   "--share=4.1",        "--share=1,5",
-          "--share=nan",  "--share=" };
+          "--share=nan",  "--count=1e400",   "--count=0x5",        "--count=true",
+          "--unknown=",   "--count",         "--wait-ms=soon",     "--wait-ms=inf",
+          "--count=5x",   "--count=.",       "--listen=1.2.3.4:",  "--listen=:80" };
   test_settings_t values = { 0 };
   error_info_t error;
 
@@ -127,8 +157,135 @@
       CU_ASSERT_EQUAL (error.kind, ERROR_BAD_SETTING);
       CU_ASSERT_PTR_NULL (strchr (error.detail, '\n'));
     }
-  g_free (values.text);
-  g_free (values.address);
+  clear_settings (&values);
+}
+
+/* A placeholder of the deploy file without a value ended each start with "requires an argument". */
+static void
+test_absent_settings (void)
+{
+  static const char *const names[] = { "COUNT", "NAME", "LISTEN", "SHARE", "WAIT_MS", "KEY" };
+  test_settings_t values = { 0 };
+  error_info_t error = { .kind = ERROR_NONE };
+
+  CU_ASSERT (
+      load_settings (&values, "--count= --name= --listen= --share= --wait-ms= --key=", &error));
+  CU_ASSERT_EQUAL (values.number, 3);
+  CU_ASSERT_STRING_EQUAL (values.text, "x");
+  CU_ASSERT_STRING_EQUAL (values.address, "127.0.0.1:1");
+  CU_ASSERT_EQUAL (values.thousandths, 250);
+  CU_ASSERT_EQUAL (values.wait_ms, 50);
+  CU_ASSERT (load_settings (&values, "--count  --name=y --share=false --listen=:", &error));
+  CU_ASSERT_EQUAL (values.number, 3);
+  CU_ASSERT_STRING_EQUAL (values.text, "y");
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      g_autofree char *variable = g_strconcat ("MIMOSASTAIR_", names[i], NULL);
+
+      g_setenv (variable, "", TRUE);
+      CU_ASSERT (load_settings (&values, "--count=4", &error));
+      g_unsetenv (variable);
+    }
+  CU_ASSERT_EQUAL (values.number, 4);
+  g_setenv ("MIMOSASTAIR_COUNT", "5", TRUE);
+  CU_ASSERT (load_settings (&values, "--count=", &error));
+  CU_ASSERT_EQUAL (values.number, 5);
+  g_unsetenv ("MIMOSASTAIR_COUNT");
+  values.key_is_required = true;
+  CU_ASSERT_FALSE (load_settings (&values, "--key=", &error));
+  CU_ASSERT_STRING_EQUAL (error.detail, "--key: a value is required (a key)");
+  clear_settings (&values);
+}
+
+/* Bounds come as whole numbers or fractions, and may lie outside a range. */
+static void
+test_numbers_of_settings (void)
+{
+  static const struct
+  {
+    const char *arguments;
+    gint64 wait_ms;
+  } cases[] = {
+    { "--wait-ms=60.0", 60 },
+    { "--wait-ms=29.5", 29 },
+    { "--wait-ms=99.999999", 99 },
+    { "--wait-ms=6e1", 60 },
+    { "--wait-ms=9", 10 },
+    { "--wait-ms=9.99", 10 },
+    { "--wait-ms=-4", 10 },
+    { "--wait-ms=1e30", 100 },
+    { "--wait-ms=1e400", 100 },
+    { "--wait-ms=100.5", 100 },
+    { "--wait-ms=20 --wait-ms=30", 30 },
+    { "--wait-ms=20 --wait-ms=", 20 },
+  };
+  test_settings_t values = { 0 };
+  error_info_t error = { .kind = ERROR_NONE };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      CU_ASSERT (load_settings (&values, cases[i].arguments, &error));
+      CU_ASSERT_EQUAL (values.wait_ms, cases[i].wait_ms);
+    }
+  CU_ASSERT (load_settings (&values, "--count=3.9 --share=0.0126 --share=2", &error));
+  CU_ASSERT_EQUAL (values.number, 3);
+  CU_ASSERT_EQUAL (values.thousandths, 2000);
+  clear_settings (&values);
+}
+
+/* Samples of log_append_metrics() and loop_append_metrics(). */
+static char *
+log_and_loop_metrics (void)
+{
+  GString *out = g_string_new (NULL);
+
+  log_append_metrics (out);
+  loop_append_metrics (out);
+  return g_string_free (out, FALSE);
+}
+
+/* A critical message of a library was seen by nobody who does not read the log. */
+static void
+test_library_messages (void)
+{
+  g_autofree char *before = log_and_loop_metrics ();
+  g_autofree char *after = NULL;
+
+  CU_ASSERT (log_init ("error"));
+  g_log ("Library", G_LOG_LEVEL_CRITICAL, "a message of a test");
+  g_log ("Library", G_LOG_LEVEL_WARNING, "a message of a test");
+  after = log_and_loop_metrics ();
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (before, "mimosastair_library_messages_total{level=\"critical\"} 0\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (after, "mimosastair_library_messages_total{level=\"critical\"} 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (after, "mimosastair_library_messages_total{level=\"warning\"} 1\n"));
+}
+
+static gboolean
+run_for (gpointer data)
+{
+  g_usleep (GPOINTER_TO_UINT (data) * 1000UL);
+  return G_SOURCE_REMOVE;
+}
+
+/* Turns of the loop that kept everything waiting were not in the log. */
+static void
+test_slow_turns (void)
+{
+  static const guint turns_ms[] = { 1, 250, 100, 220 };
+
+  loop_watch_turns ();
+  for (guint i = 0; i < G_N_ELEMENTS (turns_ms); i++)
+    {
+      guint source = g_timeout_add (1, run_for, GUINT_TO_POINTER (turns_ms[i]));
+
+      while (g_main_context_find_source_by_id (NULL, source) != NULL)
+        (void) g_main_context_iteration (NULL, TRUE);
+      (void) g_main_context_iteration (NULL, FALSE);
+    }
+  CU_ASSERT_EQUAL (loop_slow_turn_count (), 2);
 }
 
 /* Checks that the document has `count` problems, and that the first begins with `first`. */
@@ -243,6 +400,27 @@
   CU_ASSERT (index == 1 && attempt == 4);
 }
 
+static void
+test_descriptor_budget (void)
+{
+  static const guint limits[] = { 64, 65, 256, 1024, 4100, 20000, 1000000 };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      descriptor_budget_t budget = descriptor_budget (limits[i]);
+      guint sum = budget.customers + 2 * budget.readiness + 2 * budget.metrics + budget.vms
+                  + budget.executors + budget.store + budget.advice + budget.files;
+
+      CU_ASSERT_EQUAL (sum, limits[i]);
+      CU_ASSERT_TRUE (budget.readiness >= 4 && budget.metrics >= 4 && budget.vms >= 4);
+      CU_ASSERT_TRUE (budget.customers > budget.vms && budget.executors > budget.vms);
+    }
+  CU_ASSERT_EQUAL (descriptor_budget (4100).files, 200);
+  CU_ASSERT_EQUAL (descriptor_limit (0, 4100), 4100);
+  CU_ASSERT_EQUAL (descriptor_limit (1024, 0), 1024);
+  CU_ASSERT_EQUAL (descriptor_limit (1024, 4100), 1024);
+}
+
 int
 main (void)
 {
@@ -255,7 +433,12 @@
   CU_add_test (suite, "histogram quantiles are within the bucket error", test_histogram_quantiles);
   CU_add_test (suite, "settings are read from flags and environment and are checked",
                test_settings);
+  CU_add_test (suite, "settings without a value take their defaults", test_absent_settings);
+  CU_add_test (suite, "numbers of settings may be fractions", test_numbers_of_settings);
+  CU_add_test (suite, "messages of libraries are counted", test_library_messages);
+  CU_add_test (suite, "slow turns of the loop are counted", test_slow_turns);
   CU_add_test (suite, "all problems of a document are listed at once", test_document_problems);
+  CU_add_test (suite, "the shares of descriptors fit into any limit", test_descriptor_budget);
   CU_add_test (suite, "timers fire once, even after a long pause", test_timers_fire_once);
   CU_add_test (suite, "lease expiry allows for clock drift and late delivery",
                test_lease_expiry_allows_for_clock_drift);
