--- a/src/base/log.c
+++ b/src/base/log.c
@@ -4,7 +4,9 @@
 
 #include <limits.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -214,6 +216,18 @@
     g_atomic_int_inc (&library_messages[LIBRARY_WARNING]);
 }
 
+/* The library ends the process by a trap and loops forever where that signal is blocked, as it is
+ * while the library starts a thread. */
+static void
+end_process (void)
+{
+  sigset_t none;
+
+  sigemptyset (&none);
+  (void) pthread_sigmask (SIG_SETMASK, &none, NULL);
+  abort ();
+}
+
 /* Logs a message of a library, which has no key=value pairs, as one quoted value. */
 static GLogWriterOutput
 write_library_line (GLogLevelFlags level,
@@ -236,6 +250,8 @@
   quoted = g_strescape (message, NULL);
   text = g_strdup_printf ("event=message text=\"%s\"", quoted);
   write_line (level & G_LOG_LEVEL_MASK, "library", text);
+  if (level & G_LOG_LEVEL_ERROR)
+    end_process ();
   return G_LOG_WRITER_HANDLED;
 }
 
