--- a/src/entry/options.h
+++ b/src/entry/options.h
@@ -23,7 +23,7 @@
   gint64 claim_ttl_ms; /* duration of the leader's lease */
   gint64 max_connections;
   gint64 max_descriptors; /* 0: the process's limit */
-  gint64 memory_mb; /* what the process may use */
+  gint64 memory_mb;       /* what the process may use */
   gint64 drain_delay_ms;
   gint64 drain_timeout_ms;
 } entry_options_t;
