--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -126,7 +126,7 @@
         with open(self.log_path(vm), "ab") as log:
             out = log if self.stdout is None else self.stdout
             vm["process"] = subprocess.Popen(words + self.extra, env=environment, stdout=out, stderr=log,
-                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits if limits else None)
+                                             stdin=subprocess.DEVNULL, preexec_fn=set_limits if limits or closed else None)
         vm["ended"] = False
         self.record(vm["name"], f"process {vm['process'].pid} started")
 
