--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-/* A renewal that a report shows may reach the executor up to this long after the report. */
-static const gint64 lease_margin_us = 250 * 1000;
 static const gint64 task_retry_delay_us = 20 * 1000;
 /* Weight of one step in the moving average of actual over estimated run time. */
 static const double runtime_ratio_weight = 0.05;
@@ -108,38 +106,6 @@
          && executor->ejected_until_us <= now_us && executor->trial_until_us <= now_us;
 }
 
-static bool
-is_planned (const run_t *run)
-{
-  return run->state == RUN_PLANNED || run->state == RUN_WITHDRAWN;
-}
-
-/* Removes all runs of an executor that has ended or whose leases have all expired: none of them is
- * alive.  Runs
- * whose placement is being stored stay, as no start order was sent. */
-static void
-remove_dead_runs (scheduler_t *scheduler, executor_t *executor, const char *reason, gint64 now_us)
-{
-  list_node_t *node = executor->runs.next;
-  g_autoptr (GArray) lost_runs = scheduler_lost_runs (executor);
-
-  while (node != &executor->runs)
-    {
-      run_t *run = LIST_ENTRY (node, run_t, executor_node);
-
-      node = node->next;
-      if (is_planned (run))
-        continue;
-      scheduler_log (scheduler, "task_lost", "job=%s task=%u.%u.%u run=%u executor=%s reason=%s",
-                     run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
-                     executor->id, reason);
-      scheduler_remove_run (scheduler, run, now_us);
-      /* Removing the run may have changed the rest of the list: start over. */
-      node = executor->runs.next;
-    }
-  scheduler_count_lost_runs (scheduler, executor, lost_runs, now_us);
-}
-
 /* The runs of an incarnation end with it.  But a start order that the former incarnation may
  * not have received can be carried out by the next one, which has the same executor id. */
 static bool
@@ -159,7 +125,7 @@
     {
       run_t *run = LIST_ENTRY (node, run_t, executor_node);
 
-      if (is_planned (run))
+      if (scheduler_run_is_planned (run))
         scheduler_stop_run (scheduler, run, now_us);
       else
         scheduler_resend_stop (scheduler, run, now_us);
@@ -177,7 +143,7 @@
       run_t *run = LIST_ENTRY (node, run_t, executor_node);
 
       node = node->next;
-      if (may_start_after_restart (run) || is_planned (run))
+      if (may_start_after_restart (run) || scheduler_run_is_planned (run))
         continue;
       scheduler_log (scheduler, "task_lost",
                      "job=%s task=%u.%u.%u run=%u executor=%s reason=executor_restarted",
@@ -210,6 +176,7 @@
     }
   executor->born = born;
   executor->has_reported = false;
+  executor->is_address_doubtful = false;
   executor->last_seen_end = 0;
   executor->acked = 0;
   executor->consecutive_failures = 0;
@@ -237,6 +204,7 @@
   executor_t *executor = scheduler_ensure_executor (scheduler, entry->id);
   bool has_moved = g_strcmp0 (executor->address, entry->address) != 0;
   bool is_reborn = executor->entry_born != entry->born;
+  bool is_known_elsewhere = has_moved && executor->address != NULL && executor->born == entry->born;
 
   if (!executor->is_listed || executor->is_draining != entry->is_draining
       || executor->entry_born != entry->born)
@@ -259,6 +227,7 @@
   executor->entry_born = entry->born;
   executor->is_listed = true;
   executor->is_draining = entry->is_draining;
+  executor->is_address_doubtful |= is_known_elsewhere;
   if (has_moved)
     {
       g_free (executor->address);
@@ -503,21 +472,6 @@
     }
 }
 
-/* When a lease that was granted at `from_us` has certainly expired. */
-static gint64
-lease_end_us (const scheduler_t *scheduler, gint64 from_us)
-{
-  gint64 lease_us = (gint64) ((double) scheduler->limits.executor_lease_us * CLOCK_DRIFT_FACTOR);
-
-  return from_us + lease_us + lease_margin_us;
-}
-
-void
-scheduler_extend_lease_expiry (const scheduler_t *scheduler, executor_t *executor, gint64 from_us)
-{
-  executor->lease_expiry_us = MAX (executor->lease_expiry_us, lease_end_us (scheduler, from_us));
-}
-
 void
 scheduler_executor_report (scheduler_t *scheduler, const executor_report_t *report, gint64 now_us)
 {
@@ -540,6 +494,7 @@
     return;
   begin_incarnation (scheduler, executor, report->born, now_us);
   executor->has_reported = true;
+  executor->last_report_us = now_us;
   handle_ends (scheduler, executor, report, now_us);
   handle_running (scheduler, executor, report, now_us);
   stop_unreported_runs (scheduler, executor, now_us);
@@ -570,87 +525,3 @@
   if (executor != NULL)
     scheduler_extend_lease_expiry (scheduler, executor, now_us + scheduler->limits.leader_lease_us);
 }
-
-/* A start order in flight may renew the executor's lease, until its VM's leadership expires. */
-static bool
-has_start_in_flight (const scheduler_t *scheduler, const executor_t *executor, gint64 now_us)
-{
-  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
-    {
-      const run_t *run = LIST_ENTRY (node, run_t, executor_node);
-      gint64 sent_until_us = run->start_sent_us + scheduler->limits.leader_lease_us;
-
-      if (run->state == RUN_STARTING && now_us < lease_end_us (scheduler, sent_until_us))
-        return true;
-    }
-  return false;
-}
-
-/* Whether reports and the entry with the address are of the same incarnation. */
-static bool
-is_address_known (const executor_t *executor)
-{
-  return executor->born > 0 && executor->entry_born == executor->born;
-}
-
-/* Returns whether another executor answers at the address of this one, which therefore has ended:
- * one process listens on an address.  A start order that is on its way names the executor and is
- * refused by the other. */
-static bool
-is_replaced (const scheduler_t *scheduler, const executor_t *executor)
-{
-  const executor_t *other;
-
-  if (executor->address == NULL || executor->is_reachable || !is_address_known (executor))
-    return false;
-  other = g_hash_table_lookup (scheduler->executors_by_address, executor->address);
-  return other != NULL && other != executor && other->is_reachable && other->has_reported
-         && is_address_known (other) && other->born > executor->born
-         && strcmp (other->address, executor->address) == 0;
-}
-
-/* Whether a run was recorded by an earlier leader and no report has shown it: the incarnation in
- * which it was started is not known. */
-static bool
-has_restored_run (const executor_t *executor)
-{
-  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
-    {
-      if (LIST_ENTRY (node, run_t, executor_node)->state == RUN_RESTORED)
-        return true;
-    }
-  return false;
-}
-
-/* Removes the runs of an unreachable executor once its leases have expired, and ends the hold
- * requests to an unlisted executor once it has no runs and its leases have expired or it is
- * unreachable. */
-static void
-check_executor (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
-{
-  if (!list_is_empty (&executor->runs) && is_replaced (scheduler, executor)
-      && !has_restored_run (executor))
-    remove_dead_runs (scheduler, executor, "executor_replaced", now_us);
-  if (!executor->is_reachable && !list_is_empty (&executor->runs)
-      && executor->lease_expiry_us <= now_us && !has_start_in_flight (scheduler, executor, now_us))
-    remove_dead_runs (scheduler, executor, "lease_lapsed", now_us);
-  if (!list_is_empty (&executor->runs))
-    return;
-  if (executor->is_listed)
-    return;
-  if (executor->lease_expiry_us > now_us && executor->is_reachable)
-    return;
-  if (executor->is_assigned)
-    {
-      executor->is_assigned = false;
-      executor->has_reported = false;
-      scheduler->ops->hold (executor->id, NULL, scheduler->data);
-    }
-}
-
-void
-scheduler_check_executors (scheduler_t *scheduler, gint64 now_us)
-{
-  for (guint i = 0; i < scheduler->executor_list->len; i++)
-    check_executor (scheduler, g_ptr_array_index (scheduler->executor_list, i), now_us);
-}
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -284,6 +284,12 @@
     scheduler_release_job (scheduler, task->step->job);
 }
 
+bool
+scheduler_run_is_planned (const run_t *run)
+{
+  return run->state == RUN_PLANNED || run->state == RUN_WITHDRAWN;
+}
+
 run_t *
 scheduler_find_run (const executor_t *executor, const task_ref_t *ref, guint number)
 {
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -195,6 +195,8 @@
   /* The latest hold request was answered.  Also false after a start order could not be sent or
    * the VM that sent the hold requests was lost. */
   bool is_reachable;
+  gint64 last_report_us;      /* when an answered hold request was last reported; 0: not yet */
+  bool is_address_doubtful;   /* this incarnation was listed, or has answered, at another one too */
   bool is_assigned;           /* an entry VM has been assigned to send hold requests to it */
   gint64 lease_expiry_us;     /* no lease granted so far is valid after this */
   guint64 last_seen_end;      /* ends up to this number are processed */
@@ -296,6 +298,8 @@
 void scheduler_acknowledge_stored (scheduler_t *scheduler, executor_t *executor);
 
 /* scheduler_runs.c */
+/* Whether the placement is being stored: no start order was sent. */
+bool scheduler_run_is_planned (const run_t *run);
 run_t *scheduler_run_new (scheduler_t *scheduler,
                           task_t *task,
                           const task_ref_t *ref,
@@ -315,15 +319,20 @@
 /* scheduler_executors.c */
 executor_t *scheduler_find_executor (const scheduler_t *scheduler, const char *id);
 bool scheduler_executor_is_usable (const executor_t *executor, gint64 now_us);
-void scheduler_check_executors (scheduler_t *scheduler, gint64 now_us);
 bool scheduler_executor_has_label (const executor_t *executor, const char *label);
 /* What is free for tasks of the step, and not reserved for gangs that go before it. */
 resource_vector_t scheduler_free_resources (const step_t *step, const executor_t *executor);
 bool scheduler_resources_fit (resource_vector_t need, resource_vector_t resources);
 void scheduler_executor_free (gpointer data);
 executor_t *scheduler_ensure_executor (scheduler_t *scheduler, const char *id);
+
+/* scheduler_leases.c */
+/* Notes that a lease may have been granted as late as `from_us`. */
 void
 scheduler_extend_lease_expiry (const scheduler_t *scheduler, executor_t *executor, gint64 from_us);
+/* Removes the runs of executors that have ended or whose leases have expired, and ends hold
+ * requests that are no longer needed. */
+void scheduler_check_executors (scheduler_t *scheduler, gint64 now_us);
 
 /* scheduler_crashes.c */
 /* The runs that are lost if the executor's incarnation has ended (lost_run_t); each run is returned
--- a/tests/replaced_executor.c
+++ b/tests/replaced_executor.c
@@ -166,6 +166,49 @@
   fixture_free (fixture);
 }
 
+/* ... nor an answer from another address, before the entry named this one. */
+static void
+test_answer_from_elsewhere (void)
+{
+  fixture_t *fixture = start_and_lose_e1 (1);
+
+  list_entry_at (fixture, "e2", "10.0.0.3:8000", 2);
+  report (fixture, "e2", 2, 0, NULL, 0, NULL, 0);
+  fixture->now_us += 100 * MS;
+  list_entry_at (fixture, "e2", shared_address, 2);
+  CU_ASSERT_TRUE (waits (fixture));
+  fixture_free (fixture);
+}
+
+/* ... nor one whose answer is older than the last of the executor with the run: their times of
+ * start are of clocks that may be off. */
+static void
+test_earlier_answer (void)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+  executor_entry_t draining = { .id = "e2",
+                                .address = shared_address,
+                                .service = "s",
+                                .zone = "z",
+                                .is_draining = true,
+                                .capacity = { .cpu_milli = 4000, .mem_mb = 1000 },
+                                .born = 2 };
+  const issued_order_t *start;
+
+  scheduler_executor_listed (fixture->scheduler, &draining, fixture->now_us);
+  report (fixture, "e2", 2, 0, NULL, 0, NULL, 0);
+  fixture->now_us += 100 * MS;
+  list_at (fixture, "e1", 1);
+  add_job (fixture, make_job_spec (1, 1, 1000), false);
+  step (fixture);
+  start = expect_issued (fixture, 's');
+  CU_ASSERT_STRING_EQUAL (start->executor, "e1");
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  report_unreachable (fixture, "e1");
+  CU_ASSERT_TRUE (waits (fixture));
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -178,6 +221,8 @@
     { "TWICE: an earlier executor replaces none", test_earlier_executor_answers },
     { "TWICE: an unreachable replacement proves nothing", test_replacement_unreachable },
     { "TWICE: an outdated address proves nothing", test_outdated_address },
+    { "TWICE: an answer from another address proves nothing", test_answer_from_elsewhere },
+    { "TWICE: an earlier answer proves nothing", test_earlier_answer },
   };
 
   return run_suite ("replaced_executor", tests, G_N_ELEMENTS (tests));
