--- a/tests/replaced_executor.c
+++ b/tests/replaced_executor.c
@@ -161,6 +161,7 @@
   scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
   list_entry_at (fixture, "e1", shared_address, 1);
   report_unreachable (fixture, "e1");
+  fixture->now_us += 100 * MS;
   list_at (fixture, "e2", 5);
   CU_ASSERT_TRUE (waits (fixture));
   fixture_free (fixture);
