--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -297,6 +297,11 @@
     {
       refuse_request (server, message, status_headers_too_large,
                       "the headers are larger than allowed");
+  static const char negative_length[]
+      = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+        "Content-Type: application/json\r\n\r\n"
+        "{\"outcome\":\"not_run\",\"error\":\"bad_request\",\"reason\":"
+        "\"the length of the body is negative\",\"retry\":false}";
       return false;
     }
   if (totals.content_lengths > 1 || totals.transfer_encodings > 1
@@ -321,6 +326,13 @@
     }
   return take_body_memory (server, message, soup_message_headers_get_content_length (headers));
 }
+  if (soup_message_headers_get_content_length (headers) < 0)
+    {
+      refuse_request (server, message, SOUP_STATUS_BAD_REQUEST,
+                      "the length of the body is negative");
+      refuse_before_body (server, message, negative_length);
+      return false;
+    }
 
 static void
 on_headers (SoupServer *soup G_GNUC_UNUSED,
@@ -429,9 +441,12 @@
       = g_signal_connect (message, "finished", G_CALLBACK (on_message_finished), request);
   soup_server_message_pause (message);
   if (take_work_memory (request))
-    server->handler (request, server->data);
-  else
-    http_respond_error (request, &no_memory, OUTCOME_NOT_RUN, memory_retry_after_ms (server));
+    {
+      server->handler (request, server->data);
+      return;
+    }
+  server->counters.refused_requests++;
+  http_respond_error (request, &no_memory, OUTCOME_NOT_RUN, memory_retry_after_ms (server));
 }
 
 /* Returns whether the client has closed its side and all data from it has been read. */
--- a/src/base/memory_budget.c
+++ b/src/base/memory_budget.c
@@ -1,5 +1,9 @@
+#define LOG_MODULE "memory"
+
 #include "base/memory_budget.h"
 
+#include "base/log.h"
+
 typedef struct
 {
   gint64 used_bytes;
@@ -45,7 +49,7 @@
   share_state_t *state = &shares[share];
   gint64 left_bytes = memory_share_bytes (share, limit_mb) - state->used_bytes - bytes;
 
-  if (held + bytes > left_bytes)
+  if (bytes < 0 || held + bytes > left_bytes)
     {
       state->refusals++;
       return false;
@@ -57,10 +61,21 @@
 void
 memory_give_back (memory_share_t share, gint64 bytes)
 {
-  g_assert (bytes <= shares[share].used_bytes);
+  if (bytes > shares[share].used_bytes)
+    {
+      LOG_WARN ("memory_miscounted", "share=%d bytes=%" G_GINT64_FORMAT " used=%" G_GINT64_FORMAT,
+                (int) share, bytes, shares[share].used_bytes);
+      bytes = shares[share].used_bytes;
+    }
   shares[share].used_bytes -= bytes;
 }
 
+bool
+memory_is_scarce (memory_share_t share)
+{
+  return shares[share].used_bytes > memory_share_bytes (share, limit_mb) / 2;
+}
+
 gint64
 memory_used_bytes (memory_share_t share)
 {
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -22,7 +22,7 @@
 enum
 {
   MEMORY_DEFAULT_MB = 256,
-  MEMORY_MIN_MB = 16,
+  MEMORY_MIN_MB = 64, /* a large page of the store's still has room */
   MEMORY_MAX_MB = 1048576
 };
 
@@ -34,11 +34,15 @@
 
 /* Takes `bytes` for the first time (`held` 0), or `bytes` more for one who holds `held` bytes of
  * the share.  Returns false, and takes nothing, if the holder would then have more than the share
- * has left: one holder alone gets half of the share, and room for small ones is always left. */
+ * has left, or if `bytes` is negative: one holder alone gets half of the share, and room for small
+ * ones is always left. */
 bool memory_take (memory_share_t share, gint64 held, gint64 bytes);
 
 void memory_give_back (memory_share_t share, gint64 bytes);
 
+/* Returns whether more than half of the share is in use. */
+bool memory_is_scarce (memory_share_t share);
+
 gint64 memory_used_bytes (memory_share_t share);
 
 /* Appends mimosastair_memory_* samples: bytes in use, bound and refusals of each share. */
