--- a/src/base/acceptor.c
+++ b/src/base/acceptor.c
@@ -109,14 +109,17 @@
 accept_turn (acceptor_t *acceptor)
 {
   accept_result_t result = ACCEPT_TAKEN;
+  guint skipped_count = 0;
 
   for (guint i = 0; i < TURN_CONNECTIONS; i++)
     {
       result = accept_one (acceptor);
       if (result == ACCEPT_EMPTY || result == ACCEPT_EXHAUSTED)
         break;
+      skipped_count += result == ACCEPT_SKIPPED;
     }
-  return result;
+  /* Errors without end are not those of single connections. */
+  return skipped_count == TURN_CONNECTIONS ? ACCEPT_EXHAUSTED : result;
 }
 
 static void
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -224,17 +224,25 @@
 static const error_info_t no_memory
     = { .kind = ERROR_OVERLOADED, .detail = "the memory for requests is in use" };
 
+/* Returns the whole response to a request whose body has no room. */
+static char *
+no_memory_response (const http_server_t *server)
+{
+  gint64 retry_after_ms = memory_retry_after_ms (server);
+  g_autofree char *json = error_to_json (&no_memory, OUTCOME_NOT_RUN, retry_after_ms);
+
+  return g_strdup_printf ("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                          "Content-Type: application/json\r\nMimosastair-Outcome: %s\r\n"
+                          "Retry-After: %" G_GINT64_FORMAT "\r\nContent-Length: %zu\r\n\r\n%s",
+                          outcome_name (OUTCOME_NOT_RUN), retry_after_ms / 1000, strlen (json),
+                          json);
+}
+
 /* Refuses a request whose body has no room, and frees what was read of it. */
 static void
 refuse_for_memory (http_server_t *server, SoupServerMessage *message)
 {
-  gint64 retry_after_ms = memory_retry_after_ms (server);
-  g_autofree char *json = error_to_json (&no_memory, OUTCOME_NOT_RUN, retry_after_ms);
-  g_autofree char *text = g_strdup_printf (
-      "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
-      "Content-Type: application/json\r\nMimosastair-Outcome: %s\r\n"
-      "Retry-After: %" G_GINT64_FORMAT "\r\nContent-Length: %zu\r\n\r\n%s",
-      outcome_name (OUTCOME_NOT_RUN), retry_after_ms / 1000, strlen (json), json);
+  g_autofree char *text = no_memory_response (server);
 
   refuse_request (server, message, SOUP_STATUS_SERVICE_UNAVAILABLE, no_memory.detail);
   soup_message_body_truncate (soup_server_message_get_request_body (message));
@@ -289,6 +297,11 @@
         "Content-Type: application/json\r\n\r\n"
         "{\"outcome\":\"not_run\",\"error\":\"bad_request\",\"reason\":"
         "\"the length of the body is given more than once\",\"retry\":false}";
+  static const char negative_length[]
+      = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+        "Content-Type: application/json\r\n\r\n"
+        "{\"outcome\":\"not_run\",\"error\":\"bad_request\",\"reason\":"
+        "\"the length of the body is negative\",\"retry\":false}";
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   header_totals_t totals = { .bytes = 0 };
 
@@ -297,11 +310,6 @@
     {
       refuse_request (server, message, status_headers_too_large,
                       "the headers are larger than allowed");
-  static const char negative_length[]
-      = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
-        "Content-Type: application/json\r\n\r\n"
-        "{\"outcome\":\"not_run\",\"error\":\"bad_request\",\"reason\":"
-        "\"the length of the body is negative\",\"retry\":false}";
       return false;
     }
   if (totals.content_lengths > 1 || totals.transfer_encodings > 1
@@ -318,6 +326,13 @@
                       "Idempotency-Key is given more than once");
       return false;
     }
+  if (soup_message_headers_get_content_length (headers) < 0)
+    {
+      refuse_request (server, message, SOUP_STATUS_BAD_REQUEST,
+                      "the length of the body is negative");
+      refuse_before_body (server, message, negative_length);
+      return false;
+    }
   if (soup_message_headers_get_content_length (headers) > server->limits.body_bytes)
     {
       refuse_request (server, message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
@@ -326,13 +341,6 @@
     }
   return take_body_memory (server, message, soup_message_headers_get_content_length (headers));
 }
-  if (soup_message_headers_get_content_length (headers) < 0)
-    {
-      refuse_request (server, message, SOUP_STATUS_BAD_REQUEST,
-                      "the length of the body is negative");
-      refuse_before_body (server, message, negative_length);
-      return false;
-    }
 
 static void
 on_headers (SoupServer *soup G_GNUC_UNUSED,
@@ -610,8 +618,9 @@
     connection_set_state (connection, CONNECTION_IDLE);
 }
 
-/* Returns whether a large body came too slowly since the last window, and begins the next one.
- * While the process itself was late, nothing is known of its clients. */
+/* Returns whether a large body came too slowly since the last window while others need the memory,
+ * and begins the next window.  While the process itself was late, nothing is known of its clients.
+ */
 static bool
 is_body_too_slow (connection_t *connection, gint64 now_us, bool was_late)
 {
@@ -622,12 +631,24 @@
     return false;
   if (!was_late && now_us < connection->window_start_us + BODY_WINDOW_US)
     return false;
-  is_too_slow = !was_late && connection->window_bytes < BODY_LEAST_BYTES_PER_S;
+  is_too_slow = !was_late && connection->window_bytes < BODY_LEAST_BYTES_PER_S
+                && memory_is_scarce (MEMORY_REQUESTS);
   connection->window_start_us = MAX (connection->window_start_us, now_us);
   connection->window_bytes = 0;
   return is_too_slow;
 }
 
+/* Refuses a request whose body comes too slowly, and closes its connection, which frees what was
+ * read. */
+static void
+refuse_slow_body (http_server_t *server, const connection_t *connection)
+{
+  g_autofree char *text = no_memory_response (server);
+
+  server->counters.refused_requests++;
+  (void) g_socket_send (connection->socket, text, strlen (text), NULL, NULL);
+}
+
 static gboolean
 sweep_connections (gpointer data)
 {
@@ -642,11 +663,13 @@
        node = node->next)
     {
       connection_t *connection = LIST_ENTRY (node, connection_t, node);
+      bool is_late = connection->state_since_us <= read_cutoff_us;
+      bool is_slow = !is_late && is_body_too_slow (connection, now_us, was_late);
 
-      if (connection->state == CONNECTION_RESPONDING
-          || (connection->state_since_us > read_cutoff_us
-              && !is_body_too_slow (connection, now_us, was_late)))
+      if (connection->state == CONNECTION_RESPONDING || (!is_late && !is_slow))
         continue;
+      if (is_slow)
+        refuse_slow_body (server, connection);
       server->counters.timeouts += connection->state == CONNECTION_READING;
       connection_set_state (connection, CONNECTION_IDLE);
       connection_shutdown (connection);
