--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -163,6 +163,10 @@
         if vm["process"].poll() is None:
             vm["process"].send_signal(number)
 
+    def has_sanitizer(self):
+        """Whether the program keeps freed memory and call stacks, so that its size tells nothing."""
+        return b"__asan_init" in self.binary.read_bytes()
+
     def resident_mb(self, vm):
         """Resident size of the process; 0 if it is gone."""
         try:
