tests/replaced_executor: one function starts the run on e1

Cause: the same six lines stood three times (duplicates). Change: start_on_e1(); no check differs. Measured: the eight cases pass, the four mutations of is_replaced() are caught as before.

--- a/tests/replaced_executor.c
+++ b/tests/replaced_executor.c
@@ -35,11 +35,10 @@
   scheduler_executor_report (fixture->scheduler, &unreachable, fixture->now_us);
 }
 
-/* Starts a run on e1, which then answers no more. */
-static fixture_t *
-start_and_lose_e1 (gint64 born)
+/* Lists e1, on which a run starts. */
+static void
+start_on_e1 (fixture_t *fixture, gint64 born)
 {
-  fixture_t *fixture = fixture_new (0, 0);
   const issued_order_t *start;
 
   list_at (fixture, "e1", born);
@@ -48,6 +47,15 @@
   start = expect_issued (fixture, 's');
   CU_ASSERT_STRING_EQUAL (start->executor, "e1");
   scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+}
+
+/* Starts a run on e1, which then answers no more. */
+static fixture_t *
+start_and_lose_e1 (gint64 born)
+{
+  fixture_t *fixture = fixture_new (0, 0);
+
+  start_on_e1 (fixture, born);
   fixture->now_us += 1000 * MS;
   report_unreachable (fixture, "e1");
   fixture->now_us += 500 * MS;
@@ -94,16 +102,10 @@
 test_lost_run_of_executor_replaced_by_former (void)
 {
   fixture_t *fixture = fixture_new (0, 0);
-  const issued_order_t *start;
 
   list_at (fixture, "e2", 1);
   report_unreachable (fixture, "e2");
-  list_at (fixture, "e1", 2);
-  add_job (fixture, make_job_spec (1, 1, 1000), false);
-  step (fixture);
-  start = expect_issued (fixture, 's');
-  CU_ASSERT_STRING_EQUAL (start->executor, "e1");
-  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  start_on_e1 (fixture, 2);
   fixture->now_us += 1000 * MS;
   report_unreachable (fixture, "e1");
   list_at (fixture, "e2", 3);
@@ -194,17 +196,11 @@
                                 .is_draining = true,
                                 .capacity = { .cpu_milli = 4000, .mem_mb = 1000 },
                                 .born = 2 };
-  const issued_order_t *start;
 
   scheduler_executor_listed (fixture->scheduler, &draining, fixture->now_us);
   report (fixture, "e2", 2, 0, NULL, 0, NULL, 0);
   fixture->now_us += 100 * MS;
-  list_at (fixture, "e1", 1);
-  add_job (fixture, make_job_spec (1, 1, 1000), false);
-  step (fixture);
-  start = expect_issued (fixture, 's');
-  CU_ASSERT_STRING_EQUAL (start->executor, "e1");
-  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  start_on_e1 (fixture, 1);
   report_unreachable (fixture, "e1");
   CU_ASSERT_TRUE (waits (fixture));
   fixture_free (fixture);
