--- a/src/base/acceptor.c
+++ b/src/base/acceptor.c
@@ -227,6 +227,16 @@
                     acceptor->address_text, reason);
 }
 
+/* Whether another try may succeed: a port in use, an address that the VM does not have yet, or a
+ * lack of descriptors or memory passes. */
+static bool
+may_pass (const GError *problem)
+{
+  return !g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_PERMISSION_DENIED)
+         && !g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT)
+         && !g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_NOT_SUPPORTED);
+}
+
 static gboolean
 retry_to_listen (gpointer data)
 {
@@ -237,8 +247,7 @@
   if (try_to_listen (acceptor, &problem))
     LOG_INFO ("port_bound", "listener=%s address=%s waited_ms=%" G_GINT64_FORMAT, acceptor->name,
               acceptor->address_text, waited_ms);
-  else if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE)
-           && waited_ms < BIND_TIMEOUT_MS)
+  else if (may_pass (problem) && waited_ms < BIND_TIMEOUT_MS)
     return G_SOURCE_CONTINUE;
   else
     {
@@ -251,10 +260,14 @@
 }
 
 static void
-wait_for_port (acceptor_t *acceptor)
+wait_for_port (acceptor_t *acceptor, const GError *problem)
 {
-  LOG_WARN ("port_in_use", "listener=%s address=%s timeout_ms=%d", acceptor->name,
-            acceptor->address_text, (int) BIND_TIMEOUT_MS);
+  const char *event = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE)
+                          ? "port_in_use"
+                          : "port_unavailable";
+
+  LOG_WARN (event, "listener=%s address=%s timeout_ms=%d reason=\"%s\"", acceptor->name,
+            acceptor->address_text, (int) BIND_TIMEOUT_MS, problem->message);
   acceptor->state = ACCEPTOR_WAITING;
   acceptor->waiting_since_us = g_get_monotonic_time ();
   acceptor->bind_timer = g_timeout_add (BIND_INTERVAL_MS, retry_to_listen, acceptor);
@@ -273,8 +286,8 @@
     set_failed (acceptor, "not an IP address and port");
   else if (try_to_listen (acceptor, &problem))
     return;
-  else if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE))
-    wait_for_port (acceptor);
+  else if (may_pass (problem))
+    wait_for_port (acceptor, problem);
   else
     set_failed (acceptor, problem->message);
 }
--- a/tests/process/ports_in_use.py
+++ b/tests/process/ports_in_use.py
@@ -103,6 +103,24 @@
     lab.launch(vm)
 
 
+async def start_without_address(lab, vm):
+    """Starts the process with an address that this machine lacks: the rest of the start goes on meanwhile."""
+    await end_vm(vm)
+    take_new_ports(vm)
+    own = vm["settings"]["listen"]["ready"]
+    vm["settings"]["listen"]["ready"] = "192.0.2.1:1"
+    lab.launch(vm)
+    await asyncio.sleep(HELD_S)
+    if not has_ended(lab, vm, "no such address") and not await lab.metrics(vm):
+        lab.fail("no such address: the metrics do not answer meanwhile")
+    lab.signal(vm, signal.SIGTERM)
+    code = await asyncio.to_thread(vm["process"].wait)
+    if code != 0:
+        lab.fail(f"SIGTERM without the address: the process ended with {code}")
+    vm["settings"]["listen"]["ready"] = own
+    lab.launch(vm)
+
+
 async def give_up(lab, vm):
     """Ports that stay in use end the start after a while."""
     await end_vm(vm)
@@ -130,6 +148,7 @@
     await asyncio.gather(ports_in_series(lab, lab.vms[0]), give_up(lab, lab.vms[1]),
                          start_beside_former(lab, lab.vms[2]))
     await stop_while_waiting(lab, lab.vms[2])
+    await start_without_address(lab, lab.vms[2])
     await lab.check_all_serve()
     for vm in lab.vms:
         has_ended(lab, vm, vm["name"])
