tests: customers' requests to an entry daemon are sent in one place

Cause: odd_entry.c and desired_state.c had the same call and its callback (duplicates). Change: entry_fixture_request(); the expectations are as before.

--- a/tests/desired_state.c
+++ b/tests/desired_state.c
@@ -2,50 +2,19 @@
  * changes.  CONFIG: a route that was added must be served within seconds of its confirmation. */
 #include "entry_fixture.h"
 
-#include "base/http_call.h"
-#include "base/http_client.h"
-
 enum
 {
   APPLY_MS = 2000, /* bound on the time from the confirmation of a version to its use */
-  CALL_TIMEOUT_MS = 1500,
   POLL_MS = 20
 };
 
-static SoupSession *session;
-
-typedef struct
-{
-  bool is_done;
-  guint status;
-} response_t;
-
-static void
-responded (const http_result_t *result, void *data)
-{
-  response_t *response = data;
-
-  response->status = result->status;
-  response->is_done = true;
-}
-
 /* Returns the status with which the VM answers a GET of the route. */
 static guint
 get_route (const vm_t *vm, guint route)
 {
   g_autofree char *path = g_strdup_printf ("/q%u/", route);
-  http_call_t call = { .method = "GET",
-                       .address = vm->options.listen,
-                       .path = path,
-                       .header = "Host",
-                       .header_value = "h.example",
-                       .timeout_ms = CALL_TIMEOUT_MS,
-                       .max_bytes = HTTP_RESPONSE_MAX_BYTES };
-  response_t response = { .is_done = false };
 
-  http_call (session, &call, responded, &response);
-  (void) loop_run_until (is_set, &response.is_done);
-  return response.status;
+  return entry_fixture_request (vm, "GET", path, NULL);
 }
 
 /* Asks until the VM answers with `status`; returns the last answer after `ms` milliseconds. */
@@ -68,7 +37,6 @@
 {
   if (vms[0].entry != NULL)
     return;
-  session = http_session_new (8, 0, 30);
   (void) entry_fixture_vm (0);
   (void) entry_fixture_vm (1);
   CU_ASSERT_EQUAL_FATAL (wait_for_status (&vms[0], 1, 200, 10 * 1000), 200);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -5,12 +5,18 @@
 #include "http_store.h"
 
 #include "base/clock.h"
+#include "base/http_call.h"
 #include "entry/entry.h"
 #include "platform/documents.h"
 
 #include <gio/gio.h>
 #include <string.h>
 
+enum
+{
+  REQUEST_TIMEOUT_MS = 1500
+};
+
 /* An entry daemon.  It is never freed, like one that has run. */
 typedef struct
 {
@@ -151,3 +157,40 @@
     vm_start (&vms[index], "b");
   return &vms[index];
 }
+
+typedef struct
+{
+  bool is_done;
+  guint status;
+} response_t;
+
+static inline void
+responded (const http_result_t *result, void *data)
+{
+  response_t *response = data;
+
+  response->status = result->status;
+  response->is_done = true;
+}
+
+/* Sends a request to the VM as a customer does, and returns the status of the answer; 0: none. */
+static inline guint
+entry_fixture_request (const vm_t *vm, const char *method, const char *path, const char *body)
+{
+  static SoupSession *session;
+  http_call_t call = { .method = method,
+                       .address = vm->options.listen,
+                       .path = path,
+                       .body = g_strdup (body),
+                       .header = "Host",
+                       .header_value = "h.example",
+                       .timeout_ms = REQUEST_TIMEOUT_MS,
+                       .max_bytes = HTTP_RESPONSE_MAX_BYTES };
+  response_t response = { .is_done = false };
+
+  if (session == NULL)
+    session = http_session_new (8, 0, 30);
+  http_call (session, &call, responded, &response);
+  (void) loop_run_until (is_set, &response.is_done);
+  return response.status;
+}
--- a/tests/odd_entry.c
+++ b/tests/odd_entry.c
@@ -12,7 +12,6 @@
 {
   BORN = 1000,
   NESTED_BYTES = 200 * 1000,
-  CALL_TIMEOUT_MS = 1500,
   SETTLE_MS = 300 /* an executor is assigned and called within this time */
 };
 
@@ -221,41 +220,11 @@
   check_lives ("odd");
 }
 
-typedef struct
-{
-  bool is_done;
-  guint status;
-} response_t;
-
-static void
-responded (const http_result_t *result, void *data)
-{
-  response_t *response = data;
-
-  response->status = result->status;
-  response->is_done = true;
-}
-
 /* Submits a job to the VM; returns the status. */
 static guint
 post_job (const char *body)
 {
-  static SoupSession *session;
-  http_call_t call = { .method = "POST",
-                       .address = entry_fixture_vm (0)->options.listen,
-                       .path = "/q1/00000000000000bb",
-                       .body = g_strdup (body),
-                       .header = "Host",
-                       .header_value = "h.example",
-                       .timeout_ms = CALL_TIMEOUT_MS,
-                       .max_bytes = HTTP_RESPONSE_MAX_BYTES };
-  response_t response = { .is_done = false };
-
-  if (session == NULL)
-    session = http_session_new (8, 0, 30);
-  http_call (session, &call, responded, &response);
-  (void) loop_run_until (is_set, &response.is_done);
-  return response.status;
+  return entry_fixture_request (entry_fixture_vm (0), "POST", "/q1/00000000000000bb", body);
 }
 
 /* Fault: one client's body ended the process. */
