--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2742,7 +2742,7 @@
   (ProtobufCMessageInit) mimosastair__end_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mimosastair__hello__field_descriptors[7] =
 {
   {
     "vm",
@@ -2804,18 +2804,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "life",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Hello, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keeps_texts",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Hello, keeps_texts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__hello__field_indices_by_name[] = {
   2,   /* field[2] = cpu_milli */
   4,   /* field[4] = job_bytes_max */
+  6,   /* field[6] = keeps_texts */
   3,   /* field[3] = leaving */
+  5,   /* field[5] = life */
   0,   /* field[0] = vm */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange mimosastair__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mimosastair__hello__descriptor =
 {
@@ -2825,14 +2851,14 @@
   "Mimosastair__Hello",
   "mimosastair",
   sizeof(Mimosastair__Hello),
-  5,
+  7,
   mimosastair__hello__field_descriptors,
   mimosastair__hello__field_indices_by_name,
   1,  mimosastair__hello__number_ranges,
   (ProtobufCMessageInit) mimosastair__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mimosastair__ping__field_descriptors[4] =
 {
   {
     "sent_us",
@@ -2870,16 +2896,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_answered_age_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Ping, store_answered_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__ping__field_indices_by_name[] = {
   2,   /* field[2] = desired_version */
   0,   /* field[0] = sent_us */
+  3,   /* field[3] = store_answered_age_us */
   1,   /* field[1] = store_ok */
 };
 static const ProtobufCIntRange mimosastair__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mimosastair__ping__descriptor =
 {
@@ -2889,7 +2928,7 @@
   "Mimosastair__Ping",
   "mimosastair",
   sizeof(Mimosastair__Ping),
-  3,
+  4,
   mimosastair__ping__field_descriptors,
   mimosastair__ping__field_indices_by_name,
   1,  mimosastair__ping__number_ranges,
@@ -3373,7 +3412,7 @@
   (ProtobufCMessageInit) mimosastair__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[9] =
 {
   {
     "order",
@@ -3471,6 +3510,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "text_known",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__StartOrder, text_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__start_order__field_indices_by_name[] = {
   2,   /* field[2] = born */
@@ -3480,12 +3531,13 @@
   4,   /* field[4] = run */
   5,   /* field[5] = spec */
   3,   /* field[3] = task */
+  8,   /* field[8] = text_known */
   7,   /* field[7] = ticket */
 };
 static const ProtobufCIntRange mimosastair__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mimosastair__start_order__descriptor =
 {
@@ -3495,7 +3547,7 @@
   "Mimosastair__StartOrder",
   "mimosastair",
   sizeof(Mimosastair__StartOrder),
-  8,
+  9,
   mimosastair__start_order__field_descriptors,
   mimosastair__start_order__field_indices_by_name,
   1,  mimosastair__start_order__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -331,10 +331,18 @@
    * what accepted jobs may take on the VM if it leads; 0: not known
    */
   int64_t job_bytes_max;
+  /*
+   * start of the VM's process, Unix time in microseconds; 0: not known
+   */
+  int64_t life;
+  /*
+   * texts of jobs that the VM keeps (see StartOrder.text_known); 0: none
+   */
+  uint32_t keeps_texts;
 };
 #define MIMOSASTAIR__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -355,10 +363,14 @@
    * desired state in force on the VM; 0: none
    */
   int64_t desired_version;
+  /*
+   * Since the key-value service last answered a call of the VM; 0: not known.
+   */
+  uint64_t store_answered_age_us;
 };
 #define MIMOSASTAIR__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__ping__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -506,10 +518,14 @@
   char *spec;
   char *checkpoint;
   char *ticket;
+  /*
+   * `spec` is left out, as the VM has it from this connection
+   */
+  protobuf_c_boolean text_known;
 };
 #define MIMOSASTAIR__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__start_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Mimosastair__StopOrder
