--- a/src/entry/spare_lease.c
+++ b/src/entry/spare_lease.c
@@ -140,5 +140,11 @@
 {
   spare_lease->is_requested = true;
   spare_lease->lease = 0;
+  /* A refresh that is due later would keep the request waiting. */
+  if (spare_lease->timer != 0)
+    g_source_remove (spare_lease->timer);
+  spare_lease->timer = 0;
   refresh (spare_lease);
+  if (!spare_lease->is_call_pending)
+    schedule_refresh (spare_lease);
 }
--- a/tests/claim.c
+++ b/tests/claim.c
@@ -241,6 +241,33 @@
   return is_first;
 }
 
+/* A VM campaigns in vain while the store is silent, and asks for a new lease.  It leads soon after
+ * the outage; a renewal that was due much later used to keep the request waiting. */
+static void
+test_lease_requested_in_outage (void)
+{
+  candidate_t leader;
+  candidate_t other;
+  gint64 restored_us;
+  gint64 revision;
+
+  service = fake_service_new ();
+  fake_service_keep_watches (service);
+  start_candidate (&leader, "l", 1000);
+  revision = wait_for_leader (&leader, &leader, ELECTION_TIMEOUT_MS)->fence;
+  start_candidate (&other, "a", 1000);
+  loop_run_ms (SETTLE_MS);
+  fake_service_set_down (service, true);
+  election_step_down (leader.election);
+  election_leader_resigned (other.election, revision);
+  loop_run_ms (4 * SETTLE_MS);
+  fake_service_set_down (service, false);
+  restored_us = clock_now_us ();
+  (void) wait_for_leader (&other, &other, ELECTION_TIMEOUT_MS);
+  CU_ASSERT (clock_now_us () - restored_us < TTL_MS / 5 * (gint64) 1000);
+  tear_down_two (&leader, &other);
+}
+
 static bool
 passes_in_any_attempt (bool (*check) (void))
 {
@@ -272,6 +299,8 @@
     { "a leader is elected soon after an outage", test_reelection_after_outage },
     { "a VM told of a resignation during an outage leads after it",
       test_resignation_during_outage },
+    { "a lease that was requested in an outage is granted soon after it",
+      test_lease_requested_in_outage },
     { "a restarted VM becomes the next leader", test_younger_first },
     { "the larger VM becomes the leader", test_larger_first },
   };
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -49,6 +49,7 @@
   gint64 revision;
   gint64 next_lease;
   bool is_down;
+  bool keeps_watches;
   guint delay_ms;
   guint lose_every;
   guint transaction_count;
@@ -517,6 +518,12 @@
   g_free (service);
 }
 
+void
+fake_service_keep_watches (fake_service_t *service)
+{
+  service->keeps_watches = true;
+}
+
 void
 fake_service_set_down (fake_service_t *service, bool is_down)
 {
@@ -525,6 +532,8 @@
   gpointer value;
 
   service->is_down = is_down;
+  if (is_down && service->keeps_watches)
+    return;
   if (is_down)
     {
       for (guint i = 0; i < service->watches->len; i++)
