--- a/src/entry/election.c
+++ b/src/entry/election.c
@@ -124,6 +124,14 @@
                                    election->is_younger);
 }
 
+/* Delay after a call of a campaign got no answer.  Larger VMs go first then, too: after an outage,
+ * the VMs notice at different times that the store answers again. */
+static guint
+retry_delay_ms (const election_t *election)
+{
+  return election_policy_delay_ms (election->config.cpu_milli, election->largest_cpu_milli, true);
+}
+
 static void
 end_campaign (election_t *election)
 {
@@ -282,7 +290,7 @@
 static void
 lease_ready (void *data)
 {
-  schedule_campaign (data, 0);
+  schedule_campaign (data, retry_delay_ms (data));
 }
 
 static void
--- a/tests/claim.c
+++ b/tests/claim.c
@@ -10,6 +10,7 @@
   TTL_MS = 5000,
   SETTLE_MS = 300, /* for store calls and the jitter of campaigns */
   ELECTION_TIMEOUT_MS = 20000,
+  LATER_MS = 260,  /* a VM notices that the store is back */
   MAX_ATTEMPTS = 3 /* per check, which a pause of the whole process can make fail */
 };
 
@@ -268,6 +269,39 @@
   tear_down_two (&leader, &other);
 }
 
+/* The leader resigns while the store is silent, so that the others campaign in vain.  After the
+ * outage, calls of the small VM are answered first. */
+static bool
+is_larger_first_after_outage (void)
+{
+  candidate_t small;
+  candidate_t large;
+  candidate_t leader;
+  candidate_t *candidates[] = { &small, &large, &leader };
+  gint64 revision;
+  bool is_first;
+
+  service = fake_service_new ();
+  fake_service_keep_watches (service);
+  start_candidate (&leader, "l", 500);
+  revision = wait_for_leader (&leader, &leader, ELECTION_TIMEOUT_MS)->fence;
+  start_candidate (&small, "a", 120);
+  start_candidate (&large, "j", 500);
+  loop_run_ms (SETTLE_MS);
+  election_set_largest_cpu (small.election, 500);
+  election_set_largest_cpu (large.election, 500);
+  fake_service_set_down (service, true);
+  election_step_down (leader.election);
+  election_leader_resigned (small.election, revision);
+  loop_run_ms (4 * SETTLE_MS);
+  fake_service_set_down (service, false);
+  loop_run_ms (LATER_MS);
+  election_leader_resigned (large.election, revision);
+  is_first = wait_for_leader (&small, &large, ELECTION_TIMEOUT_MS) == &large;
+  tear_down (candidates, G_N_ELEMENTS (candidates));
+  return is_first;
+}
+
 static bool
 passes_in_any_attempt (bool (*check) (void))
 {
@@ -291,6 +325,12 @@
   CU_ASSERT (passes_in_any_attempt (is_larger_first));
 }
 
+static void
+test_larger_first_after_outage (void)
+{
+  CU_ASSERT (passes_in_any_attempt (is_larger_first_after_outage));
+}
+
 int
 main (void)
 {
@@ -303,6 +343,7 @@
       test_lease_requested_in_outage },
     { "a restarted VM becomes the next leader", test_younger_first },
     { "the larger VM becomes the leader", test_larger_first },
+    { "the larger VM becomes the leader after an outage", test_larger_first_after_outage },
   };
 
   return run_suite ("claim", tests, G_N_ELEMENTS (tests));
