--- a/src/decide/spec.c
+++ b/src/decide/spec.c
@@ -186,6 +186,15 @@
   return NULL;
 }
 
+static bool
+has_valid_times (const job_spec_t *spec)
+{
+  return spec->start_at_ms >= 0 && spec->start_at_ms <= JOB_SPEC_MAX_UNIX_MS
+         && spec->interval_ms >= 0 && spec->interval_ms <= JOB_SPEC_MAX_UNIX_MS
+         && spec->start_at_ms + ((gint64) spec->times - 1) * spec->interval_ms
+                <= JOB_SPEC_MAX_UNIX_MS;
+}
+
 const char *
 job_spec_error (const job_spec_t *spec)
 {
@@ -195,6 +204,8 @@
     return "a job has 1 to 64 steps";
   if (spec->times > JOB_SPEC_MAX_OCCURRENCES)
     return "a job has at most 10,000 occurrences";
+  if (spec->times > 0 && !has_valid_times (spec))
+    return "the occurrences of a job are due in the years 1970 to 9999";
   for (guint i = 0; i < spec->step_count; i++)
     {
       if (spec->steps[i].count == 0)
--- a/src/decide/spec.h
+++ b/src/decide/spec.h
@@ -15,6 +15,9 @@
   = 150 * 1000 /* a ticket of advice is not used in the last part of its validity */
 };
 
+/* The last millisecond of the year 9999: no time of a job is later. */
+#define JOB_SPEC_MAX_UNIX_MS G_GINT64_CONSTANT (253402300799999)
+
 typedef struct
 {
   guint cpu_milli; /* thousandths of a core */
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1513,6 +1513,43 @@
   desired_state_free (desired);
 }
 
+/* Due times are sums of these numbers, which a client may choose: a sum that wraps around is due
+ * long before its time. */
+static void
+test_times_of_occurrences (void)
+{
+  static const struct
+  {
+    guint times;
+    gint64 start_at_ms;
+    gint64 interval_ms;
+    bool is_valid;
+  } cases[] = {
+    { 1, 0, 0, true },
+    { 10000, 1800000000000, 60000, true },
+    { 1, JOB_SPEC_MAX_UNIX_MS, JOB_SPEC_MAX_UNIX_MS, true },
+    { 2, JOB_SPEC_MAX_UNIX_MS, 1, false },
+    { 10000, 1800000000000, JOB_SPEC_MAX_UNIX_MS, false },
+    { 1, G_MAXINT64, 0, false },
+    { 2, 0, G_MAXINT64, false },
+    { 1, -1, 0, false },
+    { 2, 1800000000000, -1, false },
+    { 0, G_MAXINT64, G_MAXINT64, true },
+  };
+  step_spec_t step = { .count = 1 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      job_spec_t spec = { .steps = &step,
+                          .step_count = 1,
+                          .times = cases[i].times,
+                          .start_at_ms = cases[i].start_at_ms,
+                          .interval_ms = cases[i].interval_ms };
+
+      CU_ASSERT_EQUAL (job_spec_error (&spec) == NULL, cases[i].is_valid);
+    }
+}
+
 int
 main (void)
 {
@@ -1525,6 +1562,8 @@
   CU_add_test (suite, "an unanswered start is stopped again after a restart",
                test_unanswered_start_and_restart);
   CU_add_test (suite, "a stale registry entry ends no run", test_stale_registry_entry_ends_no_run);
+  CU_add_test (suite, "occurrences are due in a time that can be added to",
+               test_times_of_occurrences);
   CU_add_test (suite, "lease expiry allows for clock drift",
                test_lease_expiry_allows_for_clock_drift);
   CU_add_test (suite, "BUDGET: registry entries show a crash in any order",
