--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -214,6 +214,22 @@
   return caller->outcome;
 }
 
+/* A lease that began at such a clock had wrapped around: the task was started with a lease that had
+ * ended long before. */
+static void
+test_fault_clock_out_of_range (void)
+{
+  caller_t caller;
+
+  caller_open (&caller, BORN);
+  fake_executor_set_answer (caller.executor, "{\"clock-ms\":9223372036854775807,\"born\":2000,"
+                                             "\"running\":[],\"ended\":[]}");
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_born, &caller));
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_NOT_SENT);
+  caller_close (&caller);
+}
+
 /* ROUTE: a task that was placed on the former incarnation started on the next one. */
 static void
 test_route_start_for_former_incarnation (void)
@@ -449,6 +465,7 @@
     { "route_start_after_unnoticed_restart", test_route_start_after_unnoticed_restart },
     { "route_start_on_former_connection", test_route_start_on_former_connection },
     { "twice_leader_assigns_former_acked", test_twice_leader_assigns_former_acked },
+    { "fault_clock_out_of_range", test_fault_clock_out_of_range },
   };
 
   return run_suite ("incarnation", tests, G_N_ELEMENTS (tests));
