--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -48,7 +48,9 @@
 {
   held_executor_t *executor;
   guint64 mark;
-  guint64 acked; /* as sent */
+  guint64 acked;           /* as sent */
+  guint64 last_listed_end; /* when it was sent */
+  guint wait_ms;
   bool has_lease_request;
   guint generation;
 } hold_call_t;
@@ -65,7 +67,8 @@
 {
   HOLD_WAIT_MS = 1000,       /* short enough to detect a lost hold request well within a lease */
   UNANSWERED_RETRY_MS = 250, /* also the retry interval while the leader's lease is invalid */
-  UNACKED_RETRY_MS = 150     /* while ends are unacknowledged, as hold requests then do not wait */
+  UNACKED_RETRY_MS = 150,    /* while ends are unacknowledged, as hold requests then do not wait */
+  EARLY_RETRY_MS = 150       /* after an answer that should have waited for an end */
 };
 
 /* Renewals stop this long before the leader's lease expires, because the call itself takes time. */
@@ -237,10 +240,19 @@
             executor->id, born, executor->born, acked);
 }
 
+/* Whether the executor answered at once although it was to wait and lists no new end.  Asked again
+ * at once, it would take as much of this VM's processor as it likes. */
+static bool
+is_early (const hold_call_t *call, const executor_answer_t *answer)
+{
+  return answer->elapsed_us < (gint64) call->wait_ms * 1000 / 2
+         && call->executor->last_listed_end <= call->last_listed_end;
+}
+
 static void
 hold_answered (const executor_answer_t *answer, const executor_report_t *rows, void *data)
 {
-  hold_call_t *call = data;
+  g_autofree hold_call_t *call = data;
   held_executor_t *executor = call->executor;
   Mimosastair__Report report = MIMOSASTAIR__REPORT__INIT;
   bool is_stale = call->generation != executor->agent->generation;
@@ -249,7 +261,6 @@
   report.mark = call->mark;
   report.renewed = call->has_lease_request;
   report.age_us = answer->elapsed_us;
-  g_free (call);
   if (finish_call (executor))
     return;
   executor->is_hold_pending = false;
@@ -276,6 +287,8 @@
     schedule_hold (executor, UNANSWERED_RETRY_MS);
   else if (executor->last_listed_end > ack_cursor (executor))
     schedule_hold (executor, UNACKED_RETRY_MS);
+  else if (is_early (call, answer) && !executor->is_hold_immediate)
+    schedule_hold (executor, EARLY_RETRY_MS);
   else
     send_hold (executor);
 }
@@ -312,6 +325,8 @@
   call->executor = executor;
   call->mark = executor->mark;
   call->acked = hold.acked;
+  call->last_listed_end = executor->last_listed_end;
+  call->wait_ms = hold.wait_ms;
   call->has_lease_request = hold.lease_expiry_ms > 0;
   call->generation = agent->generation;
   executor_hold (agent->calls, &target, &hold, hold_answered, call);
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -230,6 +230,21 @@
   caller_close (&caller);
 }
 
+/* An executor whose hold requests are all answered at once was asked again at once: some hundred
+ * times in this second, which took the VM's processor. */
+static void
+test_fault_answers_that_do_not_wait (void)
+{
+  caller_t caller;
+
+  caller_open (&caller, BORN);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_born, &caller));
+  loop_run_ms (G_USEC_PER_SEC / 1000);
+  CU_ASSERT (fake_executor_holds (caller.executor) < 12);
+  caller_close (&caller);
+}
+
 /* ROUTE: a task that was placed on the former incarnation started on the next one. */
 static void
 test_route_start_for_former_incarnation (void)
@@ -466,6 +481,7 @@
     { "route_start_on_former_connection", test_route_start_on_former_connection },
     { "twice_leader_assigns_former_acked", test_twice_leader_assigns_former_acked },
     { "fault_clock_out_of_range", test_fault_clock_out_of_range },
+    { "fault_answers_that_do_not_wait", test_fault_answers_that_do_not_wait },
   };
 
   return run_suite ("incarnation", tests, G_N_ELEMENTS (tests));
