--- a/src/decide/work_room.c
+++ b/src/decide/work_room.c
@@ -9,9 +9,12 @@
 gint64
 work_room_next_share (const work_room_t *room, gint64 share)
 {
+  gint64 vms = MAX (room->vms, 1);
   gint64 all = (room->bound - room->known - room->reserved) / SHARES_DIVISOR;
-  gint64 part = all / MAX (room->vms, 1);
+  gint64 part = all / vms;
 
+  if (share > room->bound / SHARES_DIVISOR / vms)
+    return MAX (part, 0);
   return MAX (share, MIN (part, all - (room->shares - share)));
 }
 
--- a/src/decide/work_room.h
+++ b/src/decide/work_room.h
@@ -3,7 +3,8 @@
  * Each VM has a share of the room, from which it accepts jobs without asking; all shares together
  * are a quarter of the room at most.  A job that does not fit into its VM's share has room reserved
  * by the leader first.  Leader and VM take a job from the share when the leader knows it, so that
- * both go by the same share; it is never made smaller otherwise, as the VM may be using it.  Pure
+ * both go by the same share.  It is not made smaller otherwise, as the VM may be using it, unless
+ * VMs have joined: they divide the room by more, and one with less memory lowers the bound.  Pure
  * functions; sizes in bytes. */
 #pragma once
 
@@ -20,7 +21,8 @@
   guint vms;
 } work_room_t;
 
-/* Returns the next share of a VM that has `share`; not less. */
+/* Returns the next share of a VM that has `share`: less only if that exceeds an equal part of what
+ * all shares may be. */
 gint64 work_room_next_share (const work_room_t *room, gint64 share);
 
 /* Whether a job may be reserved: one alone gets half of what is left, so that small ones have room.
--- a/src/entry/leader_room.c
+++ b/src/entry/leader_room.c
@@ -78,8 +78,9 @@
     {
       LOG_WARN ("job_without_room",
                 "job=%s bytes=%" G_GINT64_FORMAT " known=%" G_GINT64_FORMAT
-                " reserved=%" G_GINT64_FORMAT " bound=%" G_GINT64_FORMAT,
-                id, bytes, room.known, room.reserved, room.bound);
+                " reserved=%" G_GINT64_FORMAT " bound=%" G_GINT64_FORMAT " shares=%" G_GINT64_FORMAT
+                " vms=%u",
+                id, bytes, room.known, room.reserved, room.bound, room.shares, room.vms);
       return false;
     }
   reservation = g_new0 (reservation_t, 1);
--- a/tests/work_room.c
+++ b/tests/work_room.c
@@ -195,6 +195,41 @@
     }
 }
 
+/* Guards against large VMs that join first and share out more than the room that is left once
+ * smaller ones have joined: jobs were refused for 18 s while executors were free. */
+static void
+test_shares_when_smaller_vms_join (void)
+{
+  enum
+  {
+    LARGE_VMS = 8,
+    ALL_VMS = 31,
+    PONGS = 2 /* to each VM */
+  };
+  work_room_t room = { .bound = 4 * BOUND };
+  gint64 shares[ALL_VMS] = { 0 };
+
+  room.vms = LARGE_VMS;
+  for (guint i = 0; i < PONGS * ALL_VMS + LARGE_VMS; i++)
+    {
+      guint vm = i < LARGE_VMS ? i : (i - LARGE_VMS) % ALL_VMS;
+      gint64 share;
+
+      if (i == LARGE_VMS)
+        {
+          room.bound = BOUND;
+          room.vms = ALL_VMS;
+        }
+      share = work_room_next_share (&room, shares[vm]);
+      room.shares += share - shares[vm];
+      shares[vm] = share;
+    }
+  CU_ASSERT (room.shares <= BOUND / 4);
+  CU_ASSERT (work_room_may_reserve (&room, BOUND / 4));
+  for (guint i = 0; i < ALL_VMS; i++)
+    CU_ASSERT (shares[i] > 0);
+}
+
 /* Until a leader has told the share, as one of an earlier version does not, nothing is refused. */
 static void
 test_unknown_share (void)
@@ -217,6 +252,7 @@
     { "work_never_exceeds_the_bound", test_work_never_exceeds_the_bound },
     { "small_jobs_have_room", test_small_jobs_have_room },
     { "shares_of_vms_that_join", test_shares_of_vms_that_join },
+    { "shares_when_smaller_vms_join", test_shares_when_smaller_vms_join },
     { "unknown_share", test_unknown_share },
   };
 
