--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -168,6 +168,7 @@
                                                    &leader_placement_writer_events, leader);
   leader->periodic_check_timer
       = g_timeout_add (PERIODIC_CHECK_MS, leader_run_periodic_checks, leader);
+  leader->store_check_timer = g_timeout_add (STORE_SILENCE_CHECK_MS, leader_check_store, leader);
   leader_start_loading (leader);
   return leader;
 }
@@ -196,6 +197,7 @@
   if (leader->close_timer != 0)
     g_source_remove (leader->close_timer);
   g_source_remove (leader->periodic_check_timer);
+  g_source_remove (leader->store_check_timer);
   if (leader->pending_call_count == 0)
     leader_destroy (leader);
 }
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/list.h"
+#include "decide/store_silence.h"
 #include "entry/leader.h"
 #include "entry/placement_writer.h"
 #include "entry/recorder.h"
@@ -26,7 +27,8 @@
   gint64 job_bytes_max; /* what accepted jobs may take on it; 0: not known */
   gint64 job_share;     /* what it may accept in jobs that the leader does not know */
   bool is_leaving;
-  bool is_store_reachable; /* by this VM */
+  bool is_store_reachable;     /* by this VM */
+  store_report_t store_report; /* when the store last answered this VM */
   guint executor_count;
   guint balance_row;    /* its row while executors are assigned */
   guint64 advice_order; /* order of its advice call in flight; 0: none */
@@ -54,6 +56,14 @@
   gint64 checked_us;
 } leader_refusals_t;
 
+/* Whether the store answers the leader, as of the last check. */
+typedef struct
+{
+  store_silence_t silence;
+  guint probe_count; /* calls made to find out whether the present silence is one */
+  gint64 lost_us;    /* when the store was first found unhealthy; 0: it is healthy */
+} leader_store_watch_t;
+
 /* Room that is reserved for jobs while they are stored. */
 typedef struct
 {
@@ -88,7 +98,7 @@
   bool is_deposed;
   bool is_closing;
   gint64 started_us;
-  gint64 store_lost_us; /* when the store was first found not to answer; 0: it answers */
+  leader_store_watch_t store_watch;
   list_node_t vms;
   GHashTable *assignments; /* executor id -> assignment_t */
   GHashTable *open_orders; /* order -> vm_t that carries it out */
@@ -99,6 +109,7 @@
   guint step_idle;
   guint step_timer;
   guint periodic_check_timer;
+  guint store_check_timer;
   void (*on_closed) (void *data);
   void *on_closed_data;
   guint close_timer;
@@ -119,7 +130,7 @@
 {
   REGISTRY_WATCH_TIMEOUT_MS = 1000, /* longest wait of one watch */
   JOBS_WATCH_TIMEOUT_MS = 2000,
-  PERIODIC_CHECK_MS = 100 /* of heartbeats, the store, the VMs' sizes and assignments */
+  PERIODIC_CHECK_MS = 100 /* of heartbeats, the VMs' sizes and assignments */
 };
 
 /* leader.c */
@@ -157,6 +168,11 @@
 /* leader_vms.c: connections of entry VMs. */
 void leader_remove_vm (vm_t *vm, const char *reason);
 gboolean leader_run_periodic_checks (gpointer data);
+/* Resigns in favor of another VM, and tells all VMs. */
+void leader_step_down (leader_t *leader, const char *reason);
+
+/* leader_store.c: steps down when the store answers other VMs only. */
+gboolean leader_check_store (gpointer data);
 
 /* leader_refusals.c: work beyond the shares that is refused while the fleet is full. */
 void leader_check_refusals (leader_t *leader, gint64 now_us);
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -7,9 +7,6 @@
 #include "decide/election_policy.h"
 #include "entry/codec.h"
 
-/* The leader steps down when the store has not answered it for this long, but answers other
- * VMs. */
-static const gint64 store_outage_limit_us = 500 * 1000;
 /* A new leader looks for a larger VM only after this time, in which the VMs connect and report
  * their sizes. */
 static const gint64 size_check_delay_us = G_USEC_PER_SEC;
@@ -101,6 +98,8 @@
   Mimosastair__Pong pong = MIMOSASTAIR__PONG__INIT;
 
   vm->is_store_reachable = ping->store_ok;
+  store_report_ping (&vm->store_report, clock_now_us (), ping->sent_us,
+                     ping->store_answered_age_us);
   desired_follower_peer_reported (leader->desired, ping->desired_version, 0);
   pong.sent_us = ping->sent_us;
   pong.valid_us
@@ -318,8 +317,8 @@
   vm->link = link_accept (connection, &link_events, vm);
 }
 
-static void
-step_down (leader_t *leader, const char *reason)
+void
+leader_step_down (leader_t *leader, const char *reason)
 {
   LOG_WARN ("decider_abdicates", "fence=%" G_GINT64_FORMAT " reason=%s", leader->config.fence,
             reason);
@@ -328,26 +327,6 @@
   leader->on_step_down (leader->callback_data);
 }
 
-/* Steps down when only other VMs reach the store, so that one of them becomes the leader. */
-static void
-check_store (leader_t *leader, gint64 now_us)
-{
-  bool is_reachable_by_others = false;
-
-  if (!leader_may_act (leader) || store_is_healthy (leader->store, now_us))
-    {
-      leader->store_lost_us = 0;
-      return;
-    }
-  if (leader->store_lost_us == 0)
-    leader->store_lost_us = now_us;
-  for (list_node_t *node = leader->vms.next; node != &leader->vms; node = node->next)
-    is_reachable_by_others |= LIST_ENTRY (node, vm_t, node)->is_store_reachable;
-  if (!is_reachable_by_others || now_us - leader->store_lost_us < store_outage_limit_us)
-    return;
-  step_down (leader, "store_unreachable");
-}
-
 /* Steps down in favor of a VM with clearly more CPU. */
 static void
 check_larger_vm (leader_t *leader, gint64 now_us)
@@ -356,7 +335,7 @@
 
   if (leader_may_act (leader) && now_us - leader->started_us > size_check_delay_us
       && election_policy_should_step_down (leader->config.cpu_milli, largest))
-    step_down (leader, "larger_vm");
+    leader_step_down (leader, "larger_vm");
 }
 
 gboolean
@@ -376,7 +355,6 @@
     }
   leader_expire_reservations (leader, now_us);
   leader_check_refusals (leader, now_us);
-  check_store (leader, now_us);
   check_larger_vm (leader, now_us);
   if (leader_may_act (leader) && now_us - leader->started_us > CONNECT_DELAY_MS * 1000)
     leader_assign_executors (leader);
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -127,6 +127,7 @@
 
   ping.sent_us = clock_now_us ();
   ping.store_ok = store_is_healthy (uplink->config.store, ping.sent_us);
+  ping.store_answered_age_us = store_answered_age_us (uplink->config.store, ping.sent_us);
   ping.desired_version = uplink->config.desired_version (uplink->config.data);
   frame.ping = &ping;
   (void) send_frame (&frame, uplink);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -102,8 +102,15 @@
 /* Tracks whether the service answers this VM. */
 typedef struct
 {
-  gint64 unanswered_since_us; /* when the first call since the last answer was sent; 0: none */
+  gint64 unanswered_since_us; /* when the first call since the last answer was sent or, if none
+                               * was, a watch failed; 0: neither */
+  guint unanswered_calls;     /* sent since the last answer */
   guint failures;             /* calls that failed since the last answer */
+  gint64 answered_us;         /* time of the last answer; 0: none yet */
+  gint64 mean_response_us;    /* moving mean of the time to an answer; 0: none yet */
+  gint64 peak_us;             /* longest time to an answer in the present period */
+  gint64 former_peak_us;      /* and in the one before it */
+  gint64 period_began_us;
 } store_health_t;
 
 struct store
@@ -113,9 +120,9 @@
 };
 
 /* Called by an implementation for every call that it sends and every result.  Sent watches are not
- * recorded, because they wait long by design; their results are. */
+ * recorded, because they wait long by design; their results are, with a `sent_us` of 0. */
 void store_record_request (store_t *store, gint64 now_us);
-void store_record_result (store_t *store, store_status_t status);
+void store_record_result (store_t *store, store_status_t status, gint64 sent_us, gint64 now_us);
 
 /* Returns false when a call has failed since the last answer, or has waited too long for one. */
 bool store_is_healthy (const store_t *store, gint64 now_us);
@@ -123,6 +130,13 @@
 /* Returns the time since the service stopped answering; 0 while it answers. */
 gint64 store_outage_us (const store_t *store, gint64 now_us);
 
+/* Returns the time since the last answer, at least 1; 0 before the first one. */
+guint64 store_answered_age_us (const store_t *store, gint64 now_us);
+
+/* Returns the recent response time: the mean, or half of the longest time to an answer in the last
+ * 5 to 10 s if that is more, which covers bursts on a slow link. */
+gint64 store_response_us (const store_t *store);
+
 /* Returns the name used in logs and metrics, such as "done". */
 const char *store_status_name (store_status_t status);
 
