--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -45,6 +45,7 @@
   bool may_be_stored;    /* a write got no answer */
   gint64 job_revision;   /* of the record to cancel; 0: not read yet */
   gint64 retry_after_ms; /* with ERROR_OVER_SHARE */
+  error_kind_t refusal;  /* of a job whose records are read before it is refused */
   intake_done_t done;
   intake_submit_done_t submit_done;
   intake_state_done_t state_done;
@@ -281,29 +282,9 @@
                                       1, job_stored, request);
 }
 
-/* ---- Room for jobs on the leader. */
-
-/* An earlier attempt may have stored the job. */
-static void
-job_without_room_read (const store_reply_t *reply, void *data)
-{
-  finish (data, reply->status == STORE_DONE ? ERROR_NONE : ERROR_OVERLOADED);
-}
-
-static void
-room_answered (const uplink_query_result_t *answer, void *data)
-{
-  request_t *request = data;
-
-  if (answer->is_answered && answer->is_known)
-    store_job (request);
-  else
-    request->intake->store->calls->get (request->intake->store, request->key, job_without_room_read,
-                                        request);
-}
-
-/* ---- Jobs beyond the share of their workspace.  An earlier attempt may have stored the job, which
- * then has a job record or, once it has ended, an end record. */
+/* ---- Refusals.  An earlier attempt may have stored the job, which then has a job record or, once
+ * it has ended, an end record.  One transaction replaces the first by the second, so reading them
+ * in this order cannot miss both. */
 
 static void
 refuse_unless_stored (request_t *request, const store_reply_t *reply, store_done_t if_missing)
@@ -316,7 +297,7 @@
     request->intake->store->calls->get (request->intake->store, request->end_key, if_missing,
                                         request);
   else
-    finish (request, ERROR_OVER_SHARE);
+    finish (request, request->refusal);
 }
 
 static void
@@ -331,6 +312,26 @@
   refuse_unless_stored (data, reply, refused_end_read);
 }
 
+/* Answers `refusal`, or as for a stored job if its records show it. */
+static void
+refuse_after_reading (request_t *request, error_kind_t refusal)
+{
+  request->refusal = refusal;
+  request->intake->store->calls->get (request->intake->store, request->key, refused_job_read,
+                                      request);
+}
+
+static void
+room_answered (const uplink_query_result_t *answer, void *data)
+{
+  request_t *request = data;
+
+  if (answer->is_answered && answer->is_known)
+    store_job (request);
+  else
+    refuse_after_reading (request, ERROR_OVERLOADED);
+}
+
 /* Rejects a job for which no write was sent, so that it is certainly not stored. */
 static gboolean
 reject_submit (gpointer data)
@@ -359,7 +360,7 @@
   request->retry_after_ms = uplink_refuse_ms (intake->uplink, spec->workspace, spec->queue);
   if (request->retry_after_ms > 0)
     {
-      intake->store->calls->get (intake->store, request->key, refused_job_read, request);
+      refuse_after_reading (request, ERROR_OVER_SHARE);
       return;
     }
   request->record = codec_pack_job (spec, &request->record_bytes);
@@ -370,6 +371,19 @@
                          query_timeout_ms (request), room_answered, request);
 }
 
+/* An error after which nobody knows the records must not state that the job is not stored. */
+const char *
+intake_submit_detail (error_kind_t kind)
+{
+  if (kind == ERROR_CONFLICT)
+    return "the job is not stored: its id is in use";
+  if (kind == ERROR_ANSWER_LOST)
+    return "the job may be stored";
+  if (kind == ERROR_PLATFORM_UNAVAILABLE)
+    return "this request has stored nothing: the key-value service cannot be reached";
+  return "the job is not stored";
+}
+
 /* ---- State. */
 
 static void
@@ -578,6 +592,14 @@
   read_job_for_cancel (request);
 }
 
+const char *
+intake_cancel_detail (error_kind_t kind)
+{
+  if (kind == ERROR_ANSWER_LOST)
+    return "the cancel may be stored";
+  return "the cancel is not stored";
+}
+
 /* ---- Pending jobs of a queue. */
 
 static void
--- a/src/entry/intake.h
+++ b/src/entry/intake.h
@@ -57,6 +57,10 @@
                     intake_done_t done,
                     void *data);
 
+/* Return what an error tells the caller of a submission or a cancel, in static storage. */
+const char *intake_submit_detail (error_kind_t kind);
+const char *intake_cancel_detail (error_kind_t kind);
+
 /* `pending` is the number of the queue's jobs none of whose tasks has started.  ERROR_UNREACHABLE:
  * no leader answered. */
 typedef void (*intake_pending_done_t) (error_kind_t kind, guint pending, void *data);
