--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "decide/admission.h"
+#include "decide/job_writes.h"
 #include "decide/scheduler.h"
 #include "entry/codec.h"
 #include "entry/keys.h"
@@ -17,6 +18,8 @@
   store_t *store;
   uplink_t *uplink;
   metrics_t *metrics;
+  job_writes_t *writes;
+  guint64 *dropped_count; /* metric */
   guint open_count;
 };
 
@@ -56,7 +59,11 @@
 enum
 {
   QUERY_TIMEOUT_MS = 400, /* the leader answers within a few milliseconds */
-  RETRY_DELAY_MS = 60     /* between attempts at the store */
+  /* Time that the leader has to answer before a refusal: what cannot be served is refused quickly.
+   */
+  REFUSAL_QUERY_TIMEOUT_MS = 150,
+  JOB_WRITES_MAX = 4096,
+  RETRY_DELAY_MS = 60 /* between attempts at the store */
 };
 
 /* Approximate duration of one attempt at the store: with less time left before the deadline, no
@@ -213,6 +220,7 @@
 /* ---- Submit. */
 
 static void store_job (request_t *request);
+static void refuse_without_path (request_t *request);
 
 static gboolean
 retry_store_job (gpointer data)
@@ -235,11 +243,23 @@
   return 0;
 }
 
+static void
+end_write (request_t *request, bool may_be_stored)
+{
+  request->may_be_stored |= may_be_stored;
+  job_writes_end (request->intake->writes, request->id, may_be_stored, clock_now_us ());
+  *request->intake->dropped_count = job_writes_dropped_count (request->intake->writes);
+}
+
 static void
 job_stored (const store_reply_t *reply, void *data)
 {
   request_t *request = data;
+  /* A refused write shows the job as stored, unless it is one of another workspace. */
+  bool is_conflict = reply->status == STORE_REFUSED && !may_access_records (request, reply);
 
+  end_write (request, reply->status == STORE_DONE || reply->status == STORE_LOST
+                          || (reply->status == STORE_REFUSED && !is_conflict));
   switch (reply->status)
     {
     case STORE_DONE:
@@ -247,29 +267,20 @@
       finish (request, ERROR_NONE);
       return;
     case STORE_REFUSED:
-      /* The job is already stored, by an earlier attempt or through another VM, or the id is one
-       * of another workspace. */
-      if (!may_access_records (request, reply))
-        {
-          finish (request, ERROR_CONFLICT);
-          return;
-        }
-      request->spec->revision = job_record_revision (request, reply);
-      finish (request, ERROR_NONE);
+      if (!is_conflict)
+        request->spec->revision = job_record_revision (request, reply);
+      finish (request, is_conflict ? ERROR_CONFLICT : ERROR_NONE);
       return;
     case STORE_LOST:
-      request->may_be_stored = true;
-      break;
     case STORE_MISSING:
     case STORE_UNAVAILABLE:
       break;
     }
-  if (!request->may_be_stored)
-    finish (request, ERROR_PLATFORM_UNAVAILABLE);
-  else if (has_time_for_attempt (request) && relay_has_path (request->intake->store))
+  if (request->may_be_stored && has_time_for_attempt (request)
+      && relay_has_path (request->intake->store))
     (void) g_timeout_add (RETRY_DELAY_MS, retry_store_job, request);
   else
-    finish (request, ERROR_ANSWER_LOST);
+    refuse_without_path (request);
 }
 
 static void
@@ -278,6 +289,8 @@
   store_condition_t expect[] = { { request->key, 0 }, { request->end_key, 0 } };
   store_write_t write = { request->key, request->record, request->record_bytes, 0 };
 
+  job_writes_begin (request->intake->writes, request->id, clock_now_us ());
+  *request->intake->dropped_count = job_writes_dropped_count (request->intake->writes);
   request->intake->store->calls->txn (request->intake->store, expect, G_N_ELEMENTS (expect), &write,
                                       1, job_stored, request);
 }
@@ -286,18 +299,56 @@
  * it has ended, an end record.  One transaction replaces the first by the second, so reading them
  * in this order cannot miss both. */
 
+/* Answers `refusal`, which states that the job is not stored, unless a write for its id may have
+ * been carried out or may still be. */
+static void
+refuse (request_t *request, error_kind_t refusal)
+{
+  bool may_be_stored
+      = request->may_be_stored
+        || job_writes_may_be_stored (request->intake->writes, request->id, clock_now_us ());
+
+  if (may_be_stored)
+    LOG_INFO ("refusal_withheld", "job=%s refusal=%s", request->id,
+              error_properties (refusal)->name);
+  finish (request, may_be_stored ? ERROR_ANSWER_LOST : refusal);
+}
+
+static void
+leader_asked_for_job (const uplink_query_result_t *answer, void *data)
+{
+  request_t *request = data;
+
+  if (!answer->is_answered || !answer->is_known)
+    refuse (request, ERROR_PLATFORM_UNAVAILABLE);
+  else if (may_access_owner (request, answer->workspace))
+    finish (request, ERROR_NONE);
+  else
+    finish (request, ERROR_CONFLICT);
+}
+
+/* Refuses a job whose records cannot be read or written, unless the leader knows it: its record is
+ * stored then.  Without a leader this takes no time. */
+static void
+refuse_without_path (request_t *request)
+{
+  uplink_query (request->intake->uplink, request->id, NULL,
+                MIN (query_timeout_ms (request), REFUSAL_QUERY_TIMEOUT_MS), leader_asked_for_job,
+                request);
+}
+
 static void
 refuse_unless_stored (request_t *request, const store_reply_t *reply, store_done_t if_missing)
 {
   if (reply->status == STORE_DONE)
     finish (request, may_access_records (request, reply) ? ERROR_NONE : ERROR_CONFLICT);
   else if (reply->status != STORE_MISSING)
-    finish (request, ERROR_PLATFORM_UNAVAILABLE);
+    refuse_without_path (request);
   else if (if_missing != NULL)
     request->intake->store->calls->get (request->intake->store, request->end_key, if_missing,
                                         request);
   else
-    finish (request, request->refusal);
+    refuse (request, request->refusal);
 }
 
 static void
@@ -332,14 +383,6 @@
     refuse_after_reading (request, ERROR_OVERLOADED);
 }
 
-/* Rejects a job for which no write was sent, so that it is certainly not stored. */
-static gboolean
-reject_submit (gpointer data)
-{
-  finish (data, ERROR_PLATFORM_UNAVAILABLE);
-  return G_SOURCE_REMOVE;
-}
-
 void
 intake_submit (intake_t *intake,
                job_spec_t *spec,
@@ -354,7 +397,7 @@
   request->spec = spec;
   if (!relay_has_path (intake->store))
     {
-      (void) g_idle_add (reject_submit, request);
+      refuse_without_path (request);
       return;
     }
   request->retry_after_ms = uplink_refuse_ms (intake->uplink, spec->workspace, spec->queue);
@@ -633,12 +676,17 @@
   intake->store = store;
   intake->uplink = uplink;
   intake->metrics = metrics;
+  intake->writes = job_writes_new (JOB_WRITES_MAX);
+  intake->dropped_count = metrics_counter (metrics, "mimosastair_job_writes_dropped_total");
   return intake;
 }
 
 void
 intake_free (intake_t *intake)
 {
+  if (intake == NULL)
+    return;
+  job_writes_free (intake->writes);
   g_free (intake);
 }
 
--- a/src/entry/intake.h
+++ b/src/entry/intake.h
@@ -24,9 +24,10 @@
 void intake_free (intake_t *intake);
 
 /* ERROR_NONE: the job or the cancel is stored, or the job has already ended.  ERROR_ANSWER_LOST:
- * the job or the cancel may be stored.  Errors with the outcome OUTCOME_NOT_RUN, such as
- * ERROR_PLATFORM_UNAVAILABLE or, for a cancel of an unknown job, ERROR_NOT_FOUND: it is not stored
- * and will not be.  ERROR_CONFLICT: the id is that of a job to which the caller has no access. */
+ * the job or the cancel may be stored, by this request or, for a job, by one of the last 12 s.
+ * Errors with the outcome OUTCOME_NOT_RUN, such as ERROR_PLATFORM_UNAVAILABLE or, for a cancel of
+ * an unknown job, ERROR_NOT_FOUND: it is not stored and will not be.  ERROR_CONFLICT: the id is
+ * that of a job to which the caller has no access. */
 typedef void (*intake_done_t) (error_kind_t kind, void *data);
 
 /* Also ERROR_OVER_SHARE: the job is beyond the share of its workspace, and is not stored; the
--- a/tests/refusals.c
+++ b/tests/refusals.c
@@ -20,6 +20,7 @@
 {
   WAIT_MS = 2000, /* of callers */
   SHORT_WAIT_MS = 120,
+  DELAY_MS = 1500, /* of answers of the store */
   LEASE_MS = 5000,
   CONNECTIONS = 4,
   VALID_US = 10 * 1000 * 1000
@@ -312,6 +313,71 @@
   end ();
 }
 
+/* Whether the service is taken to answer this VM. */
+static void
+set_direct_path (bool is_usable)
+{
+  direct->health.failures = is_usable ? 0 : 1;
+}
+
+/* Guards against a job that the leader knows and that is refused, and against refusals that wait
+ * although there is nobody to ask. */
+static void
+test_no_path (void)
+{
+  gint64 begun_us = clock_now_us ();
+
+  begin ();
+  set_direct_path (false);
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "platform_unavailable");
+  CU_ASSERT_TRUE (clock_now_us () - begun_us < 1000 * 1000);
+  connect_leader ();
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "platform_unavailable");
+  leader.knows_job = true;
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "none");
+  leader.workspace = "w";
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "none");
+  leader.workspace = "v";
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "conflict");
+  end ();
+}
+
+/* Guards against a refusal of a job whose earlier write may still be carried out. */
+static void
+test_write_without_answer (void)
+{
+  begin ();
+  fake_service_set_down (service, true);
+  CU_ASSERT_STRING_EQUAL (submit (SHORT_WAIT_MS), "answer_lost");
+  fake_service_set_down (service, false);
+  set_direct_path (false);
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "answer_lost");
+  set_direct_path (true);
+  connect_leader ();
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "answer_lost");
+  write_job_record ("w");
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "none");
+  end ();
+}
+
+/* Guards against a refusal of a job that an earlier request is storing, or has just stored. */
+static void
+test_open_write (void)
+{
+  outcome_cell_t first;
+
+  begin ();
+  fake_service_set_delay (service, DELAY_MS);
+  begin_submit (&first, WAIT_MS);
+  set_direct_path (false);
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "answer_lost");
+  CU_ASSERT_FALSE (first.is_done);
+  CU_ASSERT_TRUE_FATAL (loop_run_until (is_done, &first));
+  CU_ASSERT_EQUAL (first.kind, ERROR_NONE);
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "answer_lost");
+  end ();
+}
+
 /* Guards against texts that state more than is known. */
 static void
 test_details (void)
@@ -327,6 +393,9 @@
 {
   static const test_case_t tests[] = {
     { "no_room", test_no_room },
+    { "no_path", test_no_path },
+    { "write_without_answer", test_write_without_answer },
+    { "open_write", test_open_write },
     { "details", test_details },
   };
 
