--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -189,8 +189,6 @@
 {
   const struct arg_str *strings = parsed;
 
-  if (setting->kind == SETTING_SWITCH)
-    return ((struct arg_lit *) parsed)->count > 0 ? "1" : NULL;
   for (int i = strings->count - 1; i >= 0; i--)
     {
       if (!is_absent (setting, strings->sval[i]))
@@ -271,6 +269,22 @@
   return kept;
 }
 
+/* Returns the argument of a setting for argtable.  A switch has an optional value, so that a wrong
+ * one is reported by store_switch(); argtable would not name the flag. */
+static struct arg_str *
+argument_new (const setting_t *setting, int max_count)
+{
+  struct arg_str *argument
+      = arg_strn (NULL, setting->flag, setting->placeholder, 0, max_count, NULL);
+
+  if (setting->kind != SETTING_SWITCH)
+    return argument;
+  argument->hdr.flag = ARG_HASOPTVALUE;
+  for (int i = 0; i < max_count; i++)
+    argument->sval[i] = "1"; /* kept for a flag without a value */
+  return argument;
+}
+
 /* Reports the first error of argtable.  argtable starts each line with a program name, for
  * which "arguments" is given. */
 static bool
@@ -289,6 +303,15 @@
   return error_set (error, ERROR_BAD_SETTING, "%s", text);
 }
 
+/* Stores the value of a switch that has no variable; it stays as it is if the flag is not given. */
+static bool
+store_flag (const setting_t *setting, void *parsed, error_info_t *error)
+{
+  const char *text = flag_value (setting, parsed);
+
+  return text == NULL || store_switch (setting, text, error);
+}
+
 bool
 settings_load (const setting_t *settings,
                size_t count,
@@ -299,35 +322,31 @@
 {
   int kept_count;
   g_autofree char **kept = arguments_with_values (settings, count, argc, argv, &kept_count);
-  g_autofree void **table = g_new0 (void *, count + 3);
-  struct arg_lit *help = arg_lit0 ("h", "help", NULL);
-  struct arg_lit *version = arg_lit0 (NULL, "version", NULL);
+  g_autofree void **table = g_new0 (void *, count + 4);
+  gboolean is_help = FALSE;
+  gboolean is_version = FALSE;
+  const setting_t help = { .flag = "help", .kind = SETTING_SWITCH, .value = &is_help };
+  const setting_t version = { .flag = "version", .kind = SETTING_SWITCH, .value = &is_version };
+  /* argtable requires a value after a letter whose value is optional. */
+  struct arg_lit *help_letter = arg_lit0 ("h", NULL, NULL);
   struct arg_end *end = arg_end (ARGTABLE_ERRORS);
-  bool ok = true;
+  bool ok;
 
   for (size_t i = 0; i < count; i++)
-    {
-      if (settings[i].kind == SETTING_SWITCH)
-        table[i] = arg_litn (NULL, settings[i].flag, 0, MAX (argc, 1), NULL);
-      else
-        table[i]
-            = arg_strn (NULL, settings[i].flag, settings[i].placeholder, 0, MAX (argc, 1), NULL);
-    }
-  table[count] = help;
-  table[count + 1] = version;
-  table[count + 2] = end;
+    table[i] = argument_new (&settings[i], MAX (argc, 1));
+  table[count] = argument_new (&help, MAX (argc, 1));
+  table[count + 1] = argument_new (&version, MAX (argc, 1));
+  table[count + 2] = help_letter;
+  table[count + 3] = end;
 
   int errors = arg_parse (kept_count, kept, table);
-  *result = SETTINGS_LOADED;
-  if (help->count > 0)
+  ok = store_flag (&help, table[count], error) && store_flag (&version, table[count + 1], error);
+  *result = is_version ? SETTINGS_VERSION : SETTINGS_LOADED;
+  if (is_help || help_letter->count > 0)
     *result = SETTINGS_HELP;
-  else if (version->count > 0)
-    *result = SETTINGS_VERSION;
-  else if (errors > 0)
-    ok = argument_error (end, error);
-  else
-    ok = store_all (settings, count, table, error);
-  arg_freetable (table, count + 3);
+  if (ok && *result == SETTINGS_LOADED)
+    ok = errors > 0 ? argument_error (end, error) : store_all (settings, count, table, error);
+  arg_freetable (table, count + 4);
   return ok;
 }
 
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -19,7 +19,7 @@
   SETTING_INTEGER, /* gint64 *, from min to max; fractions are rounded down; "false": no value */
   SETTING_DECIMAL, /* gint64 *, number in thousandths, as are min and max; "false": no value */
   SETTING_ADDRESS, /* char **, "IP:PORT"; "" is allowed if it is the default; ":": no value */
-  SETTING_SWITCH   /* gboolean *; the flag takes no value; the variable is 0, 1, false or true */
+  SETTING_SWITCH   /* gboolean *; 0, 1, false or true; the flag alone is 1 */
 } setting_kind_t;
 
 typedef struct
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -62,6 +62,7 @@
   gint64 wait_ms;
   char *key;
   bool key_is_required;
+  gboolean is_fast;
 } test_settings_t;
 
 /* Loads the settings of a small program from arguments that are separated by spaces; NULL: none. */
@@ -108,7 +109,12 @@
                                    .fallback = values->key_is_required ? NULL : "k",
                                    .min = 1,
                                    .max = 4,
-                                   .help = "a key" } };
+                                   .help = "a key" },
+                                 { .flag = "fast",
+                                   .kind = SETTING_SWITCH,
+                                   .value = &values->is_fast,
+                                   .fallback = "0",
+                                   .help = "a switch" } };
   g_autofree char *line = g_strjoin (" ", "test", arguments, NULL);
   g_auto (GStrv) argv = g_strsplit (line, " ", -1);
   settings_result_t result;
@@ -161,6 +167,48 @@
   clear_settings (&values);
 }
 
+/* Guards against a value of a switch that is refused without a word of what was wrong, or that is
+ * taken for another one. */
+static void
+test_switches (void)
+{
+  static const struct
+  {
+    const char *arguments;
+    gboolean is_fast;
+  } cases[] = { { NULL, FALSE },
+                { "--fast", TRUE },
+                { "--fast=1", TRUE },
+                { "--fast=True", TRUE },
+                { "--fast=0", FALSE },
+                { "--fast --fast=false", FALSE },
+                { "--fast=0 --fast", TRUE },
+                { "--fast=", FALSE },
+                { "--fast --fast=", TRUE } };
+  static const char wanted[] = "--fast: \"maybe\" is not 0, 1, false or true";
+  test_settings_t values = { 0 };
+  error_info_t error = { .kind = ERROR_NONE };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      CU_ASSERT (load_settings (&values, cases[i].arguments, &error));
+      CU_ASSERT_EQUAL (values.is_fast, cases[i].is_fast);
+    }
+  CU_ASSERT_FALSE (load_settings (&values, "--fast=maybe", &error));
+  CU_ASSERT_STRING_EQUAL (error.detail, wanted);
+  CU_ASSERT_FALSE (load_settings (&values, "--fa=maybe", &error));
+  CU_ASSERT_STRING_EQUAL (error.detail, wanted);
+  CU_ASSERT_EQUAL (error_properties (error.kind)->exit_code, 2);
+  CU_ASSERT_FALSE (load_settings (&values, "--version=maybe", &error));
+  CU_ASSERT_STRING_EQUAL (error.detail, "--version: \"maybe\" is not 0, 1, false or true");
+  g_setenv ("MIMOSASTAIR_FAST", "maybe", TRUE);
+  CU_ASSERT_FALSE (load_settings (&values, NULL, &error));
+  CU_ASSERT_STRING_EQUAL (error.detail, wanted);
+  CU_ASSERT (load_settings (&values, "--fast", &error));
+  g_unsetenv ("MIMOSASTAIR_FAST");
+  clear_settings (&values);
+}
+
 /* A placeholder of the deploy file without a value ended each start with "requires an argument". */
 static void
 test_absent_settings (void)
@@ -457,6 +505,7 @@
   CU_add_test (suite, "histogram quantiles are within the bucket error", test_histogram_quantiles);
   CU_add_test (suite, "settings are read from flags and environment and are checked",
                test_settings);
+  CU_add_test (suite, "values of switches are checked", test_switches);
   CU_add_test (suite, "settings without a value take their defaults", test_absent_settings);
   CU_add_test (suite, "numbers of settings may be fractions", test_numbers_of_settings);
   CU_add_test (suite, "messages of libraries are counted", test_library_messages);
