--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "decide/admission.h"
+#include "decide/job_writes.h"
 #include "decide/scheduler.h"
 #include "entry/codec.h"
 #include "entry/keys.h"
@@ -17,6 +18,8 @@
   store_t *store;
   uplink_t *uplink;
   metrics_t *metrics;
+  job_writes_t *writes;
+  guint64 *dropped_count; /* metric */
   guint open_count;
 };
 
@@ -45,6 +48,7 @@
   bool may_be_stored;    /* a write got no answer */
   gint64 job_revision;   /* of the record to cancel; 0: not read yet */
   gint64 retry_after_ms; /* with ERROR_OVER_SHARE */
+  error_kind_t refusal;  /* of a job whose records are read before it is refused */
   intake_done_t done;
   intake_submit_done_t submit_done;
   intake_state_done_t state_done;
@@ -55,7 +59,11 @@
 enum
 {
   QUERY_TIMEOUT_MS = 400, /* the leader answers within a few milliseconds */
-  RETRY_DELAY_MS = 60     /* between attempts at the store */
+  /* Time that the leader has to answer before a refusal: what cannot be served is refused quickly.
+   */
+  REFUSAL_QUERY_TIMEOUT_MS = 150,
+  JOB_WRITES_MAX = 4096,
+  RETRY_DELAY_MS = 60 /* between attempts at the store */
 };
 
 /* Approximate duration of one attempt at the store: with less time left before the deadline, no
@@ -212,6 +220,7 @@
 /* ---- Submit. */
 
 static void store_job (request_t *request);
+static void refuse_without_path (request_t *request);
 
 static gboolean
 retry_store_job (gpointer data)
@@ -234,11 +243,23 @@
   return 0;
 }
 
+static void
+end_write (request_t *request, bool may_be_stored)
+{
+  request->may_be_stored |= may_be_stored;
+  job_writes_end (request->intake->writes, request->id, may_be_stored, clock_now_us ());
+  *request->intake->dropped_count = job_writes_dropped_count (request->intake->writes);
+}
+
 static void
 job_stored (const store_reply_t *reply, void *data)
 {
   request_t *request = data;
+  /* A refused write shows the job as stored, unless it is one of another workspace. */
+  bool is_conflict = reply->status == STORE_REFUSED && !may_access_records (request, reply);
 
+  end_write (request, reply->status == STORE_DONE || reply->status == STORE_LOST
+                          || (reply->status == STORE_REFUSED && !is_conflict));
   switch (reply->status)
     {
     case STORE_DONE:
@@ -246,29 +267,20 @@
       finish (request, ERROR_NONE);
       return;
     case STORE_REFUSED:
-      /* The job is already stored, by an earlier attempt or through another VM, or the id is one
-       * of another workspace. */
-      if (!may_access_records (request, reply))
-        {
-          finish (request, ERROR_CONFLICT);
-          return;
-        }
-      request->spec->revision = job_record_revision (request, reply);
-      finish (request, ERROR_NONE);
+      if (!is_conflict)
+        request->spec->revision = job_record_revision (request, reply);
+      finish (request, is_conflict ? ERROR_CONFLICT : ERROR_NONE);
       return;
     case STORE_LOST:
-      request->may_be_stored = true;
-      break;
     case STORE_MISSING:
     case STORE_UNAVAILABLE:
       break;
     }
-  if (!request->may_be_stored)
-    finish (request, ERROR_PLATFORM_UNAVAILABLE);
-  else if (has_time_for_attempt (request) && relay_has_path (request->intake->store))
+  if (request->may_be_stored && has_time_for_attempt (request)
+      && relay_has_path (request->intake->store))
     (void) g_timeout_add (RETRY_DELAY_MS, retry_store_job, request);
   else
-    finish (request, ERROR_ANSWER_LOST);
+    refuse_without_path (request);
 }
 
 static void
@@ -277,33 +289,53 @@
   store_condition_t expect[] = { { request->key, 0 }, { request->end_key, 0 } };
   store_write_t write = { request->key, request->record, request->record_bytes, 0 };
 
+  job_writes_begin (request->intake->writes, request->id, clock_now_us ());
+  *request->intake->dropped_count = job_writes_dropped_count (request->intake->writes);
   request->intake->store->calls->txn (request->intake->store, expect, G_N_ELEMENTS (expect), &write,
                                       1, job_stored, request);
 }
 
-/* ---- Room for jobs on the leader. */
+/* ---- Refusals.  An earlier attempt may have stored the job, which then has a job record or, once
+ * it has ended, an end record.  One transaction replaces the first by the second, so reading them
+ * in this order cannot miss both. */
 
-/* An earlier attempt may have stored the job. */
+/* Answers `refusal`, which states that the job is not stored, unless a write for its id may have
+ * been carried out or may still be. */
 static void
-job_without_room_read (const store_reply_t *reply, void *data)
+refuse (request_t *request, error_kind_t refusal)
 {
-  finish (data, reply->status == STORE_DONE ? ERROR_NONE : ERROR_OVERLOADED);
+  bool may_be_stored
+      = request->may_be_stored
+        || job_writes_may_be_stored (request->intake->writes, request->id, clock_now_us ());
+
+  if (may_be_stored)
+    LOG_INFO ("refusal_withheld", "job=%s refusal=%s", request->id,
+              error_properties (refusal)->name);
+  finish (request, may_be_stored ? ERROR_ANSWER_LOST : refusal);
 }
 
 static void
-room_answered (const uplink_query_result_t *answer, void *data)
+leader_asked_for_job (const uplink_query_result_t *answer, void *data)
 {
   request_t *request = data;
 
-  if (answer->is_answered && answer->is_known)
-    store_job (request);
+  if (!answer->is_answered || !answer->is_known)
+    refuse (request, ERROR_PLATFORM_UNAVAILABLE);
+  else if (may_access_owner (request, answer->workspace))
+    finish (request, ERROR_NONE);
   else
-    request->intake->store->calls->get (request->intake->store, request->key, job_without_room_read,
-                                        request);
+    finish (request, ERROR_CONFLICT);
 }
 
-/* ---- Jobs beyond the share of their workspace.  An earlier attempt may have stored the job, which
- * then has a job record or, once it has ended, an end record. */
+/* Refuses a job whose records cannot be read or written, unless the leader knows it: its record is
+ * stored then.  Without a leader this takes no time. */
+static void
+refuse_without_path (request_t *request)
+{
+  uplink_query (request->intake->uplink, request->id, NULL,
+                MIN (query_timeout_ms (request), REFUSAL_QUERY_TIMEOUT_MS), leader_asked_for_job,
+                request);
+}
 
 static void
 refuse_unless_stored (request_t *request, const store_reply_t *reply, store_done_t if_missing)
@@ -311,12 +343,12 @@
   if (reply->status == STORE_DONE)
     finish (request, may_access_records (request, reply) ? ERROR_NONE : ERROR_CONFLICT);
   else if (reply->status != STORE_MISSING)
-    finish (request, ERROR_PLATFORM_UNAVAILABLE);
+    refuse_without_path (request);
   else if (if_missing != NULL)
     request->intake->store->calls->get (request->intake->store, request->end_key, if_missing,
                                         request);
   else
-    finish (request, ERROR_OVER_SHARE);
+    refuse (request, request->refusal);
 }
 
 static void
@@ -331,12 +363,24 @@
   refuse_unless_stored (data, reply, refused_end_read);
 }
 
-/* Rejects a job for which no write was sent, so that it is certainly not stored. */
-static gboolean
-reject_submit (gpointer data)
+/* Answers `refusal`, or as for a stored job if its records show it. */
+static void
+refuse_after_reading (request_t *request, error_kind_t refusal)
 {
-  finish (data, ERROR_PLATFORM_UNAVAILABLE);
-  return G_SOURCE_REMOVE;
+  request->refusal = refusal;
+  request->intake->store->calls->get (request->intake->store, request->key, refused_job_read,
+                                      request);
+}
+
+static void
+room_answered (const uplink_query_result_t *answer, void *data)
+{
+  request_t *request = data;
+
+  if (answer->is_answered && answer->is_known)
+    store_job (request);
+  else
+    refuse_after_reading (request, ERROR_OVERLOADED);
 }
 
 void
@@ -353,13 +397,13 @@
   request->spec = spec;
   if (!relay_has_path (intake->store))
     {
-      (void) g_idle_add (reject_submit, request);
+      refuse_without_path (request);
       return;
     }
   request->retry_after_ms = uplink_refuse_ms (intake->uplink, spec->workspace, spec->queue);
   if (request->retry_after_ms > 0)
     {
-      intake->store->calls->get (intake->store, request->key, refused_job_read, request);
+      refuse_after_reading (request, ERROR_OVER_SHARE);
       return;
     }
   request->record = codec_pack_job (spec, &request->record_bytes);
@@ -370,6 +414,19 @@
                          query_timeout_ms (request), room_answered, request);
 }
 
+/* An error after which nobody knows the records must not state that the job is not stored. */
+const char *
+intake_submit_detail (error_kind_t kind)
+{
+  if (kind == ERROR_CONFLICT)
+    return "the job is not stored: its id is in use";
+  if (kind == ERROR_ANSWER_LOST)
+    return "the job may be stored";
+  if (kind == ERROR_PLATFORM_UNAVAILABLE)
+    return "this request has stored nothing: the key-value service cannot be reached";
+  return "the job is not stored";
+}
+
 /* ---- State. */
 
 static void
@@ -578,6 +635,14 @@
   read_job_for_cancel (request);
 }
 
+const char *
+intake_cancel_detail (error_kind_t kind)
+{
+  if (kind == ERROR_ANSWER_LOST)
+    return "the cancel may be stored";
+  return "the cancel is not stored";
+}
+
 /* ---- Pending jobs of a queue. */
 
 static void
@@ -611,12 +676,17 @@
   intake->store = store;
   intake->uplink = uplink;
   intake->metrics = metrics;
+  intake->writes = job_writes_new (JOB_WRITES_MAX);
+  intake->dropped_count = metrics_counter (metrics, "mimosastair_job_writes_dropped_total");
   return intake;
 }
 
 void
 intake_free (intake_t *intake)
 {
+  if (intake == NULL)
+    return;
+  job_writes_free (intake->writes);
   g_free (intake);
 }
 
