--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -1,5 +1,6 @@
 #include "backend/executor_sessions.h"
 
+#include "backend/connection_share.h"
 #include "base/clock.h"
 
 enum
@@ -10,7 +11,8 @@
   ORDER_MAX_CONNECTIONS = 6, /* per executor */
   HOLD_MAX_CONNECTIONS = 2,  /* per executor */
   CHECKS_MAX = 3,            /* of connections, for one order */
-  IDLE_CONNECTION_S = 120    /* long, because opening a connection is expensive */
+  IDLE_CONNECTION_S = 120,   /* long, because opening a connection is expensive */
+  HOLD_CLAIM_MS = 2000       /* two turns of all hold requests, which are one second apart */
 };
 
 static const gint64 idle_connection_us = (gint64) IDLE_CONNECTION_S * G_USEC_PER_SEC;
@@ -28,14 +30,36 @@
 struct executor_sessions
 {
   session_group_t groups[SESSION_GROUPS];
+  connection_share_t *share;
   bool is_closed;
 };
 
-/* An order that has no result yet. */
+/* What all calls have. */
 typedef struct
 {
   executor_sessions_t *sessions; /* a reference */
   session_group_t *group;        /* of `sessions` */
+  connection_claim_t claim;
+} call_base_t;
+
+/* A request that may reach any incarnation. */
+typedef struct
+{
+  call_base_t base;
+  http_call_t http;
+  char *address;
+  char *path;
+  char *header;
+  char *header_value;
+  gint64 deadline_us;
+  http_call_done_t done;
+  void *data;
+} any_call_t;
+
+/* An order that has no result yet. */
+typedef struct
+{
+  call_base_t base;
   char *address;
   gint64 born;
   gint64 deadline_us;
@@ -49,12 +73,13 @@
 /* A hold request that has no result yet. */
 typedef struct
 {
-  executor_sessions_t *sessions; /* a reference */
-  session_group_t *group;        /* of `sessions` */
+  call_base_t base;
   char *address;
   gint64 born; /* of the incarnation whose ends it acknowledges */
   bool is_acknowledging;
   bool is_withheld; /* was not sent, as the connection was new */
+  bool has_ack;     /* has ends to acknowledge on a connection on which it has answered */
+  guint wait_ms;    /* if there were room for all hold requests */
   session_hold_t callbacks;
   void *data;
 } hold_call_t;
@@ -62,7 +87,10 @@
 executor_sessions_t *
 executor_sessions_new (void)
 {
-  return g_rc_box_new0 (executor_sessions_t);
+  executor_sessions_t *sessions = g_rc_box_new0 (executor_sessions_t);
+
+  sessions->share = connection_share_new ();
+  return sessions;
 }
 
 static session_group_t *
@@ -95,6 +123,7 @@
       g_clear_pointer (&group->order_connections, answered_connections_free);
       g_clear_pointer (&group->hold_connections, answered_connections_free);
     }
+  g_clear_pointer (&sessions->share, connection_share_free);
 }
 
 void
@@ -103,6 +132,7 @@
   if (sessions == NULL)
     return;
   sessions->is_closed = true;
+  connection_share_close (sessions->share);
   for (guint i = 0; i < SESSION_GROUPS; i++)
     {
       const session_group_t *group = &sessions->groups[i];
@@ -116,13 +146,121 @@
   g_rc_box_release_full (sessions, clear_sessions);
 }
 
+/* ---- Connections of a call. */
+
+static void
+claim_connection (call_base_t *call,
+                  const connection_request_t *request,
+                  connection_claim_done_t done,
+                  void *data)
+{
+  connection_share_claim (call->sessions->share, &call->claim, request, done, data,
+                          clock_now_us ());
+}
+
+static void
+base_init (call_base_t *call, executor_sessions_t *sessions, const char *address)
+{
+  call->sessions = g_rc_box_acquire (sessions);
+  call->group = ensure_group (sessions, address);
+}
+
+/* Ends the claim, if there is one. */
+static void
+base_clear (call_base_t *call)
+{
+  if (call->claim.pool != NULL)
+    connection_share_release (&call->claim);
+  g_rc_box_release_full (call->sessions, clear_sessions);
+}
+
+static void
+note_opened (guint64 id, GIOStream *stream, void *data)
+{
+  call_base_t *call = data;
+
+  connection_share_opened (&call->claim, id, stream);
+}
+
+static bool
+note_used (guint64 id, void *data)
+{
+  call_base_t *call = data;
+
+  connection_share_used (&call->claim, id);
+  return true;
+}
+
+/* The library closes a connection without a complete response, somewhat later. */
+static void
+note_unused (call_base_t *call, const http_result_t *result)
+{
+  connection_share_unused (&call->claim, result->status != 0);
+}
+
+/* ---- Requests that may reach any incarnation. */
+
+static void
+finish_any (const http_result_t *result, void *data)
+{
+  any_call_t *call = data;
+
+  if (call->base.claim.pool != NULL)
+    note_unused (&call->base, result);
+  call->done (result, call->data);
+  base_clear (&call->base);
+  g_free (call->http.body);
+  g_free (call->address);
+  g_free (call->path);
+  g_free (call->header);
+  g_free (call->header_value);
+  g_free (call);
+}
+
+static void
+any_granted (bool is_granted, void *data)
+{
+  any_call_t *call = data;
+  http_call_t http = call->http;
+  http_result_t unsent = { .body = "" };
+  gint64 left_ms = (call->deadline_us - clock_now_us ()) / 1000;
+
+  if (!is_granted)
+    {
+      call->base.claim.pool = NULL;
+      finish_any (&unsent, call);
+      return;
+    }
+  call->http.body = NULL;
+  http.timeout_ms = (guint) MAX (left_ms, 1);
+  http_call (call->base.group->any, &http, finish_any, call);
+}
+
 void
 executor_sessions_send (executor_sessions_t *sessions,
                         const http_call_t *http,
                         http_call_done_t done,
                         void *data)
 {
-  http_call (ensure_group (sessions, http->address)->any, http, done, data);
+  any_call_t *call = g_new0 (any_call_t, 1);
+  connection_request_t request = { .address = http->address,
+                                   .connections_max = ORDER_MAX_CONNECTIONS,
+                                   .use = CONNECTION_FOR_STOP,
+                                   .timeout_ms = http->timeout_ms };
+
+  base_init (&call->base, sessions, http->address);
+  call->http = *http;
+  call->http.address = call->address = g_strdup (http->address);
+  call->http.path = call->path = g_strdup (http->path);
+  call->http.header = call->header = g_strdup (http->header);
+  call->http.header_value = call->header_value = g_strdup (http->header_value);
+  call->http.may_send = note_used;
+  call->http.opened = note_opened;
+  call->deadline_us = clock_now_us () + (gint64) http->timeout_ms * 1000;
+  call->done = done;
+  call->data = data;
+  request.session = call->base.group->any;
+  claim_connection (&call->base, &request, any_granted, call);
 }
 
 /* ---- Orders. */
@@ -137,7 +275,7 @@
 finish_order (order_call_t *order, session_order_end_t end)
 {
   order->callbacks.done (end, order->data);
-  g_rc_box_release_full (order->sessions, clear_sessions);
+  base_clear (&order->base);
   g_free (order->address);
   g_free (order);
 }
@@ -148,8 +286,9 @@
   order_call_t *order = data;
   incarnation_t incarnation = order_incarnation (order);
 
+  (void) note_used (id, &order->base);
   order->is_withheld
-      = !answered_connections_take (order->group->order_connections, id, &incarnation);
+      = !answered_connections_take (order->base.group->order_connections, id, &incarnation);
   if (order->is_withheld)
     return false;
   order->connection = id;
@@ -164,7 +303,7 @@
   gint64 left_ms = (order->deadline_us - clock_now_us ()) / 1000;
   http_call_t http;
 
-  if (left_ms <= 0 || order->sessions->is_closed)
+  if (left_ms <= 0 || order->base.sessions->is_closed)
     {
       finish_order (order, SESSION_ORDER_OUT_OF_TIME);
       return;
@@ -172,22 +311,47 @@
   http = is_check ? order->callbacks.make_check (order->data)
                   : order->callbacks.make_order (order->data);
   http.timeout_ms = (guint) left_ms;
-  http.may_send = is_check ? NULL : may_send_order;
-  http_call (order->group->order, &http, done, order);
+  http.may_send = is_check ? note_used : may_send_order;
+  http.opened = note_opened;
+  http_call (order->base.group->order, &http, done, order);
 }
 
 static void send_check (order_call_t *order);
+static void claim_order (order_call_t *order, connection_claim_done_t done);
+
+static void
+check_granted (bool is_granted, void *data)
+{
+  order_call_t *order = data;
+
+  if (is_granted)
+    {
+      send_check (order);
+      return;
+    }
+  order->base.claim.pool = NULL;
+  finish_order (order, SESSION_ORDER_OUT_OF_TIME);
+}
+
+/* The connection that was not used counts until it is closed, so the check claims another one. */
+static void
+check_instead (order_call_t *order)
+{
+  connection_share_release (&order->base.claim);
+  claim_order (order, check_granted);
+}
 
 static void
 handle_order_result (const http_result_t *result, void *data)
 {
   order_call_t *order = data;
 
+  note_unused (&order->base, result);
   (void) order->callbacks.read (result, order->data);
-  answered_connections_release (order->group->order_connections, order->connection,
+  answered_connections_release (order->base.group->order_connections, order->connection,
                                 result->status != 0, clock_now_us ());
   if (order->is_withheld && !result->sent && order->check_count < CHECKS_MAX)
-    send_check (order);
+    check_instead (order);
   else
     finish_order (order, SESSION_ORDER_RESULT);
 }
@@ -208,8 +372,9 @@
       = { .address = order->address, .born = order->callbacks.read (result, order->data) };
   bool has_answered = result->status == 200;
 
+  note_unused (&order->base, result);
   if (has_answered && answering.born > 0)
-    answered_connections_add (order->group->order_connections, result->connection, &answering,
+    answered_connections_add (order->base.group->order_connections, result->connection, &answering,
                               clock_now_us ());
   if (has_answered && answering.born == order->born)
     send_order (order);
@@ -227,6 +392,33 @@
   send_before_deadline (order, true, handle_check_result);
 }
 
+/* Claims a connection for what is left of the time of the order. */
+static void
+claim_order (order_call_t *order, connection_claim_done_t done)
+{
+  gint64 left_ms = (order->deadline_us - clock_now_us ()) / 1000;
+  connection_request_t request = { .session = order->base.group->order,
+                                   .address = order->address,
+                                   .connections_max = ORDER_MAX_CONNECTIONS,
+                                   .use = CONNECTION_FOR_START,
+                                   .timeout_ms = (guint) MAX (left_ms, 0) };
+
+  claim_connection (&order->base, &request, done, order);
+}
+
+static void
+order_granted (bool is_granted, void *data)
+{
+  order_call_t *order = data;
+  incarnation_t incarnation = order_incarnation (order);
+
+  if (is_granted && connection_share_has_idle (&order->base.claim)
+      && answered_connections_is_likely (order->base.group->order_connections, &incarnation))
+    send_order (order);
+  else
+    check_granted (is_granted, order);
+}
+
 void
 executor_sessions_send_order (executor_sessions_t *sessions,
                               const incarnation_t *incarnation,
@@ -236,17 +428,13 @@
 {
   order_call_t *call = g_new0 (order_call_t, 1);
 
-  call->sessions = g_rc_box_acquire (sessions);
-  call->group = ensure_group (sessions, incarnation->address);
+  base_init (&call->base, sessions, incarnation->address);
   call->address = g_strdup (incarnation->address);
   call->born = incarnation->born;
   call->deadline_us = clock_now_us () + (gint64) timeout_ms * 1000;
   call->callbacks = *order;
   call->data = data;
-  if (answered_connections_is_likely (call->group->order_connections, incarnation))
-    send_order (call);
-  else
-    send_check (call);
+  claim_order (call, order_granted);
 }
 
 /* ---- Hold requests. */
@@ -257,14 +445,16 @@
   hold_call_t *hold = data;
   incarnation_t incarnation = { .address = hold->address, .born = hold->born };
 
-  hold->is_withheld = !answered_connections_has (hold->group->hold_connections, id, &incarnation);
+  (void) note_used (id, &hold->base);
+  hold->is_withheld
+      = !answered_connections_has (hold->base.group->hold_connections, id, &incarnation);
   return !hold->is_withheld;
 }
 
 static void
 record_hold_connection (const hold_call_t *hold, const http_result_t *result, gint64 born)
 {
-  answered_connections_t *connections = hold->group->hold_connections;
+  answered_connections_t *connections = hold->base.group->hold_connections;
   incarnation_t answering = { .address = hold->address, .born = born };
   gint64 now_us = clock_now_us ();
 
@@ -275,51 +465,113 @@
 }
 
 static void send_hold (hold_call_t *hold);
+static void claim_hold (hold_call_t *hold);
+
+static void
+finish_hold (hold_call_t *hold)
+{
+  hold->callbacks.done (hold->data);
+  base_clear (&hold->base);
+  g_free (hold->address);
+  g_free (hold);
+}
+
+/* While hold requests are crowded, the connection will be closed before the next one of this
+ * executor, so ends that could not be acknowledged on a new connection are acknowledged now. */
+static bool
+is_ack_due (const hold_call_t *hold, const http_result_t *result, gint64 born)
+{
+  return hold->has_ack && !hold->is_acknowledging && result->status == 200 && born == hold->born
+         && !hold->base.sessions->is_closed
+         && connection_share_is_crowded (hold->base.sessions->share);
+}
 
 static void
 handle_hold_result (const http_result_t *result, void *data)
 {
   hold_call_t *hold = data;
+  gint64 born = hold->callbacks.read (result, hold->data);
 
-  record_hold_connection (hold, result, hold->callbacks.read (result, hold->data));
-  if (hold->is_withheld && !result->sent && !hold->sessions->is_closed)
+  note_unused (&hold->base, result);
+  record_hold_connection (hold, result, born);
+  if (hold->is_withheld && !result->sent && !hold->base.sessions->is_closed)
     {
-      hold->is_acknowledging = false;
+      /* The connection that was not used counts until it is closed. */
+      connection_share_release (&hold->base.claim);
+      claim_hold (hold);
+    }
+  else if (is_ack_due (hold, result, born))
+    {
+      hold->has_ack = false;
+      hold->is_acknowledging = true;
       send_hold (hold);
-      return;
     }
-  hold->callbacks.done (hold->data);
-  g_rc_box_release_full (hold->sessions, clear_sessions);
-  g_free (hold->address);
-  g_free (hold);
+  else
+    finish_hold (hold);
 }
 
+/* A request that only prepares an acknowledgement does not wait. */
 static void
 send_hold (hold_call_t *hold)
 {
-  http_call_t http = hold->callbacks.make_hold (hold->is_acknowledging, hold->data);
+  const connection_share_t *share = hold->base.sessions->share;
+  bool is_preparing
+      = !hold->is_acknowledging && hold->has_ack && connection_share_is_crowded (share);
+  guint wait_ms = is_preparing ? 0 : connection_share_poll_ms (share, hold->wait_ms);
+  http_call_t http = hold->callbacks.make_hold (hold->is_acknowledging, wait_ms, hold->data);
 
   hold->is_withheld = false;
-  if (hold->is_acknowledging)
-    http.may_send = may_send_hold;
-  http_call (hold->group->hold, &http, handle_hold_result, hold);
+  http.may_send = hold->is_acknowledging ? may_send_hold : note_used;
+  http.opened = note_opened;
+  http_call (hold->base.group->hold, &http, handle_hold_result, hold);
+}
+
+static void
+hold_granted (bool is_granted, void *data)
+{
+  hold_call_t *hold = data;
+  http_result_t unsent = { .body = "" };
+
+  if (is_granted)
+    {
+      hold->is_acknowledging
+          = hold->has_ack && !hold->is_withheld && connection_share_has_idle (&hold->base.claim);
+      send_hold (hold);
+      return;
+    }
+  hold->base.claim.pool = NULL;
+  (void) hold->callbacks.read (&unsent, hold->data);
+  finish_hold (hold);
+}
+
+static void
+claim_hold (hold_call_t *hold)
+{
+  connection_request_t request = { .session = hold->base.group->hold,
+                                   .address = hold->address,
+                                   .connections_max = HOLD_MAX_CONNECTIONS,
+                                   .use = CONNECTION_FOR_HOLD,
+                                   .timeout_ms = HOLD_CLAIM_MS };
+
+  claim_connection (&hold->base, &request, hold_granted, hold);
 }
 
 void
 executor_sessions_send_hold (executor_sessions_t *sessions,
                              const incarnation_t *incarnation,
                              bool is_acknowledging,
+                             guint wait_ms,
                              const session_hold_t *hold,
                              void *data)
 {
   hold_call_t *call = g_new0 (hold_call_t, 1);
 
-  call->sessions = g_rc_box_acquire (sessions);
-  call->group = ensure_group (sessions, incarnation->address);
+  base_init (&call->base, sessions, incarnation->address);
   call->address = g_strdup (incarnation->address);
   call->born = incarnation->born;
-  call->is_acknowledging = is_acknowledging;
+  call->has_ack = is_acknowledging;
+  call->wait_ms = wait_ms;
   call->callbacks = *hold;
   call->data = data;
-  send_hold (call);
+  claim_hold (call);
 }
--- a/src/backend/executor_sessions.h
+++ b/src/backend/executor_sessions.h
@@ -4,6 +4,9 @@
  * sent only on a connection on which that incarnation has answered before
  * (backend/answered_connections.h), since the next one may have the same address and id.
  *
+ * The connections of all sessions stay within a share (backend/connection_share.h).  A call that
+ * gets none in time is not sent.
+ *
  * The caller translates: it builds the requests and reads the responses, through callbacks that get
  * its `data`.  After the `done` of a call no other callback of it is called.
  */
@@ -53,21 +56,24 @@
 /* The callbacks of a hold request. */
 typedef struct
 {
-  http_call_t (*make_hold) (bool may_acknowledge, void *data);
+  http_call_t (*make_hold) (bool may_acknowledge, guint wait_ms, void *data);
   session_read_t read;
   void (*done) (void *data);
 } session_hold_t;
 
-/* Sends a hold request.  One that acknowledges ends of the incarnation, but got another connection,
- * is sent again without the acknowledgement.  `hold` is copied; its `done` is called exactly once,
- * after this function has returned. */
+/* Sends a hold request that waits for `wait_ms` at most.  It waits less where there are more such
+ * requests than connections to executors.  One that acknowledges ends of the incarnation, but got
+ * another connection, is sent again without the acknowledgement.  `hold` is copied; its `done` is
+ * called exactly once, after this function has returned. */
 void executor_sessions_send_hold (executor_sessions_t *sessions,
                                   const incarnation_t *incarnation,
                                   bool is_acknowledging,
+                                  guint wait_ms,
                                   const session_hold_t *hold,
                                   void *data);
 
-/* Sends a request that may reach any incarnation.  `done` is called as by http_call(). */
+/* Sends a request that may reach any incarnation.  Its body is taken, and `may_send` and `opened`
+ * are filled in here.  `done` is called as by http_call(). */
 void executor_sessions_send (executor_sessions_t *sessions,
                              const http_call_t *http,
                              http_call_done_t done,
--- a/src/base/descriptor_budget.h
+++ b/src/base/descriptor_budget.h
@@ -1,7 +1,7 @@
 /* Division of a process's descriptors among what needs them.
  *
- * The shares of the listeners are their bounds; those of outgoing connections and files are kept
- * free for them.
+ * The shares of the listeners and of the executors are their bounds; those of other outgoing
+ * connections and files are kept free for them.
  */
 #pragma once
 
--- a/src/base/http_call.c
+++ b/src/base/http_call.c
@@ -17,6 +17,7 @@
   char *url;
   gint64 started_us;
   http_call_may_send_t may_send;
+  http_call_opened_t opened;
   http_call_done_t done;
   void *data;
 } pending_call_t;
@@ -83,6 +84,15 @@
   pending->sent = true;
 }
 
+static void
+on_network_event (SoupMessage *message, GSocketClientEvent event, GIOStream *stream, gpointer data)
+{
+  pending_call_t *pending = data;
+
+  if (event == G_SOCKET_CLIENT_CONNECTED && stream != NULL)
+    pending->opened (soup_message_get_connection_id (message), stream, pending->data);
+}
+
 static void
 on_progress (void *data)
 {
@@ -143,6 +153,7 @@
   pending->url = g_strdup_printf ("http://%s%s", call->address, call->path);
   pending->started_us = clock_now_us ();
   pending->may_send = call->may_send;
+  pending->opened = call->opened;
   pending->done = done;
   pending->data = data;
   if (call->body != NULL)
@@ -161,5 +172,7 @@
   pending->stall_timeout_ms = call->stall_timeout_ms;
   pending->timer = g_timeout_add (call->timeout_ms, on_timeout, pending);
   g_signal_connect (message, "starting", G_CALLBACK (on_starting), pending);
+  if (call->opened != NULL)
+    g_signal_connect (message, "network-event", G_CALLBACK (on_network_event), pending);
   http_fetch_with_options (session, message, &options, pending->cancel, on_fetched, pending);
 }
--- a/src/base/http_call.h
+++ b/src/base/http_call.h
@@ -25,6 +25,10 @@
 /* Returns whether the call may be sent on this connection, which may be a new one. */
 typedef bool (*http_call_may_send_t) (guint64 connection, void *data);
 
+/* The call has opened the connection, which it uses next.  `stream` is borrowed, and finalized once
+ * the connection is closed. */
+typedef void (*http_call_opened_t) (guint64 connection, GIOStream *stream, void *data);
+
 typedef struct
 {
   const char *method;
@@ -43,6 +47,7 @@
   /* Asked each time that the call has got a connection, before anything is sent on it.  If false,
    * the call fails and its connection is closed.  NULL: any connection will do. */
   http_call_may_send_t may_send;
+  http_call_opened_t opened; /* NULL: nobody needs to know */
 } http_call_t;
 
 /* Starts a call.  `done` is called exactly once, after this function has returned, even if
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -2,6 +2,7 @@
 
 #include "entry/entry.h"
 
+#include "backend/connection_share.h"
 #include "base/clock.h"
 #include "base/descriptor_budget.h"
 #include "base/http_call.h"
@@ -278,6 +279,7 @@
   http_server_append_metrics (entry->metrics_server, out);
   memory_append_metrics (out);
   http_call_append_metrics (out);
+  connection_share_append_metrics (out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
@@ -380,6 +382,7 @@
   process_limit = CLAMP (process_limits ().descriptors, 0, G_MAXINT32);
   limit = descriptor_limit ((guint) process_limit, (guint) options->max_descriptors);
   budget = descriptor_budget (limit);
+  connection_share_set_limit (budget.executors);
   LOG_INFO ("descriptor_budget",
             "limit=%u customers=%u readiness=%u metrics=%u vms=%u executors=%u store=%u advice=%u"
             " files=%u",
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -114,7 +114,7 @@
     """The stand-ins and the entry VMs; each end of a process is recorded, and it is started again."""
 
     def __init__(self, folder, build, vms=3, executors=6, memory_mb=260):
-        reserve_ports(PORT_PAIRS_PER_VM * vms)
+        reserve_ports(PORT_PAIRS_PER_VM * vms + executors)
         super().__init__(folder, vms=vms)
         self.binary = Path(build).resolve() / "src" / "mimosastaird"
         self.memory_mb = memory_mb  # memory setting of each VM
