--- a/src/decide/scheduler_gang.h
+++ b/src/decide/scheduler_gang.h
@@ -19,7 +19,23 @@
 /* Can the executor take tasks of the step, now or once it has room? */
 bool gang_is_candidate (const step_t *step, const executor_t *executor, gint64 now_us);
 
-/* Returns the slots that the candidates among the executors provide, the earliest first. */
+/* The slots that the candidates among some executors provide, the earliest first.  Each is found
+ * when it is taken, so that a caller that needs few of them pays for few. */
+typedef struct gang_slot_queue gang_slot_queue_t;
+
+/* `step` is borrowed.  Executors and their runs must not change while the queue is in use. */
+gang_slot_queue_t *
+gang_slot_queue_new (const GPtrArray *executors, const step_t *step, gint64 now_us);
+void gang_slot_queue_free (gang_slot_queue_t *queue);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (gang_slot_queue_t, gang_slot_queue_free)
+
+/* Takes the earliest slot.  Returns false if there is none left. */
+bool gang_slot_queue_pop (gang_slot_queue_t *queue, gang_slot_t *slot);
+
+/* True if an executor with slots left is fast enough for the step. */
+bool gang_slot_queue_has_fast_enough (const gang_slot_queue_t *queue);
+
+/* Returns all slots of such a queue. */
 GArray *gang_collect_slots (const GPtrArray *executors, const step_t *step, gint64 now_us);
 
 /* False for NULL. */
--- a/src/decide/scheduler_gang_advice.c
+++ b/src/decide/scheduler_gang_advice.c
@@ -88,18 +88,17 @@
                        gint64 now_us)
 {
   g_autoptr (GPtrArray) unknown = unknown_executors (scheduler, step);
-  g_autoptr (GArray) gang_slots = gang_collect_slots (unknown, step, now_us);
+  g_autoptr (gang_slot_queue_t) queue = gang_slot_queue_new (unknown, step, now_us);
   double share = scheduler_allowed_share (step);
+  bool has_fast_enough = gang_slot_queue_has_fast_enough (queue);
+  gang_slot_t gang_slot;
 
-  bool has_fast_enough = count_slots_until (gang_slots, step, G_MAXINT64) > 0;
-
-  for (guint i = 0; i < gang_slots->len && expected < CANDIDATE_FACTOR * step->spec->count; i++)
+  while (expected < CANDIDATE_FACTOR * step->spec->count && executors->len < ADVICE_EXECUTORS_MAX
+         && gang_slot_queue_pop (queue, &gang_slot))
     {
-      executor_t *executor = g_array_index (gang_slots, gang_slot_t, i).executor;
-
-      if (has_fast_enough && !scheduler_is_fast_enough (step, executor))
+      if (has_fast_enough && !scheduler_is_fast_enough (step, gang_slot.executor))
         continue;
-      add_advice_executor (executors, executor);
+      add_advice_executor (executors, gang_slot.executor);
       expected += share;
     }
 }
