--- a/src/base/log.c
+++ b/src/base/log.c
@@ -81,7 +81,8 @@
   buffered_bytes -= written_bytes;
 }
 
-/* The functions of the last line call only what is safe in a signal handler. */
+/* log_last_line() calls only what is safe in a signal handler: put_text(), put_milli() and
+ * put_prefix(). */
 
 static gsize
 put_text (char *line, gsize length, const char *text)
@@ -109,10 +110,10 @@
   return put_text (line, length, digits + start);
 }
 
-void
-log_last_line (const char *module, const char *text)
+/* Writes what stands before the pairs of an event into an empty line. */
+static gsize
+put_prefix (char *line, GLogLevelFlags level, const char *module)
 {
-  char line[LINE_BYTES];
   struct timespec now = { 0 };
   gsize length = 0;
 
@@ -121,9 +122,19 @@
   length = put_milli (line, length, (gint64) now.tv_sec * 1000 + now.tv_nsec / 1000000);
   length = put_text (line, length, " up=");
   length = put_milli (line, length, clock_now_us () / 1000 - start_ms);
-  length = put_text (line, length, " level=critical module=");
+  length = put_text (line, length, " level=");
+  length = put_text (line, length, level_name (level));
+  length = put_text (line, length, " module=");
   length = put_text (line, length, module);
-  length = put_text (line, length, " ");
+  return put_text (line, length, " ");
+}
+
+void
+log_last_line (const char *module, const char *text)
+{
+  char line[LINE_BYTES];
+  gsize length = put_prefix (line, G_LOG_LEVEL_CRITICAL, module);
+
   length = put_text (line, length, text);
   line[length++] = '\n';
   log_flush ();
@@ -149,19 +160,6 @@
   return true;
 }
 
-static gsize
-format_prefix (char *line, GLogLevelFlags level, const char *module)
-{
-  gint64 now_ms = g_get_real_time () / 1000;
-  gint64 up_ms = clock_now_us () / 1000 - start_ms;
-
-  return (gsize) g_snprintf (line, LINE_BYTES,
-                             "time=%" G_GINT64_FORMAT ".%03d up=%" G_GINT64_FORMAT
-                             ".%03d level=%s module=%s ",
-                             now_ms / 1000, (int) (now_ms % 1000), up_ms / 1000,
-                             (int) (up_ms % 1000), level_name (level), module);
-}
-
 static void
 report_dropped (void)
 {
@@ -170,7 +168,7 @@
 
   if (dropped == dropped_reported || buffered_bytes + LINE_BYTES > sizeof buffer)
     return;
-  length = format_prefix (line, G_LOG_LEVEL_WARNING, "log");
+  length = put_prefix (line, G_LOG_LEVEL_WARNING, "log");
   length += (gsize) g_snprintf (line + length, sizeof line - length,
                                 "event=lines_dropped count=%" G_GUINT64_FORMAT "\n",
                                 dropped - dropped_reported);
@@ -192,9 +190,9 @@
 /* Replaces control characters, also those of two bytes (U+0080 to U+009F): text from outside must
  * not begin a line of its own or change a terminal. */
 static void
-replace_control_characters (char *line, gsize length)
+replace_control_characters (char *line, gsize start, gsize length)
 {
-  for (gsize i = 0; i < length; i++)
+  for (gsize i = start; i < length; i++)
     {
       guchar byte = (guchar) line[i];
       guchar next = i + 1 < length ? (guchar) line[i + 1] : 0;
@@ -206,15 +204,13 @@
     }
 }
 
+/* Writes a line of LINE_BYTES whose text has this length, or had it before it was truncated.  The
+ * text before `start` has no control characters. */
 static void
-write_line (GLogLevelFlags level, const char *module, const char *text)
+write_line (GLogLevelFlags level, char *line, gsize start, gsize length)
 {
-  char line[LINE_BYTES];
-  gsize length = format_prefix (line, level, module);
-
-  length += (gsize) g_snprintf (line + length, sizeof line - length, "%s", text);
-  length = MIN (length, sizeof line - 2);
-  replace_control_characters (line, length);
+  length = MIN (length, LINE_BYTES - 2);
+  replace_control_characters (line, start, length);
   line[length++] = '\n';
   (void) buffer_append (line, length);
   if (flush_timer == 0)
@@ -255,7 +251,9 @@
 {
   const char *message = "";
   g_autofree char *quoted = NULL;
-  g_autofree char *text = NULL;
+  char line[LINE_BYTES];
+  gsize start;
+  gsize length;
 
   count_library_message (level);
   if ((level & G_LOG_LEVEL_MASK) > threshold)
@@ -266,8 +264,11 @@
         message = fields[i].value;
     }
   quoted = g_strescape (message, NULL);
-  text = g_strdup_printf ("event=message text=\"%s\"", quoted);
-  write_line (level & G_LOG_LEVEL_MASK, "library", text);
+  start = put_prefix (line, level & G_LOG_LEVEL_MASK, "library");
+  length = start
+           + (gsize) g_snprintf (line + start, sizeof line - start, "event=message text=\"%s\"",
+                                 quoted);
+  write_line (level & G_LOG_LEVEL_MASK, line, start, length);
   if (level & G_LOG_LEVEL_ERROR)
     end_process ();
   return G_LOG_WRITER_HANDLED;
@@ -294,20 +295,26 @@
 void
 log_event (GLogLevelFlags level, const char *module, const char *event, const char *format, ...)
 {
-  char text[LINE_BYTES];
-  int length = g_snprintf (text, sizeof text, "event=%s%s", event, format != NULL ? " " : "");
+  char line[LINE_BYTES];
+  gsize start;
+  gsize length;
   va_list args;
 
   if (level > threshold)
     return;
   last_event = (log_last_event_t){ module, event, last_event.count + 1 };
+  start = put_prefix (line, level, module);
+  start = put_text (line, start, "event=");
+  start = put_text (line, start, event);
+  length = start;
   if (format != NULL)
     {
+      start = put_text (line, start, " ");
       va_start (args, format);
-      (void) g_vsnprintf (text + length, sizeof text - (gsize) length, format, args);
+      length = start + (gsize) g_vsnprintf (line + start, sizeof line - start, format, args);
       va_end (args);
     }
-  write_line (level, module, text);
+  write_line (level, line, start, length);
 }
 
 guint64
