--- a/src/base/json.c
+++ b/src/base/json.c
@@ -131,14 +131,31 @@
   return node != NULL ? json_node_get_object (node) : NULL;
 }
 
-/* The library writes U+001F as it is, and ".0" behind an exponent (1e+30.0). */
+/* Whether the text at `point`, which is ".0", ends a number with an exponent. */
+static bool
+follows_exponent (const char *text, const char *point)
+{
+  const char *digits = point;
+
+  while (digits > text && g_ascii_isdigit (digits[-1]))
+    digits--;
+  return digits < point && digits - text >= 2 && (digits[-1] == '+' || digits[-1] == '-')
+         && digits[-2] == 'e';
+}
+
+/* The library writes U+001F as it is, and ".0" behind an exponent (1e+30.0).  Names of tasks and
+ * decimals in strings have a ".0" too, but seldom one that looks like that. */
 static bool
 needs_repair (const char *text)
 {
   if (strchr (text, '\x1f') != NULL)
     return true;
-  return strstr (text, ".0") != NULL
-         && (strstr (text, "e+") != NULL || strstr (text, "e-") != NULL);
+  for (const char *point = strstr (text, ".0"); point != NULL; point = strstr (point + 1, ".0"))
+    {
+      if (follows_exponent (text, point))
+        return true;
+    }
+  return false;
 }
 
 /* Copies a string of JSON from its opening quote on; returns the text behind it. */
