--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -20,6 +20,7 @@
 #include "entry/relay.h"
 #include "entry/uplink.h"
 #include "peer/listener.h"
+#include "peer/sent_bytes.h"
 #include "platform/job_api.h"
 #include "platform/store_kv.h"
 
@@ -278,6 +279,7 @@
   http_server_append_metrics (entry->metrics_server, out);
   memory_append_metrics (out);
   http_call_append_metrics (out);
+  sent_bytes_append_metrics (out);
   if (entry->leader != NULL)
     leader_append_metrics (entry->leader, out);
   http_respond_text (request, 200, "text/plain; version=0.0.4", g_string_free (out, FALSE));
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -3,6 +3,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 #include "base/memory_budget.h"
+#include "peer/sent_bytes.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -304,6 +305,7 @@
   g_byte_array_append (link->unwritten, (const guint8 *) &length, sizeof length);
   g_byte_array_set_size (link->unwritten, link->unwritten->len + (guint) size);
   mimosastair__frame__pack (frame, link->unwritten->data + start + sizeof length);
+  sent_bytes_count (link->unwritten->data + start + sizeof length, sizeof length + size);
   if (link->flush_source == 0 && link->write_source == NULL)
     link->flush_source = g_idle_add_full (G_PRIORITY_DEFAULT, flush, link, NULL);
   return true;
--- a/tests/peer.c
+++ b/tests/peer.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "peer/link.h"
 #include "peer/listener.h"
+#include "peer/sent_bytes.h"
 
 #include <string.h>
 
@@ -254,6 +255,44 @@
   server_close (&server);
 }
 
+/* Bytes were counted under a wrong kind, so that a measurement of the leader's link misled: the
+ * kind is read from the packed frame, whose tag takes two bytes from field 16 on. */
+static void
+test_sent_bytes_by_kind (void)
+{
+  server_t server;
+  client_t client = { 0 };
+  Mimosastair__Frame cancel = MIMOSASTAIR__FRAME__INIT;
+  Mimosastair__Frame released = MIMOSASTAIR__FRAME__INIT;
+  g_autofree char *text = g_strnfill (1000, 'x');
+  g_autoptr (GString) samples = g_string_new (NULL);
+  guint64 cancel_bytes = sent_bytes_of ("cancel");
+  guint64 released_bytes = sent_bytes_of ("released");
+  guint64 job_bytes = sent_bytes_of ("job");
+
+  server_open (&server, true);
+  client.link = link_connect (server.address, &client_events, &client);
+  cancel.n_cancel = 1;
+  cancel.cancel = &text;
+  released.released = 5;
+  CU_ASSERT_FALSE (link_send (client.link, &cancel));
+  CU_ASSERT_EQUAL (sent_bytes_of ("cancel"), cancel_bytes);
+  CU_ASSERT_TRUE (loop_run_until (is_open, &client));
+  CU_ASSERT_TRUE (link_send (client.link, &cancel));
+  CU_ASSERT_TRUE (link_send (client.link, &cancel));
+  CU_ASSERT_TRUE (link_send (client.link, &released));
+  /* Length of the frame, tag and length of the field, text. */
+  CU_ASSERT_EQUAL (sent_bytes_of ("cancel") - cancel_bytes, 2 * (4 + 1 + 2 + 1000));
+  CU_ASSERT_EQUAL (sent_bytes_of ("released") - released_bytes, 4 + 2 + 1);
+  CU_ASSERT_EQUAL (sent_bytes_of ("job"), job_bytes);
+  CU_ASSERT_EQUAL (sent_bytes_of ("no such kind"), 0);
+  sent_bytes_append_metrics (samples);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (samples->str, "mimosastair_link_sent_bytes_total{kind=\"released\"} "));
+  link_free (client.link);
+  server_close (&server);
+}
+
 int
 main (void)
 {
@@ -262,6 +301,7 @@
     { "full_queue_is_reported_later", test_full_queue_is_reported_later },
     { "large_frames_arrive", test_large_frames_arrive },
     { "malformed_bytes", test_malformed_bytes },
+    { "sent_bytes_by_kind", test_sent_bytes_by_kind },
   };
 
   return run_suite ("peer", tests, G_N_ELEMENTS (tests));
