--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -23,6 +23,7 @@
 #include "decide/queue_order.h"
 #include "decide/runtime_model.h"
 #include "decide/spec.h"
+#include "decide/text_digest.h"
 #include "decide/workspace_accounts.h"
 
 typedef struct scheduler scheduler_t;
@@ -127,8 +128,9 @@
   task_ref_t task;
   guint run;
   const char *spec;
-  const char *checkpoint; /* "" if there is none */
-  const char *ticket;     /* "" if there is none */
+  const text_digest_t *text_digest; /* of `spec` */
+  const char *checkpoint;           /* "" if there is none */
+  const char *ticket;               /* "" if there is none */
 } start_order_t;
 
 typedef struct
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -226,6 +226,17 @@
   g_array_set_size (scheduler->planned, 0);
 }
 
+/* Computed at the first start, as a new leader reads hundreds of jobs at once: 4,000 bytes took 14
+ * us of a whole core, and small VMs have an eighth of one. */
+static const text_digest_t *
+job_text_digest (job_t *job)
+{
+  if (!job->has_text_digest)
+    job->text_digest = text_digest_compute (job->spec->spec);
+  job->has_text_digest = true;
+  return &job->text_digest;
+}
+
 static void
 send_start (scheduler_t *scheduler, run_t *run, gint64 now_us)
 {
@@ -238,6 +249,7 @@
     .task = run->ref,
     .run = run->number,
     .spec = task->step->job->spec->spec,
+    .text_digest = job_text_digest (task->step->job),
     .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
     .ticket = ticket != NULL ? ticket : "",
   };
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -184,6 +184,8 @@
   guint step_total;
   guint run_count; /* runs of its tasks that are not known to be gone */
   runtime_job_t runtime;
+  text_digest_t text_digest; /* of spec->spec, once `has_text_digest` */
+  bool has_text_digest;
   list_node_t node;
 };
 
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "decide/text_table.h"
 #include "entry/codec.h"
 #include "platform/advice_calls.h"
 #include "platform/executor_calls.h"
@@ -20,7 +21,9 @@
   gint64 fence;          /* fencing token of the leader */
   gint64 valid_until_us; /* expiry of the leader's lease */
   GHashTable *executors; /* id -> held_executor_t */
-  guint generation;      /* of the leader connection; results from earlier ones are dropped */
+  text_table_t *texts;   /* of orders on the leader connection */
+  gint64 text_missing_logged_us;
+  guint generation; /* of the leader connection; results from earlier ones are dropped */
 };
 
 /* An executor that is assigned to this VM. */
@@ -68,6 +71,8 @@
   UNACKED_RETRY_MS = 150     /* while ends are unacknowledged, as hold requests then do not wait */
 };
 
+static const gint64 text_missing_log_interval_us = G_USEC_PER_SEC;
+
 /* Renewals stop this long before the leader's lease expires, because the call itself takes time. */
 static const gint64 validity_margin_us = 50 * 1000;
 
@@ -360,17 +365,23 @@
 }
 
 static void
-send_result (agent_t *agent, guint64 order, order_outcome_t outcome)
+send_result_message (agent_t *agent, Mimosastair__OrderResult *result)
 {
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
+
+  frame.n_result = 1;
+  frame.result = &result;
+  (void) agent->send (&frame, agent->data);
+}
+
+static void
+send_result (agent_t *agent, guint64 order, order_outcome_t outcome)
+{
   Mimosastair__OrderResult result = MIMOSASTAIR__ORDER_RESULT__INIT;
-  Mimosastair__OrderResult *list = &result;
 
   result.order = order;
   result.outcome = outcome;
-  frame.n_result = 1;
-  frame.result = &list;
-  (void) agent->send (&frame, agent->data);
+  send_result_message (agent, &result);
 }
 
 static void
@@ -412,17 +423,61 @@
   return executor->born == born ? ORDER_OK : ORDER_EXECUTOR_RESTARTED;
 }
 
+/* Returns the text of the order, or NULL if it was left out and this VM lacks it.  Every order must
+ * be given to this function once, also those that are not carried out: the leader counts on the
+ * texts of all that it has sent. */
+static const char *
+take_text (agent_t *agent, const Mimosastair__StartOrder *message)
+{
+  text_digest_t digest;
+
+  if (!message->text_known)
+    {
+      text_table_store (agent->texts, message->spec);
+      return message->spec;
+    }
+  if (message->text_digest.len != sizeof digest.bytes)
+    return NULL;
+  memcpy (digest.bytes, message->text_digest.data, sizeof digest.bytes);
+  return text_table_use (agent->texts, &digest);
+}
+
+static void
+reject_order_without_text (agent_t *agent, const Mimosastair__StartOrder *message)
+{
+  Mimosastair__OrderResult result = MIMOSASTAIR__ORDER_RESULT__INIT;
+  gint64 now_us = clock_now_us ();
+
+  if (agent->text_missing_logged_us == 0
+      || now_us - agent->text_missing_logged_us >= text_missing_log_interval_us)
+    {
+      agent->text_missing_logged_us = now_us;
+      LOG_WARN ("order_without_text", "job=%s executor=%s order=%" G_GUINT64_FORMAT,
+                message->task != NULL ? message->task->job : "-", message->executor,
+                message->order);
+    }
+  result.order = message->order;
+  result.outcome = ORDER_NOT_SENT;
+  result.text_missing = true;
+  send_result_message (agent, &result);
+}
+
 static void
 handle_start (agent_t *agent, const Mimosastair__StartOrder *message)
 {
   held_executor_t *executor = g_hash_table_lookup (agent->executors, message->executor);
   executor_start_t order = { .run = message->run,
-                             .spec = message->spec,
+                             .spec = take_text (agent, message),
                              .checkpoint = message->checkpoint,
                              .ticket = message->ticket };
   executor_target_t target;
   order_outcome_t outcome = check_incarnation (executor, message->born);
 
+  if (order.spec == NULL)
+    {
+      reject_order_without_text (agent, message);
+      return;
+    }
   if (outcome != ORDER_OK)
     {
       send_result (agent, message->order, outcome);
@@ -540,6 +595,7 @@
 {
   agent->generation++;
   agent->valid_until_us = 0;
+  text_table_clear (agent->texts);
   g_hash_table_remove_all (agent->executors);
 }
 
@@ -560,6 +616,7 @@
   agent->lease_ms = lease_ms;
   agent->send = send;
   agent->data = data;
+  agent->texts = text_table_new (TEXT_TABLE_MAX_TEXTS);
   agent->executors = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, held_executor_release);
   return agent;
 }
@@ -572,5 +629,6 @@
   g_hash_table_unref (agent->executors);
   executor_calls_free (agent->calls);
   advice_calls_free (agent->advice);
+  text_table_free (agent->texts);
   g_free (agent);
 }
--- a/src/entry/agent.h
+++ b/src/entry/agent.h
@@ -29,8 +29,8 @@
 /* Processes the assignments, orders and advice requests in a frame from the leader. */
 void agent_handle_frame (agent_t *agent, const Mimosastair__Frame *frame);
 
-/* Releases all executors and discards the results of calls in progress.  Must be called when the
- * connection to the leader is lost. */
+/* Releases all executors, and discards the results of calls in progress and the texts of orders.
+ * Must be called when the connection to the leader is lost. */
 void agent_reset (agent_t *agent);
 
 /* Returns the number of executors assigned to this VM. */
--- a/src/entry/leader_orders.c
+++ b/src/entry/leader_orders.c
@@ -64,26 +64,49 @@
   (void) g_idle_add (report_unsent_order, unsent);
 }
 
-/* Sends an order through the VM to which the executor is assigned. */
-static void
-send_order (leader_t *leader, const char *executor, guint64 order, Mimosastair__Frame *frame)
+/* Sends an order to the VM, to which the executor is assigned; NULL: to none.  Returns false if it
+ * was not sent, which the scheduler is told. */
+static bool
+send_order (leader_t *leader, vm_t *vm, guint64 order, const Mimosastair__Frame *frame)
 {
-  vm_t *vm = assigned_vm (leader, executor);
-
   if (vm != NULL && link_send (vm->link, frame))
     {
       guint64 *key = g_new (guint64, 1);
 
       *key = order;
       g_hash_table_insert (leader->open_orders, key, vm);
-      return;
+      return true;
     }
   report_unsent_later (leader, order, false);
+  return false;
+}
+
+void
+leader_set_kept_texts (vm_t *vm, guint count)
+{
+  text_table_free (vm->texts);
+  vm->texts = count > 0 ? text_table_new (MIN (count, TEXT_TABLE_MAX_TEXTS)) : NULL;
+}
+
+/* Puts the text into the order, unless the VM has it. */
+static void
+fill_text (Mimosastair__StartOrder *message, const vm_t *vm, const start_order_t *order)
+{
+  message->text_known
+      = vm != NULL && vm->texts != NULL && text_table_has (vm->texts, order->text_digest);
+  if (!message->text_known)
+    {
+      message->spec = (char *) order->spec;
+      return;
+    }
+  message->text_digest.len = sizeof order->text_digest->bytes;
+  message->text_digest.data = (guint8 *) order->text_digest->bytes;
 }
 
 static void
 op_start (const start_order_t *order, void *data)
 {
+  vm_t *vm = assigned_vm (data, order->executor);
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
   Mimosastair__StartOrder message = MIMOSASTAIR__START_ORDER__INIT;
   Mimosastair__StartOrder *list = &message;
@@ -95,12 +118,14 @@
   message.born = order->born;
   message.task = &ref;
   message.run = order->run;
-  message.spec = (char *) order->spec;
+  fill_text (&message, vm, order);
   message.checkpoint = (char *) order->checkpoint;
   message.ticket = (char *) order->ticket;
   frame.n_start = 1;
   frame.start = &list;
-  send_order (data, order->executor, order->order, &frame);
+  /* The VM applies what is sent only: an order that is not must leave no trace here. */
+  if (send_order (data, vm, order->order, &frame) && vm->texts != NULL)
+    text_table_note (vm->texts, order->text_digest, strlen (order->spec));
 }
 
 static void
@@ -119,7 +144,7 @@
   message.run = order->run;
   frame.n_stop = 1;
   frame.stop = &list;
-  send_order (data, order->executor, order->order, &frame);
+  (void) send_order (data, assigned_vm (data, order->executor), order->order, &frame);
 }
 
 static vm_t *
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/list.h"
+#include "decide/text_table.h"
 #include "entry/leader.h"
 #include "entry/placement_writer.h"
 #include "entry/recorder.h"
@@ -31,6 +32,7 @@
   guint balance_row;    /* its row while executors are assigned */
   guint64 advice_order; /* order of its advice call in flight; 0: none */
   bool is_advice_slow;
+  text_table_t *texts; /* that the VM has from this connection; NULL: it keeps none */
 } vm_t;
 
 /* An executor that is to be assigned to some VM, which then renews its leases and reads its
@@ -129,6 +131,8 @@
 void leader_schedule_round (leader_t *leader);
 
 /* leader_orders.c: the scheduler's orders. */
+/* The VM keeps up to `count` texts from now on; 0: none. */
+void leader_set_kept_texts (vm_t *vm, guint count);
 extern const scheduler_ops_t leader_scheduler_ops;
 extern const placement_writer_events_t leader_placement_writer_events;
 
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -52,6 +52,7 @@
   link_free (vm->link);
   g_free (vm->name);
   g_free (vm->zone);
+  text_table_free (vm->texts);
   g_free (vm);
   leader_schedule_round (leader);
 }
@@ -72,6 +73,7 @@
   vm->cpu_milli = hello->cpu_milli;
   vm->job_bytes_max = hello->job_bytes_max;
   vm->is_leaving = hello->leaving;
+  leader_set_kept_texts (vm, hello->keeps_texts);
   LOG_INFO ("vm_joined", "vm=%s zone=%s leaving=%d", vm->name, vm->zone, (int) vm->is_leaving);
   if (vm->is_leaving && vm->leader->is_loaded)
     leader_assign_executors (vm->leader);
@@ -189,6 +191,8 @@
 {
   guint64 order = message->order;
 
+  if (message->text_missing && vm->texts != NULL)
+    text_table_clear (vm->texts);
   (void) g_hash_table_remove (vm->leader->open_orders, &order);
   scheduler_order_result (vm->leader->scheduler, order, message->outcome, clock_now_us ());
 }
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "decide/share_refusals.h"
+#include "decide/text_table.h"
 #include "decide/work_room.h"
 #include "entry/agent.h"
 #include "entry/codec.h"
@@ -143,6 +144,7 @@
   hello.cpu_milli = uplink->config.cpu_milli;
   hello.leaving = uplink->is_leaving;
   hello.job_bytes_max = uplink->config.job_bytes_max;
+  hello.keeps_texts = TEXT_TABLE_MAX_TEXTS;
   frame.hello = &hello;
   (void) send_frame (&frame, uplink);
 }
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -3412,7 +3412,7 @@
   (ProtobufCMessageInit) mimosastair__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[10] =
 {
   {
     "order",
@@ -3522,6 +3522,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "text_digest",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__StartOrder, text_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__start_order__field_indices_by_name[] = {
   2,   /* field[2] = born */
@@ -3531,13 +3543,14 @@
   4,   /* field[4] = run */
   5,   /* field[5] = spec */
   3,   /* field[3] = task */
+  9,   /* field[9] = text_digest */
   8,   /* field[8] = text_known */
   7,   /* field[7] = ticket */
 };
 static const ProtobufCIntRange mimosastair__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mimosastair__start_order__descriptor =
 {
@@ -3547,7 +3560,7 @@
   "Mimosastair__StartOrder",
   "mimosastair",
   sizeof(Mimosastair__StartOrder),
-  9,
+  10,
   mimosastair__start_order__field_descriptors,
   mimosastair__start_order__field_indices_by_name,
   1,  mimosastair__start_order__number_ranges,
@@ -3644,7 +3657,7 @@
   (ProtobufCMessageInit) mimosastair__stop_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__order_result__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mimosastair__order_result__field_descriptors[3] =
 {
   {
     "order",
@@ -3670,15 +3683,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "text_missing",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__OrderResult, text_missing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__order_result__field_indices_by_name[] = {
   0,   /* field[0] = order */
   1,   /* field[1] = outcome */
+  2,   /* field[2] = text_missing */
 };
 static const ProtobufCIntRange mimosastair__order_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mimosastair__order_result__descriptor =
 {
@@ -3688,7 +3714,7 @@
   "Mimosastair__OrderResult",
   "mimosastair",
   sizeof(Mimosastair__OrderResult),
-  2,
+  3,
   mimosastair__order_result__field_descriptors,
   mimosastair__order_result__field_indices_by_name,
   1,  mimosastair__order_result__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -522,10 +522,14 @@
    * `spec` is left out, as the VM has it from this connection
    */
   protobuf_c_boolean text_known;
+  /*
+   * of the text left out: the first 16 bytes of its SHA-256
+   */
+  ProtobufCBinaryData text_digest;
 };
 #define MIMOSASTAIR__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__start_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
 struct  Mimosastair__StopOrder
@@ -547,10 +551,14 @@
   ProtobufCMessage base;
   uint64_t order;
   uint32_t outcome;
+  /*
+   * nothing was sent, as the VM lacks the text that the order left out
+   */
+  protobuf_c_boolean text_missing;
 };
 #define MIMOSASTAIR__ORDER_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__order_result__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Mimosastair__AdviceOrder
--- a/tests/fake_executor.c
+++ b/tests/fake_executor.c
@@ -18,7 +18,8 @@
   guint forgotten;
   guint holds;
   guint starts;
-  GQueue waiting; /* hold_t */
+  GPtrArray *texts; /* of start orders */
+  GQueue waiting;   /* hold_t */
 };
 
 typedef struct
@@ -99,6 +100,16 @@
   g_timeout_add (FAKE_EXECUTOR_ANSWER_MS, answer_hold, hold);
 }
 
+static void
+note_start (fake_executor_t *executor, SoupServerMessage *message)
+{
+  g_autoptr (JsonNode) root = standin_parse_body (message);
+
+  executor->starts++;
+  g_ptr_array_add (executor->texts,
+                   g_strdup (json_get_string (json_node_get_object (root), WIRE_SPEC, "")));
+}
+
 static void
 handle (SoupServer *server G_GNUC_UNUSED,
         SoupServerMessage *message,
@@ -114,7 +125,8 @@
     handle_hold (executor, message);
   else
     {
-      executor->starts += strcmp (path, WIRE_RUN_START) == 0;
+      if (strcmp (path, WIRE_RUN_START) == 0)
+        note_start (executor, message);
       standin_respond (message, 200, build_report (executor));
     }
 }
@@ -126,6 +138,7 @@
 
   executor->born = born;
   executor->started_us = g_get_monotonic_time ();
+  executor->texts = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&executor->waiting);
   executor->server = standin_listen (0, handle, executor);
   executor->address = g_strdup_printf ("127.0.0.1:%u", standin_port (executor->server));
@@ -155,6 +168,7 @@
   executor->forgotten = 0;
   executor->holds = 0;
   executor->starts = 0;
+  g_ptr_array_set_size (executor->texts, 0);
 }
 
 void
@@ -213,3 +227,9 @@
 {
   return executor->starts;
 }
+
+const char *
+fake_executor_text (const fake_executor_t *executor, guint index)
+{
+  return index < executor->texts->len ? g_ptr_array_index (executor->texts, index) : NULL;
+}
--- a/tests/fake_executor.h
+++ b/tests/fake_executor.h
@@ -44,3 +44,6 @@
 
 /* Returns the start orders that this incarnation has received. */
 guint fake_executor_starts (const fake_executor_t *executor);
+
+/* Returns the text of such an order, from 0; NULL: there are fewer orders. */
+const char *fake_executor_text (const fake_executor_t *executor, guint index);
--- a/tests/scheduler_fixture.h
+++ b/tests/scheduler_fixture.h
@@ -66,7 +66,10 @@
 op_start (const start_order_t *order, void *data)
 {
   issued_order_t *entry = record_order (data, 's');
+  text_digest_t digest = text_digest_compute (order->spec);
 
+  /* A VM would be told to use another text. */
+  CU_ASSERT_EQUAL (memcmp (order->text_digest, &digest, sizeof digest), 0);
   entry->order = order->order;
   entry->index = order->task.index;
   entry->run = order->run;
