--- a/src/decide/queue_order.c
+++ b/src/decide/queue_order.c
@@ -30,7 +30,8 @@
 
   if (slack_us > -tolerance_us)
     return (queue_order_key_t){ .group = job->priority == 0 ? GROUP_URGENT : GROUP_ON_TIME,
-                                .slack_us = slack_us };
+                                .slack_us = slack_us,
+                                .placing_us = job->placing_us };
   if (late_slack_us > -tolerance_us && late_slack_us < late_promotion_window_us)
     return (queue_order_key_t){ .group = GROUP_ON_TIME, .slack_us = late_slack_us };
   if (late_slack_us > 0)
@@ -66,7 +67,11 @@
 queue_order_excess_key (const queue_order_key_t *key, double usage)
 {
   return (queue_order_key_t){
-    .group = GROUP_EXCESS, .slack_us = key->slack_us, .usage = usage, .excess_group = key->group
+    .group = GROUP_EXCESS,
+    .slack_us = key->slack_us,
+    .placing_us = key->placing_us,
+    .usage = usage,
+    .excess_group = key->group,
   };
 }
 
@@ -96,8 +101,8 @@
     return a->usage < b->usage ? -1 : 1;
   if (a->excess_group != b->excess_group)
     return a->excess_group < b->excess_group ? -1 : 1;
-  if (a->slack_us != b->slack_us)
-    return a->slack_us < b->slack_us ? -1 : 1;
+  if (a->slack_us - a->placing_us != b->slack_us - b->placing_us)
+    return a->slack_us - a->placing_us < b->slack_us - b->placing_us ? -1 : 1;
   return 0;
 }
 
--- a/src/decide/queue_order.h
+++ b/src/decide/queue_order.h
@@ -19,6 +19,7 @@
   gint64 accepted_us;
   gint64 objective_us; /* time from acceptance until the job is late */
   gint64 remaining_us; /* estimated critical path of the work still to be done */
+  gint64 placing_us;   /* expected time from now until it can start, even if it goes first */
 } queue_order_job_t;
 
 typedef struct
@@ -26,7 +27,8 @@
   guint group; /* the lowest goes first */
   gint64
       slack_us; /* the least goes first within a group; a point in time for a turn or lost work */
-  double usage; /* of the workspace, for its weight; of excess work only, and goes first */
+  gint64 placing_us;  /* taken off the slack when work that is on time is compared */
+  double usage;       /* of the workspace, for its weight; of excess work only, and goes first */
   guint excess_group; /* the group that excess work would be in; then this does */
 } queue_order_key_t;
 
--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -90,6 +90,7 @@
     .accepted_us = job->spec->times > 0 ? step->due_us : job->accepted_us,
     .objective_us = scheduler_objective_us (job, step->occurrence, now_us),
     .remaining_us = critical_path_us (job, step->occurrence, true, now_us),
+    .placing_us = scheduler_placing_us (step),
   };
 
   job->objective_us = order.objective_us;
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/list.h"
+#include "decide/decayed_stats.h"
 #include "decide/executor_speed.h"
 #include "decide/scheduler.h"
 #include "decide/workspace_accounts.h"
@@ -25,11 +26,12 @@
   double stretch;
   gint64 objective_us;
   advice_terms_t advice;
-  bool is_desired;           /* in the current desired state */
-  double allowed_share;      /* share of the executors in calls for advice that are allowed */
-  double runtime_ratio;      /* actual over estimated run time */
-  runtime_model_t *runtimes; /* NULL: run times are not learned */
-  guint pending_job_count;   /* jobs that have not ended and have no started task */
+  bool is_desired;               /* in the current desired state */
+  double allowed_share;          /* share of the executors in calls for advice that are allowed */
+  double runtime_ratio;          /* actual over estimated run time */
+  runtime_model_t *runtimes;     /* NULL: run times are not learned */
+  decayed_stats_t gang_waits_us; /* from ready to placed, of gangs that were on time */
+  guint pending_job_count;       /* jobs that have not ended and have no started task */
 };
 
 typedef enum
@@ -522,6 +524,10 @@
   GANG_HELD, /* members of an earlier run are not yet known to be gone */
   GANG_PLACED
 } gang_round_t;
+/* Time that a gang of the queue usually waits from being ready until it is placed, although it is
+ * on time; 0 if it is not known or not learned. */
+gint64 scheduler_placing_us (const step_t *step);
+
 /* Counts the round in the step's `waits` and logs how it waits, or that it was placed. */
 void scheduler_count_gang_round (const scheduler_t *scheduler,
                                  step_t *step,
--- a/src/decide/scheduler_waits.c
+++ b/src/decide/scheduler_waits.c
@@ -26,6 +26,33 @@
       waits->rounds, waits->unplanned_rounds, waits->unreserved_rounds);
 }
 
+/* Of the waits of gangs: the latest counts for 1/16, and fewer are not used. */
+static const double gang_waits_weight_max = 16.0;
+static const double gang_waits_weight_min = 4.0;
+
+static void
+learn_gang_wait (step_t *step, const queue_order_key_t *key, gint64 now_us)
+{
+  queue_t *queue = step->job->queue;
+
+  if (queue->runtimes == NULL || !queue_order_has_slack (key))
+    return;
+  decayed_stats_fade_to (&queue->gang_waits_us, gang_waits_weight_max - 1.0);
+  decayed_stats_add (&queue->gang_waits_us,
+                     (double) MIN (now_us - step->ready_us, step->job->objective_us), 1.0);
+}
+
+gint64
+scheduler_placing_us (const step_t *step)
+{
+  const queue_t *queue = step->job->queue;
+
+  if (!step->spec->gang || queue->runtimes == NULL
+      || queue->gang_waits_us.weight < gang_waits_weight_min)
+    return 0;
+  return (gint64) queue->gang_waits_us.mean;
+}
+
 void
 scheduler_count_gang_round (const scheduler_t *scheduler,
                             step_t *step,
@@ -41,6 +68,7 @@
   if (round == GANG_PLACED)
     {
       log_waits (scheduler, step, "gang_placed", round, key, now_us);
+      learn_gang_wait (step, key, now_us);
       *waits = (gang_waits_t){ 0 };
     }
   else if (now_us - MAX (waits->logged_us, step->ready_us) >= log_interval_us)
--- a/tests/runtimes.c
+++ b/tests/runtimes.c
@@ -413,6 +413,90 @@
   CU_ASSERT_EQUAL (first_of_two (false), '5');
 }
 
+/* Has the scheduler accept a job, and start it if there is room. */
+static void
+submit (fixture_t *fixture, job_spec_t *spec)
+{
+  spec->accepted_ms = fixture->now_us / MS;
+  add_job (fixture, spec, false);
+  step (fixture);
+}
+
+/* Returns the start order of a job, after the orders of all its tasks have been carried out. */
+static const issued_order_t *
+expect_started (fixture_t *fixture, guint tasks)
+{
+  const issued_order_t *start = NULL;
+
+  for (guint i = 0; i < tasks; i++)
+    {
+      start = expect_issued (fixture, 's');
+      scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+    }
+  return start;
+}
+
+static job_spec_t *
+make_gang_spec (guint number)
+{
+  job_spec_t *spec = make_job_spec (number, 2, 2000);
+
+  spec->steps[0].gang = true;
+  return spec;
+}
+
+/* Has the only executor run another job for two seconds, in which a gang waits; then the gang. */
+static void
+run_gang_after_wait (fixture_t *fixture, guint number)
+{
+  const issued_order_t *start;
+  issued_order_t member;
+
+  submit (fixture, make_job_spec (number + 1, 1, 4000));
+  start = expect_started (fixture, 1);
+  submit (fixture, make_gang_spec (number));
+  fixture->now_us += 2000 * MS;
+  report_end (fixture, start, END_DONE, (guint64) (fixture->now_us / MS));
+  member = *expect_started (fixture, 2);
+  fixture->now_us += 1000 * MS;
+  for (member.index = 0; member.index < 2; member.index++)
+    report_end (fixture, &member, END_DONE, (guint64) (fixture->now_us / MS) + member.index);
+}
+
+/* A batch and a gang wait for the only executor; the batch has a second less to lose.  Returns the
+ * last digit of the job that starts first. */
+static char
+first_of_batch_and_gang (bool learns)
+{
+  fixture_t *fixture = learning_fixture (learns);
+  const issued_order_t *start;
+  char first;
+
+  fixture_queue (fixture)->stretch = 4.0;
+  fixture_queue (fixture)->objective_us = 10000 * MS;
+  scheduler_set_desired (fixture->scheduler, fixture->desired);
+  for (guint i = 1; i <= 16; i += 2)
+    run_gang_after_wait (fixture, i);
+  submit (fixture, make_job_spec (102, 1, 4000));
+  start = expect_started (fixture, 1);
+  submit (fixture, make_job_spec (100, 1, 4000));
+  fixture->now_us += 1000 * MS;
+  submit (fixture, make_gang_spec (101));
+  report_end (fixture, start, END_DONE, 1000000000);
+  first = expect_issued (fixture, 's')->job[15];
+  fixture_free (fixture);
+  return first;
+}
+
+/* Guards against gangs that are late because batches with as much slack, which need no room at one
+ * time, go before them. */
+static void
+test_gangs_begin_to_be_placed_early (void)
+{
+  CU_ASSERT_EQUAL (first_of_batch_and_gang (true), '5');
+  CU_ASSERT_EQUAL (first_of_batch_and_gang (false), '4');
+}
+
 int
 main (void)
 {
@@ -427,6 +511,7 @@
     { "samples_of_the_scheduler", test_samples_of_the_scheduler },
     { "partly_seen_runs_do_not_count", test_partly_seen_runs_do_not_count },
     { "order_of_misdeclared_work", test_order_of_misdeclared_work },
+    { "gangs_begin_to_be_placed_early", test_gangs_begin_to_be_placed_early },
   };
 
   return run_suite ("runtimes", tests, G_N_ELEMENTS (tests));
