--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -28,6 +28,7 @@
 struct entry
 {
   entry_options_t options;
+  gint64 life; /* start of this process, Unix time in microseconds; tells it from earlier ones */
   GMainLoop *loop;
   metrics_t *metrics;
   store_t *store;
@@ -233,7 +234,7 @@
     .domain = entry->options.domain,
     .vm = entry->options.vm,
     .address = entry->options.peer_listen,
-    .incarnation = g_get_real_time (),
+    .incarnation = entry->life,
     .ttl_ms = (guint) entry->options.claim_ttl_ms,
     .cpu_milli = (guint) entry->options.cpu_milli,
   };
@@ -460,6 +461,7 @@
   uplink_config_t uplink = {
     .vm = options->vm,
     .zone = options->zone,
+    .life = g_get_real_time (),
     .cpu_milli = (guint) options->cpu_milli,
     .job_bytes_max = memory_jobs_bytes (),
     .executor_lease_ms = (guint) MIN (options->hold_ms, options->hold_max_ms),
@@ -472,6 +474,7 @@
   };
 
   entry->options = *options;
+  entry->life = uplink.life;
   entry->loop = g_main_loop_new (NULL, FALSE);
   entry->metrics = metrics_new ();
   entry->store = store_kv_new (options->store, entry->metrics);
--- a/src/entry/leader_relay.c
+++ b/src/entry/leader_relay.c
@@ -8,18 +8,20 @@
 typedef struct
 {
   leader_t *leader;
-  char *vm; /* name; the VM may have reconnected when the answer arrives */
-  guint64 number;
+  char *vm;       /* name; the VM may have reconnected when the answer arrives */
+  gint64 life;    /* of the process that asked; 0: not known */
+  guint64 number; /* each process counts from 1 */
 } relay_call_t;
 
+/* Returns the connection of the process that asked; NULL: it has none, or has ended. */
 static vm_t *
-find_vm (const leader_t *leader, const char *name)
+find_caller (const leader_t *leader, const relay_call_t *call)
 {
   for (list_node_t *node = leader->vms.next; node != &leader->vms; node = node->next)
     {
       vm_t *vm = LIST_ENTRY (node, vm_t, node);
 
-      if (g_strcmp0 (vm->name, name) == 0)
+      if (vm->life == call->life && g_strcmp0 (vm->name, call->vm) == 0)
         return vm;
     }
   return NULL;
@@ -68,7 +70,7 @@
   leader->pending_relay_count--;
   if (!leader->is_freed)
     {
-      vm = find_vm (leader, call->vm);
+      vm = find_caller (leader, call);
       if (vm != NULL)
         send_relay_reply (vm, call->number, reply);
     }
@@ -110,6 +112,7 @@
   leader->pending_relay_count++;
   call->leader = leader;
   call->vm = g_strdup (vm->name);
+  call->life = vm->life;
   call->number = message->number;
   leader->pending_call_count++;
   if (message->get[0] != '\0')
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -23,6 +23,7 @@
   link_t *link;
   char *name; /* NULL until its hello */
   char *zone;
+  gint64 life; /* start of its process; tells it from earlier processes of the VM; 0: not known */
   guint cpu_milli;
   gint64 job_bytes_max; /* what accepted jobs may take on it; 0: not known */
   gint64 job_share;     /* what it may accept in jobs that the leader does not know */
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -66,6 +66,7 @@
   g_free (vm->zone);
   vm->name = g_strdup (hello->vm);
   vm->zone = g_strdup (hello->zone);
+  vm->life = hello->life;
   vm->cpu_milli = hello->cpu_milli;
   vm->job_bytes_max = hello->job_bytes_max;
   vm->is_leaving = hello->leaving;
--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -144,6 +144,7 @@
   hello.cpu_milli = uplink->config.cpu_milli;
   hello.leaving = uplink->is_leaving;
   hello.job_bytes_max = uplink->config.job_bytes_max;
+  hello.life = uplink->config.life;
   frame.hello = &hello;
   (void) send_frame (&frame, uplink);
 }
--- a/src/entry/uplink.h
+++ b/src/entry/uplink.h
@@ -16,6 +16,7 @@
 {
   const char *vm;
   const char *zone;
+  gint64 life; /* start of this process, Unix time in microseconds */
   guint cpu_milli;
   gint64 job_bytes_max; /* what accepted jobs may take on this VM if it leads */
   guint executor_lease_ms;
