--- a/tests/store_silence.c
+++ b/tests/store_silence.c
@@ -16,7 +16,7 @@
 /* What the VMs' clocks show when the leader's shows 0. */
 static const gint64 vm_clock_us = 77 * G_USEC_PER_SEC;
 
-/* A fleet at one service, in steps of STEP_MS: each process makes a call every `call_ms`. */
+/* A fleet at one service, in steps of STEP_MS: the leader and the VMs make calls. */
 typedef struct
 {
   gint64 ms; /* that have passed */
@@ -25,7 +25,8 @@
   store_report_t reports[VMS];
   guint vms;
   gint64 vm_answered_ms[VMS];
-  guint call_ms;
+  guint call_ms; /* between two calls of the leader */
+  guint vm_call_ms;
   guint response_ms;
   guint ping_transit_ms;
   gint64 leader_silent_ms; /* from then on; NEVER */
@@ -39,6 +40,7 @@
 {
   fleet_t fleet = { .vms = vms,
                     .call_ms = 20,
+                    .vm_call_ms = 20,
                     .response_ms = 10,
                     .leader_silent_ms = NEVER,
                     .vms_silent_ms = NEVER,
@@ -102,7 +104,7 @@
 
       for (guint vm = 0; vm < fleet->vms; vm++)
         {
-          if (!is_silent (fleet->vms_silent_ms, ms) && (ms + 7 * vm) % fleet->call_ms < STEP_MS)
+          if (!is_silent (fleet->vms_silent_ms, ms) && (ms + 7 * vm) % fleet->vm_call_ms < STEP_MS)
             fleet->vm_answered_ms[vm] = ms;
           if ((ms + 30 * vm) % PING_MS < STEP_MS)
             ping (fleet, vm, ms);
@@ -154,6 +156,7 @@
   gint64 ms;
 
   fleet.call_ms = 400;
+  fleet.vm_call_ms = 400;
   fleet.leader_silent_ms = 2000;
   ms = run (&fleet, 10000);
   CU_ASSERT (ms >= 2250 && ms <= 3000);
@@ -216,6 +219,7 @@
   CU_ASSERT_EQUAL (run (&fleet, 2000), NEVER);
   fleet.response_ms = 200;
   fleet.call_ms = 400;
+  fleet.vm_call_ms = 400;
   CU_ASSERT_EQUAL (run (&fleet, 20000), NEVER);
   /* The leader still steps down if the slow service then ignores it: after three answers' time. */
   fleet.leader_silent_ms = 20000;
@@ -248,7 +252,7 @@
   fleet.own.unanswered_since_us = begin_us;
   fleet.own.unanswered_calls = 1;
   fleet.response_ms = 30;
-  fleet.ms = STEP_MS;
+  fleet.ms = 40; /* the answer to the call at 0 would have come */
   CU_ASSERT_EQUAL (run (&fleet, 390), NEVER);
   CU_ASSERT_EQUAL (fleet.own.unanswered_calls, 0);
 }
