--- a/src/decide/election_policy.c
+++ b/src/decide/election_policy.c
@@ -5,6 +5,8 @@
   CORE_MILLI = 1000,
   COMPARABLE_PERCENT = 75,    /* a VM with this much of the other's CPU counts as equally large */
   SMALL_VM_DELAY_MS = 400,    /* a larger VM that is alive leads by then */
+  OUTAGE_DELAY_MS = 600,      /* in addition, after an outage: with calls of 800 ms that time out
+                               * and a retry, a larger VM may notice its end 860 ms later */
   UNKNOWN_SIZE_STEP_MS = 150, /* per factor of two below one core, while max_cpu_milli is unknown */
   OLDER_PROCESS_DELAY_MS = 60 /* a younger process leads by then, if the store is healthy */
 };
@@ -28,6 +30,12 @@
   return delay_ms + halvings * UNKNOWN_SIZE_STEP_MS;
 }
 
+guint
+election_policy_outage_delay_ms (guint own_cpu_milli, guint max_cpu_milli)
+{
+  return is_comparable (own_cpu_milli, max_cpu_milli) ? 0 : OUTAGE_DELAY_MS;
+}
+
 bool
 election_policy_should_step_down (guint own_cpu_milli, guint other_cpu_milli)
 {
--- a/src/decide/election_policy.h
+++ b/src/decide/election_policy.h
@@ -12,6 +12,10 @@
  * rolling restart it is the last to be stopped again. */
 guint election_policy_delay_ms (guint own_cpu_milli, guint max_cpu_milli, bool is_younger);
 
+/* Returns how much longer a VM waits when it has not reached the key-value service for a time: VMs
+ * notice the end of an outage at different times, a larger one perhaps later than this one. */
+guint election_policy_outage_delay_ms (guint own_cpu_milli, guint max_cpu_milli);
+
 /* True when a leader with `own_cpu_milli` should step down because there is a VM with
  * `other_cpu_milli`. */
 bool election_policy_should_step_down (guint own_cpu_milli, guint other_cpu_milli);
--- a/src/entry/election.c
+++ b/src/entry/election.c
@@ -42,6 +42,7 @@
   bool is_leader_record_present; /* as last seen */
   bool is_synced;
   bool was_ever_synced;
+  bool is_after_outage; /* the store was lost, and no leader has been seen since */
   bool is_younger;      /* this process started after the last seen leader record was written */
   char *leader_address; /* as last reported */
   lease_validity_t validity;
@@ -120,8 +121,13 @@
 static guint
 campaign_delay_ms (const election_t *election)
 {
-  return election_policy_delay_ms (election->config.cpu_milli, election->largest_cpu_milli,
-                                   election->is_younger);
+  guint delay_ms = election_policy_delay_ms (election->config.cpu_milli,
+                                             election->largest_cpu_milli, election->is_younger);
+
+  if (election->is_after_outage)
+    delay_ms += election_policy_outage_delay_ms (election->config.cpu_milli,
+                                                 election->largest_cpu_milli);
+  return delay_ms;
 }
 
 static void
@@ -153,6 +159,7 @@
   election->state = ELECTION_LEADER;
   spare_lease_set_needed (election->spare_lease, false);
   election->is_leader_record_present = true;
+  election->is_after_outage = false;
   election->resigned_revision = 0;
   election->fence = fence;
   lease_validity_begin (&election->validity, (gint64) election->config.ttl_ms * 1000,
@@ -466,6 +473,8 @@
       schedule_campaign (election, campaign_delay_ms (election));
       return;
     }
+  if (election->is_synced)
+    election->is_after_outage = false;
   note_leader_age (election, item->revision);
   message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
   if (message == NULL)
@@ -496,6 +505,8 @@
   election->was_ever_synced = true;
   if (has_no_leader (election))
     schedule_campaign (election, campaign_delay_ms (election));
+  else
+    election->is_after_outage = false;
 }
 
 static void
@@ -504,6 +515,7 @@
   election_t *election = data;
 
   election->is_synced = false;
+  election->is_after_outage = true;
   LOG_WARN ("store_lost", "of=claim");
 }
 
--- a/tests/cell.c
+++ b/tests/cell.c
@@ -1415,6 +1415,11 @@
   CU_ASSERT (election_policy_delay_ms (120, 500, true) > election_policy_delay_ms (500, 500, true));
   /* The delay is shorter than the time without a leader that an expired lease costs anyway. */
   CU_ASSERT (election_policy_delay_ms (120, 500, true) < 1000);
+  /* After an outage, a smaller VM waits until a larger one has noticed its end as well. */
+  CU_ASSERT (election_policy_delay_ms (120, 500, true) + election_policy_outage_delay_ms (120, 500)
+             > 860);
+  CU_ASSERT_EQUAL (election_policy_outage_delay_ms (500, 500), 0);
+  CU_ASSERT_EQUAL (election_policy_outage_delay_ms (120, 0), 0);
   /* VMs of about the same size don't wait for each other. */
   CU_ASSERT_EQUAL (election_policy_delay_ms (250, 250, true), 0);
   CU_ASSERT_EQUAL (election_policy_delay_ms (450, 500, true), 0);
--- a/tests/claim.c
+++ b/tests/claim.c
@@ -10,7 +10,8 @@
   TTL_MS = 5000,
   SETTLE_MS = 300, /* for store calls and the jitter of campaigns */
   ELECTION_TIMEOUT_MS = 20000,
-  MAX_ATTEMPTS = 3 /* per check, which a pause of the whole process can make fail */
+  NOTICE_DELAY_MS = 700, /* between the times at which two VMs notice the end of an outage */
+  MAX_ATTEMPTS = 3       /* per check, which a pause of the whole process can make fail */
 };
 
 typedef struct
@@ -241,6 +242,51 @@
   return is_first;
 }
 
+/* Cuts all candidates off from the store, which ends their leases. */
+static void
+begin_outage (candidate_t *const *candidates, guint count)
+{
+  /* This ends the watches. */
+  fake_service_set_down (service, true);
+  for (guint i = 0; i < count; i++)
+    fake_store_cut_off (candidates[i]->store, true);
+  loop_run_ms (SETTLE_MS);
+  fake_service_set_down (service, false);
+  fake_service_expire_leases (service);
+  loop_run_ms (SETTLE_MS);
+}
+
+/* The leader is lost in an outage of the store, whose end a larger VM notices later than a smaller
+ * one: its last calls have to time out. */
+static bool
+is_larger_first_after_outage (void)
+{
+  candidate_t former;
+  candidate_t small;
+  candidate_t large;
+  candidate_t *candidates[] = { &former, &small, &large };
+  bool is_first;
+
+  service = fake_service_new ();
+  start_candidate (&former, "f", 500);
+  while (former.fence == 0)
+    loop_run_ms (5);
+  start_candidate (&small, "a", 120);
+  start_candidate (&large, "j", 500);
+  loop_run_ms (SETTLE_MS);
+  /* As the leader's pongs tell. */
+  election_set_largest_cpu (small.election, 500);
+  election_set_largest_cpu (large.election, 500);
+  begin_outage (candidates, G_N_ELEMENTS (candidates));
+  fake_store_cut_off (small.store, false);
+  loop_run_ms (NOTICE_DELAY_MS);
+  fake_store_cut_off (large.store, false);
+  is_first = wait_for_leader (&small, &large, ELECTION_TIMEOUT_MS) == &large;
+  fake_store_cut_off (former.store, false);
+  tear_down (candidates, G_N_ELEMENTS (candidates));
+  return is_first;
+}
+
 static bool
 passes_in_any_attempt (bool (*check) (void))
 {
@@ -264,6 +310,12 @@
   CU_ASSERT (passes_in_any_attempt (is_larger_first));
 }
 
+static void
+test_larger_first_after_outage (void)
+{
+  CU_ASSERT (passes_in_any_attempt (is_larger_first_after_outage));
+}
+
 int
 main (void)
 {
@@ -274,6 +326,7 @@
       test_resignation_during_outage },
     { "a restarted VM becomes the next leader", test_younger_first },
     { "the larger VM becomes the leader", test_larger_first },
+    { "the larger VM becomes the leader after an outage", test_larger_first_after_outage },
   };
 
   return run_suite ("claim", tests, G_N_ELEMENTS (tests));
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -61,6 +61,7 @@
 {
   store_t base;
   fake_service_t *service;
+  bool is_cut_off;
 } fake_store_t;
 
 /* An answer that is not delivered yet. */
@@ -154,6 +155,18 @@
   return ((fake_store_t *) store)->service;
 }
 
+/* The same for a client that may be cut off. */
+static bool
+fail_if_unreachable (store_t *store, store_done_t done, void *data)
+{
+  const fake_service_t *service = get_service (store);
+
+  if (!((fake_store_t *) store)->is_cut_off)
+    return fail_if_down (service, done, data);
+  send_reply (service, pending_reply_new (service, STORE_LOST, done, data));
+  return true;
+}
+
 static store_item_t *
 item_from_row (const row_t *row)
 {
@@ -292,7 +305,7 @@
   const row_t *row = g_hash_table_lookup (service->rows, key);
   pending_reply_t *pending_reply;
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   pending_reply = pending_reply_new (service, row != NULL ? STORE_DONE : STORE_MISSING, done, data);
   if (row != NULL)
@@ -314,7 +327,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   pending_reply = pending_reply_new (service, STORE_DONE, done, data);
   g_hash_table_iter_init (&iter, service->rows);
@@ -336,7 +349,7 @@
   fake_service_t *service = get_service (store);
   watch_t *watch;
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   watch = g_new0 (watch_t, 1);
   watch->prefix = g_strdup (prefix);
@@ -382,7 +395,7 @@
   bool is_refused = false;
   bool is_lease_unknown = false;
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   service->transaction_count++;
   service->open_transaction_count++;
@@ -436,7 +449,7 @@
   lease_t *lease;
   pending_reply_t *pending_reply;
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   lease = g_new0 (lease_t, 1);
   lease->id = ++service->next_lease;
@@ -455,7 +468,7 @@
   fake_service_t *service = get_service (store);
   lease_t *lease = g_hash_table_lookup (service->leases, &id);
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   if (lease != NULL)
     lease->expires_us = g_get_monotonic_time () + lease->ttl_ms * 1000;
@@ -468,7 +481,7 @@
 {
   fake_service_t *service = get_service (store);
 
-  if (fail_if_down (service, done, data))
+  if (fail_if_unreachable (store, done, data))
     return;
   g_hash_table_remove (service->leases, &id);
   remove_lease_keys (service, id);
@@ -493,6 +506,12 @@
   return &store->base;
 }
 
+void
+fake_store_cut_off (store_t *store, bool is_cut_off)
+{
+  ((fake_store_t *) store)->is_cut_off = is_cut_off;
+}
+
 fake_service_t *
 fake_service_new (void)
 {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -40,3 +40,6 @@
 
 /* Returns a client of the service, which is borrowed; free with store->calls->free(). */
 store_t *fake_store_new (fake_service_t *service);
+
+/* While the client is cut off, each of its new calls ends with STORE_LOST at once. */
+void fake_store_cut_off (store_t *store, bool is_cut_off);
