--- a/src/entry/uplink.c
+++ b/src/entry/uplink.c
@@ -146,6 +146,7 @@
   hello.leaving = uplink->is_leaving;
   hello.job_bytes_max = uplink->config.job_bytes_max;
   hello.keeps_texts = TEXT_TABLE_MAX_TEXTS;
+  hello.life = uplink->config.life;
   frame.hello = &hello;
   (void) send_frame (&frame, uplink);
 }
