--- a/src/decide/scheduler_dispatch.c
+++ b/src/decide/scheduler_dispatch.c
@@ -166,38 +166,6 @@
   g_ptr_array_set_size (scheduler->touched, 0);
 }
 
-static gint64
-free_cpu_milli (const executor_t *executor)
-{
-  return (gint64) executor->capacity.cpu_milli - executor->used.cpu_milli;
-}
-
-static int
-compare_by_free_cpu (const void *a, const void *b)
-{
-  const executor_t *left = *(executor_t *const *) a;
-  const executor_t *right = *(executor_t *const *) b;
-
-  if (free_cpu_milli (left) != free_cpu_milli (right))
-    return free_cpu_milli (left) > free_cpu_milli (right) ? -1 : 1;
-  return left->index < right->index ? -1 : left->index > right->index;
-}
-
-/* Lists the executors that can run a task, the emptiest first. */
-static void
-collect_open_executors (scheduler_t *scheduler, gint64 now_us)
-{
-  g_ptr_array_set_size (scheduler->open_executors, 0);
-  for (guint i = 0; i < scheduler->executor_list->len; i++)
-    {
-      executor_t *executor = g_ptr_array_index (scheduler->executor_list, i);
-
-      if (scheduler_executor_is_usable (executor, now_us))
-        g_ptr_array_add (scheduler->open_executors, executor);
-    }
-  g_ptr_array_sort (scheduler->open_executors, compare_by_free_cpu);
-}
-
 /* True if the step must not run next to a run on the executor.  Tasks that use spare CPU slow
  * down tasks that serve users with a response-time target.  Nothing throttles the former, so
  * the two kinds are not placed on the same executor. */
@@ -483,7 +451,7 @@
     return false;
   release_reservations (scheduler);
   workspace_accounts_begin_round (scheduler->accounts);
-  collect_open_executors (scheduler, now_us);
+  scheduler_list_open_executors (scheduler, now_us);
   waiting = collect_waiting (scheduler, now_us);
   dispatch (scheduler, waiting, now_us);
   return waiting->len > 0;
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -375,6 +375,11 @@
 void scheduler_executor_free (gpointer data);
 executor_t *scheduler_ensure_executor (scheduler_t *scheduler, const char *id);
 
+/* scheduler_open.c */
+/* Lists the executors that can run a task in `open_executors`: those with the most free CPU first,
+ * and among equal ones those that were known first. */
+void scheduler_list_open_executors (scheduler_t *scheduler, gint64 now_us);
+
 /* scheduler_leases.c */
 /* Notes that a lease may have been granted as late as `from_us`. */
 void
