--- a/src/decide/scheduler_speed.c
+++ b/src/decide/scheduler_speed.c
@@ -17,7 +17,13 @@
 /* Data near the executor outweighs the choice among those that are fast enough, and speed that is
  * needed outweighs both.  Failures outweigh all (slot_cost()). */
 static const gint64 class_cost = 100 * 1000;
-static const gint64 too_slow_cost = 2 * 1000 * 1000;
+
+/* Ranks of executors for a step, in units of class_cost; lower is better. */
+enum
+{
+  TOO_SLOW_RANK = 20, /* of the fastest class among those that are too slow */
+  RANKS = TOO_SLOW_RANK + EXECUTOR_SPEED_CLASS_MAX - EXECUTOR_SPEED_CLASS_MIN + 1
+};
 
 /* False for a run that tells nothing on its executor.  A run of an earlier leader began before this
  * one knew it, and a task with a checkpoint has done part of its work before.  The members of a
@@ -106,14 +112,20 @@
   return executor_speed_for_placement (executor->speed) >= MIN (step->min_speed, 1.0);
 }
 
-gint64
-scheduler_speed_cost (const step_t *step, const executor_t *executor)
+static guint
+rank_of (const step_t *step, const executor_t *executor)
 {
   int class = executor_speed_class (executor->speed);
 
   if (executor_speed_for_placement (executor->speed) >= step->min_speed)
-    return class_cost * (class - EXECUTOR_SPEED_CLASS_MIN);
-  return too_slow_cost + class_cost * (EXECUTOR_SPEED_CLASS_MAX - class);
+    return (guint) (class - EXECUTOR_SPEED_CLASS_MIN);
+  return (guint) (TOO_SLOW_RANK + EXECUTOR_SPEED_CLASS_MAX - class);
+}
+
+gint64
+scheduler_speed_cost (const step_t *step, const executor_t *executor)
+{
+  return class_cost * rank_of (step, executor);
 }
 
 /* True if a task of the step is expected to fit on the executor within this time. */
@@ -175,43 +187,27 @@
   return true;
 }
 
-typedef struct
-{
-  executor_t *executor;
-  gint64 cost;
-  guint position;
-} sorted_executor_t;
-
-static int
-compare_sorted (const void *a, const void *b)
-{
-  const sorted_executor_t *left = a;
-  const sorted_executor_t *right = b;
-
-  if (left->cost != right->cost)
-    return left->cost < right->cost ? -1 : 1;
-  return left->position < right->position ? -1 : left->position > right->position;
-}
-
+/* Sorted by counting: there are few ranks, and executors of one rank stay as they are. */
 GPtrArray *
 scheduler_sort_by_speed (const step_t *step, GPtrArray *executors)
 {
-  g_autoptr (GArray) entries = NULL;
+  g_autofree guint8 *ranks = NULL;
+  guint starts[RANKS + 1] = { 0 };
   GPtrArray *sorted;
 
   if (is_one_class (executors))
     return g_ptr_array_ref (executors);
-  entries = g_array_sized_new (FALSE, FALSE, sizeof (sorted_executor_t), executors->len);
+  ranks = g_new (guint8, executors->len);
   for (guint i = 0; i < executors->len; i++)
     {
-      executor_t *executor = g_ptr_array_index (executors, i);
-      sorted_executor_t entry = { executor, scheduler_speed_cost (step, executor), i };
-
-      g_array_append_val (entries, entry);
+      ranks[i] = (guint8) rank_of (step, g_ptr_array_index (executors, i));
+      starts[ranks[i] + 1]++;
     }
-  g_array_sort (entries, compare_sorted);
+  for (guint rank = 1; rank < RANKS; rank++)
+    starts[rank] += starts[rank - 1];
   sorted = g_ptr_array_sized_new (executors->len);
-  for (guint i = 0; i < entries->len; i++)
-    g_ptr_array_add (sorted, g_array_index (entries, sorted_executor_t, i).executor);
+  g_ptr_array_set_size (sorted, (gint) executors->len);
+  for (guint i = 0; i < executors->len; i++)
+    g_ptr_array_index (sorted, starts[ranks[i]]++) = g_ptr_array_index (executors, i);
   return sorted;
 }
