--- a/src/decide/scheduler_progress.c
+++ b/src/decide/scheduler_progress.c
@@ -102,21 +102,34 @@
   run->last_progress_us = now_us;
 }
 
-static bool
-is_stalled (const scheduler_t *scheduler, const run_t *run, gint64 now_us)
+/* Time without progress after which the run has stalled, if its expected run time allows this
+ * much. */
+static gint64
+stall_limit_on (const scheduler_t *scheduler, const run_t *run, gint64 allowed_us)
 {
-  gint64 stall_limit_us = stall_us;
+  gint64 limit_us = allowed_us;
 
-  stall_limit_us = MAX (
-      stall_limit_us,
-      (gint64) (stall_fraction * (double) scheduler_expected_runtime_us (run->task->step, now_us)));
   /* On an executor that is known to be slow, each percent takes longer. */
   if (executor_speed_class (run->executor->speed) < 0)
-    stall_limit_us = scheduler_time_on (run->executor, stall_limit_us);
+    limit_us = scheduler_time_on (run->executor, limit_us);
   /* The members of a gang first wait for each other. */
   if (run->task->step->spec->gang && run->percent == 0)
-    stall_limit_us += scheduler->limits.gang_wait_us;
-  return run->percent < nearly_done_percent && now_us - run->last_progress_us > stall_limit_us;
+    limit_us += scheduler->limits.gang_wait_us;
+  return limit_us;
+}
+
+static bool
+is_stalled (const scheduler_t *scheduler, const run_t *run, gint64 now_us)
+{
+  gint64 silent_us = now_us - run->last_progress_us;
+  gint64 allowed_us;
+
+  /* The expected run time, which only prolongs the limit, takes longer to find. */
+  if (run->percent >= nearly_done_percent || silent_us <= stall_limit_on (scheduler, run, stall_us))
+    return false;
+  allowed_us = (gint64) (stall_fraction
+                         * (double) scheduler_expected_runtime_us (run->task->step, now_us));
+  return silent_us > stall_limit_on (scheduler, run, MAX (stall_us, allowed_us));
 }
 
 void
