--- a/tests/fuzz_text.c
+++ b/tests/fuzz_text.c
@@ -6,6 +6,8 @@
  * usage: fuzz_text [COUNT [SEED]]
  *
  * Gives each reader COUNT texts, derived from the seed. */
+#include "mutated_text.h"
+
 #include "base/address.h"
 #include "base/json.h"
 #include "base/json_check.h"
@@ -21,20 +23,11 @@
 
 enum
 {
-  MUTATIONS_MAX = 6, /* of one text */
-  NESTING_MAX = 3 * JSON_DEPTH_MAX,
   COUNT_MAX = G_MAXINT32 /* of a number of the platform's documents */
 };
 
-static GRand *random_source;
 static const char *violation;
 
-static guint
-below (guint bound)
-{
-  return (guint) g_rand_int_range (random_source, 0, (gint32) bound);
-}
-
 /* ---- Texts. */
 
 static const char entry_text[]
@@ -62,82 +55,6 @@
 static const char task_text[] = "5c0e7a21d94b36f8.0.1.17";
 static const char address_text[] = "[::1]:8080";
 
-static const char *const tokens[] = { "[",
-                                      "]",
-                                      "{",
-                                      "}",
-                                      "\"",
-                                      "\\",
-                                      ",",
-                                      ":",
-                                      ".",
-                                      "-",
-                                      "e9",
-                                      "0x1",
-                                      "null",
-                                      "true",
-                                      "{\"a\":",
-                                      "\\u0000",
-                                      "\\u001f",
-                                      "\\ud800",
-                                      "1e999",
-                                      "99999999999999999999",
-                                      "-9223372036854775808",
-                                      "2147483648",
-                                      "4294967296",
-                                      "1.5",
-                                      "\xff",
-                                      "\xc3\xa9",
-                                      "\n",
-                                      "/*",
-                                      "'",
-                                      "65536",
-                                      "::" };
-
-static void
-mutate_once (GString *text)
-{
-  guint at = below ((guint) text->len + 1);
-  guint wanted = below (16);
-  guint length = MIN (wanted, (guint) text->len - at);
-  const char *token = tokens[below (G_N_ELEMENTS (tokens))];
-
-  switch (below (6))
-    {
-    case 0:
-      g_string_erase (text, at, length);
-      break;
-    case 1:
-      g_string_insert (text, at, token);
-      break;
-    case 2:
-      g_string_erase (text, at, length);
-      g_string_insert (text, at, token);
-      break;
-    case 3:
-      if (at < text->len)
-        text->str[at] = (char) below (256);
-      break;
-    case 4:
-      for (guint i = below (NESTING_MAX); i > 0; i--)
-        g_string_insert (text, at, token);
-      break;
-    default:
-      g_string_truncate (text, at);
-      break;
-    }
-}
-
-static GString *
-make_text (const char *valid)
-{
-  GString *text = g_string_new (valid);
-
-  for (guint i = below (MUTATIONS_MAX + 1); i > 0; i--)
-    mutate_once (text);
-  return text;
-}
-
 /* ---- Readers. */
 
 static void
@@ -309,11 +226,11 @@
 };
 
 static bool
-fuzz (guint reader, guint count)
+fuzz (GRand *random_source, guint reader, guint count)
 {
   for (guint i = 0; i < count; i++)
     {
-      GString *text = make_text (readers[reader].valid);
+      GString *text = mutated_text_new (random_source, readers[reader].valid);
 
       readers[reader].read (text);
       if (violation != NULL)
@@ -332,6 +249,7 @@
   guint count = argc > 1 ? (guint) strtoul (argv[1], NULL, 10) : 10000;
   guint32 seed = argc > 2 ? (guint32) strtoul (argv[2], NULL, 10) : 1;
   guint failed = 0;
+  GRand *random_source;
 
   if (!log_init ("error"))
     return EXIT_FAILURE;
@@ -339,7 +257,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (readers); i++)
     {
       violation = NULL;
-      failed += !fuzz (i, count);
+      failed += !fuzz (random_source, i, count);
     }
   g_rand_free (random_source);
   (void) printf ("%u texts for each reader, seed %u\n%u passed, %u failed\n", count, seed,
