--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -359,15 +359,15 @@
 
 /* ---- Startup and shutdown. */
 
-/* Returns true while this VM listens on all ports and is not stopping, and either the store answers
- * it or a leader is ready that may store jobs for it. */
+/* Returns true while this VM listens on all ports and is not stopping, and has a path to store
+ * jobs. A leader that the store does not answer either is none: in a zone that is cut off,
+ * customers would be refused here although the VMs of other zones serve them. */
 static bool
 can_accept_jobs (void *data)
 {
   const entry_t *entry = data;
 
-  return entry->is_listening && !entry->is_stopping
-         && (store_is_healthy (entry->store, clock_now_us ()) || uplink_is_ready (entry->uplink));
+  return entry->is_listening && !entry->is_stopping && relay_has_path (entry->request_store);
 }
 
 static const job_api_callbacks_t job_api_callbacks
