--- a/src/entry/intake_submit.c
+++ b/src/entry/intake_submit.c
@@ -41,18 +41,25 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Returns the revision of the job record in a STORE_REFUSED reply; 0 when the job has ended. */
-static gint64
-job_record_revision (const request_t *request, const store_reply_t *reply)
+/* Takes over the job as it is stored, by a STORE_REFUSED reply: this request may have another text,
+ * which must not run.  A job that has ended, or whose record cannot be read, is not announced. */
+static void
+take_stored_spec (request_t *request, const store_reply_t *reply)
 {
+  request->spec->revision = 0;
   for (guint i = 0; i < reply->items->len; i++)
     {
       const store_item_t *item = g_ptr_array_index (reply->items, i);
-
-      if (strcmp (item->key, request->key) == 0)
-        return item->revision;
+      job_spec_t *stored = strcmp (item->key, request->key) == 0
+                               ? codec_unpack_job (item->value, item->value_bytes)
+                               : NULL;
+
+      if (stored == NULL)
+        continue;
+      job_spec_free (request->spec);
+      request->spec = stored;
+      request->spec->revision = item->revision;
     }
-  return 0;
 }
 
 static void
@@ -80,7 +87,7 @@
       return;
     case STORE_REFUSED:
       if (!is_conflict)
-        request->spec->revision = job_record_revision (request, reply);
+        take_stored_spec (request, reply);
       finish (request, is_conflict ? ERROR_CONFLICT : ERROR_NONE);
       return;
     case STORE_LOST:
--- a/tests/refusals.c
+++ b/tests/refusals.c
@@ -1,6 +1,7 @@
 /* Refusals of submissions at a VM whose leader is played by the test.  A refusal states that the
  * job is not stored, so that its caller may give it up: it was also sent for jobs that were stored.
  */
+#include "entry/codec.h"
 #include "entry/intake.h"
 #include "entry/keys.h"
 #include "entry/relay.h"
@@ -41,6 +42,7 @@
   link_t *link;
   bool knows_job;
   const char *workspace; /* of the job */
+  char *job_text;        /* of the job that was announced last */
   guint pongs;
 } leader;
 
@@ -105,6 +107,11 @@
     answer_ping (frame->ping);
   for (gsize i = 0; i < frame->n_ask; i++)
     answer_ask (frame->ask[i]);
+  for (gsize i = 0; i < frame->n_job; i++)
+    {
+      g_free (leader.job_text);
+      leader.job_text = g_strdup (frame->job[i]->spec);
+    }
   for (gsize i = 0; i < frame->n_relay; i++)
     refuse_relay (frame->relay[i]);
 }
@@ -313,6 +320,35 @@
   end ();
 }
 
+/* A caller sends another text under the id of its stored job.  Guards against a leader that is told
+ * the text of this request, and has it run in place of the stored one. */
+static void
+test_other_text (void)
+{
+  step_spec_t step = { .count = 1 };
+  job_spec_t stored = { .id = ID,
+                        .spec = (char *) "stored",
+                        .steps = &step,
+                        .step_count = 1,
+                        .queue = (char *) "q",
+                        .service = (char *) "s",
+                        .workspace = (char *) "w" };
+  g_autofree char *key = keys_job (ID);
+  g_autofree guint8 *bytes = NULL;
+  gsize size;
+
+  begin ();
+  connect_leader ();
+  leader.knows_job = true;
+  bytes = codec_pack_job (&stored, &size);
+  write_record (key, bytes, size);
+  CU_ASSERT_STRING_EQUAL (submit (WAIT_MS), "none");
+  loop_run_ms (SHORT_WAIT_MS);
+  CU_ASSERT_STRING_EQUAL (leader.job_text, "stored");
+  end ();
+  g_clear_pointer (&leader.job_text, g_free);
+}
+
 /* Whether the service is taken to answer this VM. */
 static void
 set_direct_path (bool is_usable)
@@ -392,11 +428,9 @@
 main (void)
 {
   static const test_case_t tests[] = {
-    { "no_room", test_no_room },
-    { "no_path", test_no_path },
-    { "write_without_answer", test_write_without_answer },
-    { "open_write", test_open_write },
-    { "details", test_details },
+    { "no_room", test_no_room },       { "other_text", test_other_text },
+    { "no_path", test_no_path },       { "write_without_answer", test_write_without_answer },
+    { "open_write", test_open_write }, { "details", test_details },
   };
 
   return run_suite ("refusals", tests, G_N_ELEMENTS (tests));
