--- a/src/entry/uplink.h
+++ b/src/entry/uplink.h
@@ -12,6 +12,9 @@
 
 typedef struct uplink uplink_t;
 
+/* Sends a frame to the leader; returns false when it is not connected. */
+typedef bool (*uplink_send_t) (const Mimosastair__Frame *frame, void *data);
+
 typedef struct
 {
   const char *vm;
