--- a/src/decide/election_policy.c
+++ b/src/decide/election_policy.c
@@ -5,8 +5,8 @@
   CORE_MILLI = 1000,
   COMPARABLE_PERCENT = 75,    /* a VM with this much of the other's CPU counts as equally large */
   SMALL_VM_DELAY_MS = 400,    /* a larger VM that is alive leads by then */
-  OUTAGE_DELAY_MS = 600,      /* in addition, after an outage: with calls of 800 ms that time out
-                               * and a retry, a larger VM may notice its end 860 ms later */
+  OUTAGE_DELAY_MS = 600,      /* in addition, after an outage: a larger VM may notice its end 860 ms
+                               * later, when a watch has timed out (700 ms) and is repeated */
   UNKNOWN_SIZE_STEP_MS = 150, /* per factor of two below one core, while max_cpu_milli is unknown */
   OLDER_PROCESS_DELAY_MS = 60 /* a younger process leads by then, if the store is healthy */
 };
--- a/src/entry/election.c
+++ b/src/entry/election.c
@@ -5,21 +5,13 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "decide/election_policy.h"
-#include "decide/lease_validity.h"
 #include "entry/spare_lease.h"
+#include "entry/tenure.h"
 #include "peer/peer.pb-c.h"
 #include "store/watcher.h"
 
 #include <string.h>
 
-/* A lease renewal in flight; renewals may overlap. */
-typedef struct
-{
-  election_t *election;
-  gint64 sent_us;
-  gint64 fence;
-} renewal_t;
-
 typedef enum
 {
   ELECTION_FOLLOWER,
@@ -45,14 +37,13 @@
   bool is_after_outage; /* the store was lost, and no leader has been seen since */
   bool is_younger;      /* this process started after the last seen leader record was written */
   char *leader_address; /* as last reported */
-  lease_validity_t validity;
+  tenure_t *tenure;     /* while this VM is the leader */
   gint64 lease;
   spare_lease_t *spare_lease;
   gint64 lease_sent_us;        /* send time of the last grant or renewal, from spare_lease_take() */
   gint64 seen_leader_revision; /* of the last seen leader record */
   gint64 own_record_lease;     /* of that record, if this VM wrote it; else 0 */
   gint64 resigned_revision;    /* of a leader record whose leader has resigned; 0: none */
-  gint64 fence;
   /* The epoch record, as last seen and as this VM's last campaign expected it. */
   guint seen_epoch; /* number of elections so far */
   gint64 seen_epoch_revision;
@@ -60,7 +51,7 @@
   guint epoch;
   guint largest_cpu_milli; /* of all VMs; 0: unknown */
   gint64 campaign_not_before_us;
-  guint timer; /* next campaign or renewal */
+  guint timer; /* next campaign */
   void (*on_withdrawn) (void *data);
   void *on_withdrawn_data;
 };
@@ -68,7 +59,6 @@
 enum
 {
   WATCH_TIMEOUT_MS = 4000, /* longest wait of one watch */
-  RENEWALS_PER_TTL = 5,    /* attempts before the lease expires */
   CAMPAIGN_RETRY_MS = 100, /* after a failed campaign */
   CAMPAIGN_JITTER_MS = 40, /* spreads the campaigns of the VMs in time */
   EPOCH_BYTES_MAX = 16     /* of the packed record: two integers with their tags */
@@ -79,7 +69,6 @@
 static const gint64 step_down_backoff_us = 2 * G_USEC_PER_SEC;
 
 static void campaign (election_t *election);
-static void schedule_renewal (election_t *election, guint delay_ms);
 
 static void
 clear_timer (election_t *election)
@@ -161,48 +150,29 @@
   election->is_leader_record_present = true;
   election->is_after_outage = false;
   election->resigned_revision = 0;
-  election->fence = fence;
-  lease_validity_begin (&election->validity, (gint64) election->config.ttl_ms * 1000,
-                        election->lease_sent_us);
   LOG_INFO ("claim_gained", "domain=%s fence=%" G_GINT64_FORMAT " epoch=%u",
             election->config.domain, fence, election->epoch);
-  schedule_renewal (election, election->config.ttl_ms / RENEWALS_PER_TTL);
+  tenure_begin (election->tenure, election->lease, election->lease_sent_us, fence);
   election->events->gained (fence, election->epoch, election->data);
 }
 
 static void
-lose_leadership (election_t *election, const char *reason)
+lose_leadership (const char *reason, void *data)
 {
+  election_t *election = data;
+
   if (election->state != ELECTION_LEADER)
     return;
   LOG_WARN ("claim_lost", "domain=%s fence=%" G_GINT64_FORMAT " reason=%s", election->config.domain,
-            election->fence, reason);
-  clear_timer (election);
+            tenure_fence (election->tenure), reason);
   election->state = ELECTION_FOLLOWER;
-  election->validity = (lease_validity_t){ 0 };
+  tenure_end (election->tenure);
   revoke_lease (election);
   election->events->lost (reason, election->data);
   spare_lease_set_needed (election->spare_lease, true);
   schedule_campaign (election, CAMPAIGN_RETRY_MS);
 }
 
-/* Returns true when `item` is a leader record that this process wrote, and the one with the
- * revision `fence` unless that is 0. */
-static bool
-is_own_record (const election_t *election, const store_item_t *item)
-{
-  Mimosastair__Claim *message = mimosastair__claim__unpack (NULL, item->value_bytes, item->value);
-  bool is_own;
-
-  if (message == NULL)
-    return false;
-  is_own = strcmp (message->vm, election->config.vm) == 0
-           && message->life == election->config.incarnation
-           && (election->fence == 0 || item->revision == election->fence);
-  mimosastair__claim__free_unpacked (message, NULL);
-  return is_own;
-}
-
 /* Handles the leader record that was read after a write without an answer: it shows whether the
  * write was applied. */
 static void
@@ -212,9 +182,8 @@
 
   if (election->state != ELECTION_CANDIDATE)
     return;
-  election->fence = 0;
   if (reply->status == STORE_DONE && reply->items->len > 0
-      && is_own_record (election, g_ptr_array_index (reply->items, 0)))
+      && tenure_is_own_record (election->tenure, g_ptr_array_index (reply->items, 0)))
     {
       become_leader (election, ((store_item_t *) g_ptr_array_index (reply->items, 0))->revision);
       return;
@@ -298,91 +267,11 @@
   if (!spare_lease_take (election->spare_lease, &election->lease, &election->lease_sent_us))
     return;
   election->state = ELECTION_CANDIDATE;
-  election->fence = 0;
   election->epoch = election->seen_epoch;
   election->epoch_revision = election->seen_epoch_revision;
   write_leader_record (election);
 }
 
-static bool
-is_renewal_current (const renewal_t *renewal)
-{
-  return renewal->election->state == ELECTION_LEADER && renewal->election->fence == renewal->fence;
-}
-
-static void
-leader_record_read (const store_reply_t *reply, void *data)
-{
-  renewal_t *renewal = data;
-  election_t *election = renewal->election;
-  bool is_ok = is_renewal_current (renewal);
-
-  g_free (renewal);
-  if (!is_ok)
-    return;
-  if (reply->status == STORE_MISSING)
-    lose_leadership (election, "key_gone");
-  else if (reply->status != STORE_DONE || reply->items->len == 0)
-    LOG_WARN ("claim_unseen", "status=%s left_ms=%" G_GINT64_FORMAT,
-              store_status_name (reply->status),
-              election_remaining_us (election, clock_now_us ()) / 1000);
-  else if (!is_own_record (election, g_ptr_array_index (reply->items, 0)))
-    lose_leadership (election, "taken_over");
-  else
-    lease_validity_confirmed (&election->validity);
-}
-
-static void
-lease_renewed (const store_reply_t *reply, void *data)
-{
-  renewal_t *renewal = data;
-  election_t *election = renewal->election;
-
-  if (!is_renewal_current (renewal))
-    {
-      g_free (renewal);
-      return;
-    }
-  if (reply->status == STORE_MISSING)
-    {
-      g_free (renewal);
-      lose_leadership (election, "lease_ended");
-      return;
-    }
-  if (reply->status == STORE_DONE)
-    lease_validity_renewed (&election->validity, renewal->sent_us);
-  else
-    LOG_WARN ("claim_not_renewed", "status=%s left_ms=%" G_GINT64_FORMAT,
-              store_status_name (reply->status),
-              election_remaining_us (election, clock_now_us ()) / 1000);
-  election->store->calls->get (election->store, election->key, leader_record_read, renewal);
-}
-
-static gboolean
-renew_timer_fired (gpointer data)
-{
-  election_t *election = data;
-  renewal_t *renewal;
-
-  election->timer = 0;
-  if (election->state != ELECTION_LEADER)
-    return G_SOURCE_REMOVE;
-  schedule_renewal (election, election->config.ttl_ms / RENEWALS_PER_TTL);
-  renewal = g_new0 (renewal_t, 1);
-  renewal->election = election;
-  renewal->sent_us = clock_now_us ();
-  renewal->fence = election->fence;
-  election->store->calls->keep (election->store, election->lease, lease_renewed, renewal);
-  return G_SOURCE_REMOVE;
-}
-
-static void
-schedule_renewal (election_t *election, guint delay_ms)
-{
-  clear_timer (election);
-  election->timer = g_timeout_add (delay_ms, renew_timer_fired, election);
-}
-
 static void
 report_leader (election_t *election, const char *vm, const char *address)
 {
@@ -467,7 +356,7 @@
   if (item->deleted)
     {
       if (election->state == ELECTION_LEADER)
-        election_verify (election);
+        tenure_verify (election->tenure);
       else
         report_leader (election, NULL, NULL);
       schedule_campaign (election, campaign_delay_ms (election));
@@ -481,9 +370,8 @@
     return;
   if (item->revision != election->resigned_revision)
     election->resigned_revision = 0;
-  if (election->state == ELECTION_LEADER && !is_own_record (election, item)
-      && item->revision > election->fence)
-    lose_leadership (election, "taken_over");
+  if (election->state == ELECTION_LEADER && item->revision > tenure_fence (election->tenure))
+    lose_leadership ("taken_over", election);
   if (strcmp (message->vm, election->config.vm) == 0)
     election->own_record_lease = item->lease;
   revoke_former_lease (election);
@@ -537,6 +425,7 @@
   election->prefix = g_strdup ("claim/");
   election->epoch_key = g_strdup_printf ("claim/%s.epoch", config->domain);
   election->spare_lease = spare_lease_new (store, config->ttl_ms, lease_ready, election);
+  election->tenure = tenure_new (store, election->key, config, lose_leadership, election);
   election->watcher
       = watcher_new (store, election->prefix, WATCH_TIMEOUT_MS, &watcher_events, election);
   return election;
@@ -549,6 +438,7 @@
     return;
   clear_timer (election);
   spare_lease_free (election->spare_lease);
+  tenure_free (election->tenure);
   watcher_free (election->watcher);
   g_free (election->key);
   g_free (election->prefix);
@@ -560,9 +450,7 @@
 gint64
 election_remaining_us (const election_t *election, gint64 now_us)
 {
-  return election->state == ELECTION_LEADER
-             ? lease_validity_remaining_us (&election->validity, now_us)
-             : 0;
+  return tenure_remaining_us (election->tenure, now_us);
 }
 
 const char *
@@ -574,7 +462,7 @@
 gint64
 election_revision (const election_t *election)
 {
-  return election->fence;
+  return tenure_fence (election->tenure);
 }
 
 void
@@ -584,6 +472,7 @@
 
   clear_timer (election);
   election->state = ELECTION_WITHDRAWN;
+  tenure_end (election->tenure);
   spare_lease_set_needed (election->spare_lease, false);
   election->on_withdrawn = done;
   election->on_withdrawn_data = data;
@@ -597,8 +486,7 @@
 void
 election_verify (election_t *election)
 {
-  if (election->state == ELECTION_LEADER)
-    schedule_renewal (election, 0);
+  tenure_verify (election->tenure);
 }
 
 void
@@ -619,6 +507,6 @@
 void
 election_step_down (election_t *election)
 {
-  lose_leadership (election, "abdicated");
+  lose_leadership ("abdicated", election);
   election->campaign_not_before_us = clock_now_us () + step_down_backoff_us;
 }
