--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -4,7 +4,7 @@
 usage: soak.py BUILD_DIR [--seed N] [--seconds S] [--vms N] [--lies] [--limits]
 
 Each finding is printed with its rule; the exit status is 1 if there is one.  With `--lies`, executors and the store
-also answer with changed values, after which the rules LOST and TWICE are not checked.  `--limits` adds floods, ports
+also answer with changed values, after which the rules LOST, TWICE, ACK and ROUTE are not checked.  `--limits` adds floods, ports
 in use, signals before the handlers and low limits.
 """
 import argparse
@@ -39,6 +39,7 @@
 JOBS_PER_S = 5.0
 SHORT_LEASE_MS = 60_000  # longer ones do not expire in a short outage of the store
 GRACE_S = 6.0  # from SIGTERM to the end of the process
+LABEL = "b"  # of some executors, for some incarnations
 FINISH_S = 25.0  # accepted jobs end this long after the last trouble
 STARTUP_S = 1.0  # younger processes get no signals but SIGKILL without --limits
 DESCRIPTORS_QUIET = 200
@@ -48,6 +49,15 @@
 QUIET = re.compile(r"level=(info|debug)")
 
 
+ODD_ADDRESSES = (f"{HOST}:1", "", ":1", "x", "[::1]:1", f"{HOST}:99999", f"{HOST}:0")
+
+
+def odd_entry(address):
+    return {"service": ROUTE[1], "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+            "cold-left-ms": 0, "seq": 1, "born": 1, "clock-ms": 1, "labels": ["a", "r1"],
+            "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 0}}
+
+
 class Door:
     """Stands between a stand-in and those who call it: `trouble()` may answer, delay or lose."""
 
@@ -66,6 +76,7 @@
     def __init__(self, lab):
         self.lab = lab
         self.draw = random.Random(options.seed)
+        self.draw_kinds = random.Random(options.seed + 1)  # apart, so that seeds draw the same troubles as before
         self.accepted = {}  # job -> whether a cancel was sent
         self.attempts = []
         self.until = 0.0
@@ -79,6 +90,58 @@
     def seconds(self, low, high):
         return asyncio.sleep(self.draw.uniform(low, high))
 
+    # ---- What executors check.
+
+    def watch_executor(self, executor):
+        def before(path, body):
+            if path == "/hold":
+                self.check_ack(executor, body)
+            elif path == "/run-start":
+                self.check_route(executor, body)
+        executor.before = before
+
+    def check_ack(self, executor, body):
+        """Ends are acknowledged to the incarnation that listed them."""
+        acked = body.get("ack-cursor", 0)
+        if not options.lies and acked >= executor.next_end:
+            self.find("ACK", f"{executor.id} is told to forget ends up to {acked}, and had {executor.next_end - 1}")
+
+    def check_route(self, executor, body):
+        """A task runs on an incarnation that has the label that it requires."""
+        label = json.loads(body["spec"]).get("requires")
+        if not options.lies and label is not None and label not in executor.labels:
+            self.find("ROUTE", f"{body['task']} requires {label}, {executor.id} has {','.join(executor.labels)}")
+
+    def draw_labels(self, executor, other_share=0.8):
+        """The next incarnation is of another kind, or of the same."""
+        is_other = self.draw_kinds.random() < other_share
+        has_label = is_other != (LABEL in executor.labels)
+        executor.labels = ["a", "r1"] + ([LABEL] if has_label else [])
+
+    async def start_executor(self, executor, always=False):
+        """Its entry may be written some time after it answers, and be of another kind; `always`: it is."""
+        self.draw_labels(executor, 1.0 if always else 0.8)
+        self.watch_executor(executor)
+        delay_s = self.draw_kinds.uniform(1.0, 3.0)
+        if not always and self.draw_kinds.random() < 0.5:
+            delay_s = 0.0
+        if delay_s == 0.0:
+            await executor.start()
+            return
+        executor.register = lambda: None
+        await executor.start()
+        del executor.register
+        incarnation = executor.born
+        await asyncio.sleep(delay_s)
+        if executor.is_up and executor.born == incarnation:
+            executor.register()
+
+    async def start_steady_executor(self):
+        """One that has the label and no trouble, so that each task has somewhere to run in the end."""
+        steady = Executor(self.lab, "steady", ROUTE[1], self.lab.zones[0], labels=("a", "r1", LABEL))
+        self.watch_executor(steady)
+        await steady.start()
+
     # ---- Processes.
 
     def track(self, vm):
@@ -247,26 +310,52 @@
         executor.crash()
         await self.seconds(0.0, 3.0)
         if self.draw.random() < 0.7:
-            await executor.start()
+            await self.start_executor(executor)
             return
         self.lab.executors.remove(executor)
         other = Executor(self.lab, f"n-{self.draw.getrandbits(32):08x}", ROUTE[1], executor.zone)
         other.http.port = executor.http.port
         self.lab.executors.append(other)
-        await other.start()
+        await self.start_executor(other)
         await self.seconds(0.0, 4.5)
         self.lab.store.delete(f"servers/{executor.id}")
 
+    async def executor_with_ends(self):
+        """An executor whose ends are not acknowledged yet: no hold request waits at it, so that its end shows to
+        nobody.  Any other one after a second."""
+        until = time.monotonic() + 1.0
+        while True:
+            candidates = [executor for executor in self.lab.executors if executor.is_up
+                          and (executor.ends or time.monotonic() > until)]
+            if candidates:
+                return self.draw_kinds.choice(candidates)
+            await asyncio.sleep(0.002)
+
+    async def restart_at_once(self):
+        """Executors end and begin again before anyone notices."""
+        while time.monotonic() < self.until:
+            await asyncio.sleep(self.draw_kinds.uniform(0.5, 2.0))
+            executor = await self.executor_with_ends()
+            self.lab.record("trouble", f"{executor.id} restarts at once")
+            executor.crash()
+            self.attempts.append(asyncio.create_task(self.start_executor(executor, always=True)))
+
     async def odd_entry(self):
         key = f"servers/odd-{self.draw.randrange(4)}"
-        address = self.draw.choice((f"{HOST}:1", "", ":1", "x", "[::1]:1", f"{HOST}:99999", f"{HOST}:0"))
-        entry = {"service": ROUTE[1], "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
-                 "cold-left-ms": 0, "seq": 1, "born": 1, "clock-ms": 1, "labels": ["a", "r1"],
-                 "capacity": {"cpu": 32000, "mem-mb": 65536, "gpu": 0}}
-        self.lab.store.put(key, nonsense.mutate(entry, self.draw))
+        self.lab.store.put(key, nonsense.mutate(odd_entry(self.draw.choice(ODD_ADDRESSES)), self.draw))
         await self.seconds(0.1, 3.0)
         self.lab.store.delete(key)
 
+    async def odd_addresses(self):
+        """Entries that are right but for their addresses."""
+        while time.monotonic() < self.until:
+            await asyncio.sleep(self.draw_kinds.uniform(1.0, 4.0))
+            for number, address in enumerate(ODD_ADDRESSES):
+                self.lab.store.put(f"servers/address-{number}", odd_entry(address))
+            await asyncio.sleep(self.draw_kinds.uniform(0.5, 2.0))
+            for number in range(len(ODD_ADDRESSES)):
+                self.lab.store.delete(f"servers/address-{number}")
+
     async def desired_state(self):
         """Desired states in quick succession; some cannot be read; for a time there is none."""
         queues = [ROUTE] + [(f"q{k}", ROUTE[1], {}) for k in range(self.draw.randrange(40))]
@@ -301,7 +390,13 @@
             steps.append({"count": 2, "cpu": 1000, "mem-mb": 64, "est-runtime-ms": 200, "after": [0]})
         if self.draw.random() < 0.15:
             steps[0]["gang"] = True
-        job, status = await self.lab.submit(ROUTE[0], steps, self.draw.choice((50, 300, 900)))
+        work_ms = self.draw.choice((50, 300, 900))
+        spec = {"ms": work_ms}
+        if self.draw_kinds.random() < 0.5:
+            steps[0]["requires"] = spec["requires"] = LABEL
+            steps[0].pop("gang", None)  # there may be one executor with the label
+            del steps[1:]
+        job, status = await self.lab.submit(ROUTE[0], steps, work_ms, spec=json.dumps(spec))
         if status != 200:
             return
         self.accepted[job] = False
@@ -379,7 +474,11 @@
 
     async def play(self):
         lab = self.lab
+        for executor in lab.executors:
+            self.draw_labels(executor)
+            self.watch_executor(executor)
         await lab.start_stand_ins()
+        await self.start_steady_executor()
         start_trouble = self.bad_store() if self.draw.random() < 0.3 else asyncio.sleep(0)
         lab.start_vms()
         for vm in lab.vms:
@@ -391,7 +490,7 @@
         except RuntimeError as error:
             self.find("Ready", f"at the start: {error}")
         self.until = time.monotonic() + options.seconds
-        await asyncio.gather(self.clients(), *(self.series() for _ in range(SERIES)))
+        await asyncio.gather(self.clients(), self.restart_at_once(), self.odd_addresses(), *(self.series() for _ in range(SERIES)))
         self.settle_desired_state()
         quiet = time.monotonic()
         while any(vm["is_restarting"] or vm["process"].poll() is not None for vm in lab.vms):
