--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -162,6 +162,7 @@
   gint64 turn_us;                    /* since when it has a turn, and goes first; 0: it has none */
   gint64 turn_ended_us;              /* when it last gave that up without being placed; 0: never */
   gang_waits_t waits;
+  bool was_placed; /* a gang; its later waits include runs that failed */
   step_cap_t cap;
   runtime_step_t runtime;
   gint64 runtime_us;      /* learned, of a task, as of predicted_at_us */
--- a/src/decide/scheduler_waits.c
+++ b/src/decide/scheduler_waits.c
@@ -26,8 +26,9 @@
       waits->rounds, waits->unplanned_rounds, waits->unreserved_rounds);
 }
 
-/* Of the waits of gangs: the latest counts for 1/16, and fewer are not used. */
+/* The mean wait of a queue's gangs goes back over about 16 of them. */
 static const double gang_waits_weight_max = 16.0;
+/* The wait is not known before so many gangs were placed. */
 static const double gang_waits_weight_min = 4.0;
 
 static void
@@ -35,7 +36,7 @@
 {
   queue_t *queue = step->job->queue;
 
-  if (queue->runtimes == NULL || !queue_order_has_slack (key))
+  if (queue->runtimes == NULL || step->was_placed || !queue_order_has_slack (key))
     return;
   decayed_stats_fade_to (&queue->gang_waits_us, gang_waits_weight_max - 1.0);
   decayed_stats_add (&queue->gang_waits_us,
@@ -69,6 +70,7 @@
     {
       log_waits (scheduler, step, "gang_placed", round, key, now_us);
       learn_gang_wait (step, key, now_us);
+      step->was_placed = true;
       *waits = (gang_waits_t){ 0 };
     }
   else if (now_us - MAX (waits->logged_us, step->ready_us) >= log_interval_us)
