--- a/tests/claim.c
+++ b/tests/claim.c
@@ -94,6 +94,7 @@
 static void
 tear_down (candidate_t *const *candidates, guint count)
 {
+  fake_service_keep_watches (service, false);
   fake_service_set_down (service, false);
   for (guint i = 0; i < count; i++)
     election_withdraw (candidates[i]->election, ignore_withdrawal, NULL);
@@ -254,7 +255,7 @@
   gint64 revision;
 
   service = fake_service_new ();
-  fake_service_keep_watches (service);
+  fake_service_keep_watches (service, true);
   start_candidate (&leader, "l", 1000);
   revision = wait_for_leader (&leader, &leader, ELECTION_TIMEOUT_MS)->fence;
   start_candidate (&other, "a", 1000);
@@ -283,7 +284,7 @@
   bool is_first;
 
   service = fake_service_new ();
-  fake_service_keep_watches (service);
+  fake_service_keep_watches (service, true);
   start_candidate (&leader, "l", 500);
   revision = wait_for_leader (&leader, &leader, ELECTION_TIMEOUT_MS)->fence;
   start_candidate (&small, "a", 120);
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -538,9 +538,9 @@
 }
 
 void
-fake_service_keep_watches (fake_service_t *service)
+fake_service_keep_watches (fake_service_t *service, bool keeps_watches)
 {
-  service->keeps_watches = true;
+  service->keeps_watches = keeps_watches;
 }
 
 void
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -16,8 +16,8 @@
 /* While the service is down, no call is executed; each ends with STORE_LOST after a timeout. */
 void fake_service_set_down (fake_service_t *service, bool is_down);
 
-/* From now on, watches that wait when the service goes down wait on, as with one that is silent. */
-void fake_service_keep_watches (fake_service_t *service);
+/* Whether watches that wait when the service goes down wait on, as with one that is silent. */
+void fake_service_keep_watches (fake_service_t *service, bool keeps_watches);
 
 /* Delays every answer by this time. */
 void fake_service_set_delay (fake_service_t *service, guint delay_ms);
--- a/tests/order_texts.c
+++ b/tests/order_texts.c
@@ -462,8 +462,7 @@
     ;
   start (&member, job, text);
   CU_ASSERT_FALSE (text_table_has (member.vm->texts, &digest));
-  disconnect_member (&member);
-  loop_run_ms (50);
+  member_close (&member);
 }
 
 int
