--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -154,10 +154,7 @@
       node = node->next;
       if (may_start_after_restart (run) || scheduler_run_is_planned (run))
         continue;
-      scheduler_log (scheduler, "task_lost",
-                     "job=%s task=%u.%u.%u run=%u executor=%s reason=executor_restarted",
-                     run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
-                     executor->id);
+      scheduler_log_lost_run (scheduler, run, "executor_restarted", now_us);
       scheduler_remove_run (scheduler, run, now_us);
       /* Removing the run may have changed the rest of the list: start over. */
       node = executor->runs.next;
--- a/src/decide/scheduler_leases.c
+++ b/src/decide/scheduler_leases.c
@@ -155,9 +155,7 @@
       node = node->next;
       if (scheduler_run_is_planned (run) || (!has_ended && run->late_start_until_us > now_us))
         continue;
-      scheduler_log (scheduler, "task_lost", "job=%s task=%u.%u.%u run=%u executor=%s reason=%s",
-                     run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
-                     executor->id, reason);
+      scheduler_log_lost_run (scheduler, run, reason, now_us);
       if (!has_ended)
         note_expired_run (executor, run, now_us);
       scheduler_remove_run (scheduler, run, now_us);
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -415,6 +415,32 @@
     scheduler_release_job (scheduler, task->step->job);
 }
 
+/* How the start of the run is known: what tells a run that has ended with its executor from one
+ * that the next incarnation may have started. */
+static const char *
+start_evidence (const run_t *run)
+{
+  if (run->was_reported)
+    return "reported";
+  if (run->running_since_us > 0)
+    return "answered";
+  return run->is_restored ? "restored" : "unanswered";
+}
+
+void
+scheduler_log_lost_run (const scheduler_t *scheduler,
+                        const run_t *run,
+                        const char *reason,
+                        gint64 now_us)
+{
+  scheduler_log (
+      scheduler, "task_lost",
+      "job=%s task=%u.%u.%u run=%u executor=%s reason=%s start=%s sent_ms=%" G_GINT64_FORMAT,
+      run->ref.job, run->ref.occurrence, run->ref.step, run->ref.index, run->number,
+      run->executor->id, reason, start_evidence (run),
+      run->start_sent_us > 0 ? (now_us - run->start_sent_us) / 1000 : -1);
+}
+
 bool
 scheduler_run_is_planned (const run_t *run)
 {
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -368,6 +368,12 @@
 
 /* scheduler_runs.c */
 /* Whether the placement is being stored: no start order was sent. */
+/* Logs that the run is given up; `reason` is a word.  `start` in the line is how its start is
+ * known: "reported", "answered", "restored" or "unanswered". */
+void scheduler_log_lost_run (const scheduler_t *scheduler,
+                             const run_t *run,
+                             const char *reason,
+                             gint64 now_us);
 bool scheduler_run_is_planned (const run_t *run);
 run_t *scheduler_run_new (scheduler_t *scheduler,
                           task_t *task,
