--- a/tests/process/restarting_executor.py
+++ b/tests/process/restarting_executor.py
@@ -26,11 +26,17 @@
 class Listener(HttpServer):
     """Stays open while no process listens, as a packet that finds none is sent again."""
 
+    def __init__(self, handle, port):
+        super().__init__(handle, port)
+        self.resets_connections = True  # when a process ends
+
     async def start(self):
         if self.server is None:
             await super().start()
 
     def stop(self):
+        if not self.resets_connections:
+            return
         for writer in list(self.connections):
             reset(writer)
 
@@ -48,20 +54,29 @@
         self.has_kept = asyncio.Event()
         self.ends_with_answer = False  # ends once it has answered with an end
         self.returned = asyncio.Event()
+        self.entry_delay_s = 0.0  # from the return to the entry in the store
+        self.has_answered_hold = asyncio.Event()  # since the return
 
     def begin_life(self):
         super().begin_life()
         self.clock_start = time.monotonic() - self.clock_at_start_s
         self.clock_at_start_s = STARTUP_S
         self.last_listed = 0
+        self.has_answered_hold.clear()
+
+    def register(self):
+        if self.entry_delay_s == 0.0:
+            super().register()
+        else:
+            asyncio.get_running_loop().call_later(self.entry_delay_s, super().register)
 
     def clock_ms(self):
         return int(super().clock_ms() * CLOCK_RATE)
 
-    async def restart(self):
-        self.keeps = lambda path, body: False
+    async def restart(self, down_s=DOWN_S, keeps=lambda path, body: False):
+        self.keeps = keeps
         self.crash()
-        await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(down_s)
         await self.start()
         self.returned.set()
 
@@ -87,6 +102,8 @@
         if ended and self.ends_with_answer:
             self.ends_with_answer = False
             asyncio.create_task(self.restart())
+        if path == "/hold":
+            self.has_answered_hold.set()
         return answer
 
     def keep(self, path, body):
