--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -7,6 +7,7 @@
 #include "decide/fence_token.h"
 #include "decide/text_table.h"
 #include "entry/codec.h"
+#include "entry/executor_clock.h"
 #include "platform/advice_calls.h"
 #include "platform/executor_calls.h"
 
@@ -39,8 +40,7 @@
   guint64 acked;        /* ends of it up to this number may be acknowledged */
   guint64 mark;         /* latest mark from the leader; reports on later hold requests return it */
   guint64 last_listed_end; /* highest number among the ends that it listed */
-  gint64 clock_ms;         /* the clock of `born` when it last answered a hold request */
-  gint64 clock_read_at_us; /* this VM's clock at that moment; 0: no answer yet */
+  clock_reading_t clock;   /* of `born`, from its last answer to a hold request */
   gint64 read_us;          /* processor time for its last answer to a hold request */
   gint64 latest_expiry_ms; /* of the leases in calls to it, on the clock as known then; 0: none */
   bool is_answering;       /* the last hold request was answered */
@@ -61,6 +61,7 @@
   guint wait_ms;
   bool has_lease_request;
   guint generation;
+  gint64 sent_us;
 } hold_call_t;
 
 typedef struct
@@ -70,6 +71,9 @@
   guint64 order;
   guint fence_step; /* as sent */
   guint generation;
+  gint64 sent_us;
+  gint64 born;           /* the incarnation that it is for */
+  clock_reading_t clock; /* of that incarnation, when the order was sent */
 } order_call_t;
 
 enum
@@ -157,19 +161,21 @@
 static gint64
 grant_lease_ms (held_executor_t *executor)
 {
-  if (executor->clock_read_at_us == 0 || !is_assigned_incarnation (executor))
+  if (executor->clock.answered_us == 0 || !is_assigned_incarnation (executor))
     return 0;
-  executor->latest_expiry_ms = executor->clock_ms
-                               + (clock_now_us () - executor->clock_read_at_us) / 1000
+  executor->latest_expiry_ms = executor->clock.clock_ms
+                               + (clock_now_us () - executor->clock.answered_us) / 1000
                                + (gint64) executor->agent->lease_ms;
   return executor->latest_expiry_ms;
 }
 
 static void
-record_clock (held_executor_t *executor, const executor_answer_t *answer)
+record_clock (const hold_call_t *call, const executor_answer_t *answer)
 {
-  executor->clock_ms = answer->clock_ms;
-  executor->clock_read_at_us = answer->clock_ms > 0 ? clock_now_us () : 0;
+  call->executor->clock
+      = (clock_reading_t){ .clock_ms = answer->clock_ms,
+                           .asked_us = call->sent_us,
+                           .answered_us = answer->clock_ms > 0 ? clock_now_us () : 0 };
 }
 
 static gboolean
@@ -267,18 +273,19 @@
   LOG_INFO (is_answering ? "executor_regained" : "executor_lost",
             "executor=%s address=%s born=%" G_GINT64_FORMAT " clock_ms=%" G_GINT64_FORMAT
             " lease_until_ms=%" G_GINT64_FORMAT,
-            executor->id, executor->address, executor->born, executor->clock_ms,
+            executor->id, executor->address, executor->born, executor->clock.clock_ms,
             executor->latest_expiry_ms);
 }
 
 static void
 log_incarnation (const held_executor_t *executor, gint64 born, guint64 acked)
 {
-  LOG_INFO (
-      "executor_incarnation",
-      "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT " acked=%" G_GUINT64_FORMAT
-      " clock_ms=%" G_GINT64_FORMAT " former_lease_until_ms=%" G_GINT64_FORMAT,
-      executor->id, born, executor->born, acked, executor->clock_ms, executor->latest_expiry_ms);
+  LOG_INFO ("executor_incarnation",
+            "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+            " acked=%" G_GUINT64_FORMAT " clock_ms=%" G_GINT64_FORMAT
+            " former_lease_until_ms=%" G_GINT64_FORMAT,
+            executor->id, born, executor->born, acked, executor->clock.clock_ms,
+            executor->latest_expiry_ms);
 }
 
 /* Whether the executor answered at once although it was to wait and lists no new end.  Asked again
@@ -380,7 +387,7 @@
   if (rows != NULL)
     {
       report.born = rows->born;
-      record_clock (executor, answer);
+      record_clock (call, answer);
       if (executor->born != rows->born)
         {
           log_incarnation (executor, rows->born, acked);
@@ -433,6 +440,7 @@
   call->wait_ms = hold.wait_ms;
   call->has_lease_request = hold.lease_expiry_ms > 0;
   call->generation = agent->generation;
+  call->sent_us = clock_now_us ();
   executor_hold (agent->calls, &target, &hold, hold_answered, call);
 }
 
@@ -511,15 +519,65 @@
   send_result_message (agent, &result);
 }
 
+/* Whether the outcome tells what the answering incarnation knows of the run.  Any other says that
+ * nothing was done, whichever incarnation answered, or that there was no answer. */
+static bool
+is_of_incarnation (order_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case ORDER_OK:
+    case ORDER_OLD_RUN:
+    case ORDER_LEASE_EXPIRED:
+    case ORDER_NO_CAPACITY:
+    case ORDER_BAD_TICKET:
+      return true;
+    case ORDER_NO_ANSWER:
+    case ORDER_NOT_SENT:
+    case ORDER_FENCED:
+    case ORDER_UNHEALTHY:
+    case ORDER_EXECUTOR_RESTARTED:
+      return false;
+    }
+  return false;
+}
+
+/* Whether another incarnation has answered the order than the one that it is for, by its clock. */
+static bool
+is_answered_by_other (const order_call_t *call, const executor_answer_t *answer)
+{
+  clock_range_t range;
+
+  if (call->clock.answered_us == 0 || !is_of_incarnation (answer->outcome))
+    return false;
+  range = executor_clock_range (&call->clock, call->sent_us, clock_now_us ());
+  if (executor_clock_is_in_range (&range, answer->clock_ms))
+    return false;
+  LOG_WARN ("order_answered_by_other",
+            "executor=%s order=%" G_GUINT64_FORMAT " born=%" G_GINT64_FORMAT
+            " clock_ms=%" G_GINT64_FORMAT " expected_min_ms=%" G_GINT64_FORMAT
+            " expected_max_ms=%" G_GINT64_FORMAT " outcome=%s",
+            call->executor->id, call->order, call->born, answer->clock_ms, range.min_ms,
+            range.max_ms, order_outcome_name (answer->outcome));
+  return true;
+}
+
+static order_outcome_t
+order_outcome (const order_call_t *call, const executor_answer_t *answer)
+{
+  if (is_for_former_step (call->executor, answer->outcome, call->fence_step))
+    return ORDER_EXECUTOR_RESTARTED;
+  /* What has become of the run in the incarnation that the order is for is not known. */
+  return is_answered_by_other (call, answer) ? ORDER_NO_ANSWER : answer->outcome;
+}
+
 static void
 order_answered (const executor_answer_t *answer, void *data)
 {
   order_call_t *call = data;
   agent_t *agent = call->agent;
-  order_outcome_t outcome = answer->outcome;
+  order_outcome_t outcome = order_outcome (call, answer);
 
-  if (is_for_former_step (call->executor, outcome, call->fence_step))
-    outcome = ORDER_EXECUTOR_RESTARTED;
   (void) finish_call (call->executor);
   /* Report the outcome even if the executor has been assigned to another VM meanwhile. */
   if (call->generation == agent->generation)
@@ -537,6 +595,11 @@
   call->order = order;
   call->fence_step = executor->fence_step;
   call->generation = agent->generation;
+  call->sent_us = clock_now_us ();
+  call->born = executor->born;
+  /* Before the incarnation that calls are for has answered, its clock is not known. */
+  if (is_assigned_incarnation (executor))
+    call->clock = executor->clock;
   executor->pending_call_count++;
   return call;
 }
--- a/tests/fake_executor.c
+++ b/tests/fake_executor.c
@@ -17,8 +17,9 @@
   gint64 call_fence;   /* of the last hold request */
   gint64 lease_end_ms; /* that the last hold request asks for; 0: none */
   char *job;
-  char *answer; /* to every call; NULL: as usual */
-  guint ends;   /* ends 1 to this number happened */
+  char *answer;        /* to every call; NULL: as usual */
+  const char *refusal; /* of start orders; NULL: none */
+  guint ends;          /* ends 1 to this number happened */
   guint forgotten;
   guint holds;
   guint starts;
@@ -129,6 +130,13 @@
                    g_strdup (json_get_string (json_node_get_object (root), WIRE_SPEC, "")));
 }
 
+static char *
+build_refusal (const fake_executor_t *executor)
+{
+  return g_strdup_printf ("{\"clock-ms\":%" G_GINT64_FORMAT ",\"reason\":\"%s\"}",
+                          fake_executor_clock_ms (executor), executor->refusal);
+}
+
 static void
 handle (SoupServer *server G_GNUC_UNUSED,
         SoupServerMessage *message,
@@ -142,6 +150,8 @@
     standin_respond (message, 200, g_strdup (executor->answer));
   else if (strcmp (path, WIRE_HOLD) == 0)
     handle_hold (executor, message);
+  else if (strcmp (path, WIRE_RUN_START) == 0 && executor->refusal != NULL)
+    standin_respond (message, 409, build_refusal (executor));
   else
     {
       if (strcmp (path, WIRE_RUN_START) == 0)
@@ -220,6 +230,12 @@
   begin_incarnation (executor, born);
 }
 
+void
+fake_executor_restart_behind_connections (fake_executor_t *executor, gint64 born)
+{
+  begin_incarnation (executor, born);
+}
+
 void
 fake_executor_set_answer (fake_executor_t *executor, const char *body)
 {
@@ -227,6 +243,12 @@
   executor->answer = g_strdup (body);
 }
 
+void
+fake_executor_refuse_starts (fake_executor_t *executor, const char *reason)
+{
+  executor->refusal = reason;
+}
+
 void
 fake_executor_advance_clock (fake_executor_t *executor, gint64 ms)
 {
--- a/tests/fake_executor.h
+++ b/tests/fake_executor.h
@@ -30,9 +30,16 @@
  * connections are gone. */
 void fake_executor_restart_unnoticed (fake_executor_t *executor, gint64 born);
 
+/* Starts again at its address; its connections stay open, and the next incarnation answers on them,
+ * also what the former one has received. */
+void fake_executor_restart_behind_connections (fake_executor_t *executor, gint64 born);
+
 /* Answers every call with this body and status 200; NULL: as usual. */
 void fake_executor_set_answer (fake_executor_t *executor, const char *body);
 
+/* Refuses start orders for this reason, a string that is kept; NULL: carries them out. */
+void fake_executor_refuse_starts (fake_executor_t *executor, const char *reason);
+
 /* Returns its clock, which begins at 0 in each incarnation. */
 gint64 fake_executor_clock_ms (const fake_executor_t *executor);
 
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -6,6 +6,7 @@
 #include "base/json.h"
 #include "decide/fence_token.h"
 #include "entry/agent.h"
+#include "entry/executor_clock.h"
 #include "peer/link.h"
 
 static const char job[] = "00000000000000aa";
@@ -590,20 +591,15 @@
   caller_close (&caller);
 }
 
-/* The new leader was deposed, as the first stop orders of a VM carried the token of the former one:
- * the VM did not know the new one before the next pong. */
-static void
-test_stop_before_token_is_known (void)
+/* Has the VM stop a task; returns the outcome. */
+static order_outcome_t
+stop_task (caller_t *caller)
 {
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
   Mimosastair__StopOrder message = MIMOSASTAIR__STOP_ORDER__INIT;
   Mimosastair__StopOrder *list = &message;
   Mimosastair__TaskRef ref = MIMOSASTAIR__TASK_REF__INIT;
-  caller_t caller;
 
-  caller_open (&caller, BORN);
-  agent_reset (caller.agent);
-  assign (&caller, 0, 0);
   ref.job = (char *) job;
   message.order = 1;
   message.executor = (char *) "e";
@@ -611,12 +607,169 @@
   message.run = 1;
   frame.n_stop = 1;
   frame.stop = &list;
-  agent_handle_frame (caller.agent, &frame);
-  CU_ASSERT_TRUE (loop_run_until (has_outcome, &caller));
-  CU_ASSERT_EQUAL (caller.outcome, ORDER_NOT_SENT);
+  caller->has_outcome = false;
+  agent_handle_frame (caller->agent, &frame);
+  CU_ASSERT_TRUE (loop_run_until (has_outcome, caller));
+  return caller->outcome;
+}
+
+/* The new leader was deposed, as the first stop orders of a VM carried the token of the former one:
+ * the VM did not know the new one before the next pong. */
+static void
+test_stop_before_token_is_known (void)
+{
+  caller_t caller;
+
+  caller_open (&caller, BORN);
+  agent_reset (caller.agent);
+  assign (&caller, 0, 0);
+  CU_ASSERT_EQUAL (stop_task (&caller), ORDER_NOT_SENT);
+  caller_close (&caller);
+}
+
+/* The executor has carried out a start and a stop order on connections that stay open, and starts
+ * again; no hold request has shown that. */
+static void
+restart_behind_orders (caller_t *caller)
+{
+  caller_open (caller, FORMER_BORN);
+  fake_executor_advance_clock (caller->executor, CLOCK_AHEAD_MS);
+  assign (caller, FORMER_BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, caller));
+  CU_ASSERT_EQUAL (start_task (caller, FORMER_BORN), ORDER_OK);
+  CU_ASSERT_EQUAL (stop_task (caller), ORDER_OK);
+  fake_executor_restart_behind_connections (caller->executor, BORN);
+}
+
+/* TWICE: the next incarnation carried out a start order that was meant for the former one, and its
+ * answer confirmed the run as one of the former.  The leader took the run for gone with that
+ * incarnation, and the task started elsewhere. */
+static void
+test_twice_start_answered_by_next_incarnation (void)
+{
+  caller_t caller;
+
+  restart_behind_orders (&caller);
+  CU_ASSERT_EQUAL (start_task (&caller, FORMER_BORN), ORDER_NO_ANSWER);
+  CU_ASSERT_EQUAL (fake_executor_starts (caller.executor), 1);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, &caller));
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_OK);
+  caller_close (&caller);
+}
+
+/* The same of a refusal, which tells nothing of the former incarnation. */
+static void
+test_twice_start_refused_by_next_incarnation (void)
+{
+  static const char *const reasons[] = { "late", "old", "room", "ticket" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (reasons); i++)
+    {
+      caller_t caller;
+
+      restart_behind_orders (&caller);
+      fake_executor_refuse_starts (caller.executor, reasons[i]);
+      CU_ASSERT_EQUAL (start_task (&caller, FORMER_BORN), ORDER_NO_ANSWER);
+      caller_close (&caller);
+    }
+}
+
+/* The same of a stop order, which confirmed nothing for the former incarnation. */
+static void
+test_twice_stop_answered_by_next_incarnation (void)
+{
+  caller_t caller;
+
+  restart_behind_orders (&caller);
+  CU_ASSERT_EQUAL (stop_task (&caller), ORDER_NO_ANSWER);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, &caller));
+  CU_ASSERT_EQUAL (stop_task (&caller), ORDER_OK);
   caller_close (&caller);
 }
 
+/* An answer that does not state the clock does not tell which incarnation it is of. */
+static void
+test_twice_start_answered_without_clock (void)
+{
+  caller_t caller;
+
+  caller_open (&caller, BORN);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, &caller));
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_OK);
+  fake_executor_set_answer (caller.executor, "{}");
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_NO_ANSWER);
+  caller_close (&caller);
+}
+
+/* Whether the answer of an incarnation whose clock runs at this rate is taken for its own.  The
+ * clock was read at `read_us` for a hold request, and at `ordered_us` for an order. */
+static bool
+is_own_answer (const clock_reading_t *hold,
+               gint64 read_us,
+               gint64 sent_us,
+               gint64 ordered_us,
+               gint64 now_us,
+               double rate)
+{
+  gint64 clock_ms = hold->clock_ms + (gint64) ((double) (ordered_us - read_us) * rate / 1000);
+  clock_range_t range = executor_clock_range (hold, sent_us, now_us);
+
+  return executor_clock_is_in_range (&range, clock_ms);
+}
+
+/* LOST: an order that its incarnation has carried out counted as unanswered, as the VM was paused
+ * or an answer was slow. */
+static void
+test_lost_own_answer_out_of_range (void)
+{
+  static const gint64 delays_us[] = { 0, 3 * 1000, 500 * 1000, 40 * G_USEC_PER_SEC };
+  static const double rates[] = { 0.98, 1.0, 1.02 };
+  enum
+  {
+    CASES = G_N_ELEMENTS (delays_us)
+  };
+  guint refused = 0;
+
+  /* The digits of `i` choose the delays from each of the six moments to the next. */
+  for (guint i = 0; i < CASES * CASES * CASES * CASES * CASES * G_N_ELEMENTS (rates); i++)
+    {
+      gint64 asked_us = G_USEC_PER_SEC;
+      gint64 read_us = asked_us + delays_us[i % CASES];
+      gint64 answered_us = read_us + delays_us[i / CASES % CASES];
+      gint64 sent_us = answered_us + delays_us[i / CASES / CASES % CASES];
+      gint64 ordered_us = sent_us + delays_us[i / CASES / CASES / CASES % CASES];
+      gint64 now_us = ordered_us + delays_us[i / CASES / CASES / CASES / CASES % CASES];
+      double rate = rates[i / CASES / CASES / CASES / CASES / CASES];
+      clock_reading_t hold
+          = { .clock_ms = CLOCK_AHEAD_MS, .asked_us = asked_us, .answered_us = answered_us };
+
+      refused += is_own_answer (&hold, read_us, sent_us, ordered_us, now_us, rate) ? 0 : 1;
+    }
+  CU_ASSERT_EQUAL (refused, 0);
+}
+
+/* TWICE: a range that is much wider than it need be takes the next incarnation for the former. */
+static void
+test_twice_range_of_clock_too_wide (void)
+{
+  clock_reading_t hold = { .clock_ms = CLOCK_AHEAD_MS,
+                           .asked_us = G_USEC_PER_SEC,
+                           .answered_us = 2 * G_USEC_PER_SEC };
+  clock_range_t range = executor_clock_range (&hold, 12 * G_USEC_PER_SEC, 13 * G_USEC_PER_SEC);
+
+  CU_ASSERT_EQUAL (range.min_ms, CLOCK_AHEAD_MS + 9800 - 50);
+  CU_ASSERT_EQUAL (range.max_ms, CLOCK_AHEAD_MS + 12240 + 50);
+  CU_ASSERT_TRUE (executor_clock_is_in_range (&range, range.min_ms));
+  CU_ASSERT_TRUE (executor_clock_is_in_range (&range, range.max_ms));
+  CU_ASSERT_FALSE (executor_clock_is_in_range (&range, range.min_ms - 1));
+  CU_ASSERT_FALSE (executor_clock_is_in_range (&range, range.max_ms + 1));
+  range.min_ms = -1;
+  CU_ASSERT_FALSE (executor_clock_is_in_range (&range, 0));
+}
+
 /* ---- A leader, whose other VMs are played by the test. */
 
 typedef struct
@@ -833,6 +986,12 @@
     { "lost_step_of_start", test_lost_step_of_start },
     { "refusal_of_former_token_deposes_nobody", test_refusal_of_former_token_deposes_nobody },
     { "stop_before_token_is_known", test_stop_before_token_is_known },
+    { "twice_start_answered_by_next_incarnation", test_twice_start_answered_by_next_incarnation },
+    { "twice_start_refused_by_next_incarnation", test_twice_start_refused_by_next_incarnation },
+    { "twice_stop_answered_by_next_incarnation", test_twice_stop_answered_by_next_incarnation },
+    { "twice_start_answered_without_clock", test_twice_start_answered_without_clock },
+    { "lost_own_answer_out_of_range", test_lost_own_answer_out_of_range },
+    { "twice_range_of_clock_too_wide", test_twice_range_of_clock_too_wide },
     { "twice_result_of_former_leader", test_twice_result_of_former_leader },
     { "twice_calls_before_next_leader", test_twice_calls_before_next_leader },
     { "route_advice_for_former_leader", test_route_advice_for_former_leader },
