--- a/src/backend/answered_connections.c
+++ b/src/backend/answered_connections.c
@@ -113,6 +113,17 @@
   return find_connection (connections, id, incarnation) != NULL;
 }
 
+bool
+answered_connections_is_former (const answered_connections_t *connections,
+                                guint64 id,
+                                const incarnation_t *incarnation)
+{
+  const connection_t *connection = g_hash_table_lookup (connections->by_id, &id);
+
+  return connection != NULL && connection->born < incarnation->born
+         && is_to_address (connection, incarnation->address);
+}
+
 bool
 answered_connections_touch (answered_connections_t *connections,
                             guint64 id,
