--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -8,11 +8,13 @@
   /* Each event of a session costs time in proportion to its calls and connections, so executors
    * that do not answer would take the processor from all others. */
   SESSION_GROUPS = 64,
-  ORDER_MAX_CONNECTIONS = 6, /* per executor */
-  HOLD_MAX_CONNECTIONS = 2,  /* per executor */
-  CHECKS_MAX = 3,            /* of connections, for one order */
-  IDLE_CONNECTION_S = 120,   /* long, because opening a connection is expensive */
-  HOLD_CLAIM_MS = 2000       /* two turns of all hold requests, which are one second apart */
+  ORDER_MAX_CONNECTIONS = 6, /* per incarnation of an executor */
+  /* Calls to a former incarnation may hang until they time out. */
+  ORDER_SESSION_MAX_CONNECTIONS = 2 * ORDER_MAX_CONNECTIONS,
+  HOLD_MAX_CONNECTIONS = 2, /* per executor */
+  CHECKS_MAX = 3,           /* of connections, for one order */
+  IDLE_CONNECTION_S = 120,  /* long, because opening a connection is expensive */
+  HOLD_CLAIM_MS = 2000      /* two turns of all hold requests, which are one second apart */
 };
 
 static const gint64 idle_connection_us = (gint64) IDLE_CONNECTION_S * G_USEC_PER_SEC;
@@ -24,6 +26,7 @@
   SoupSession *any;
   SoupSession *hold; /* separate: a hold request occupies its connection while it waits */
   answered_connections_t *order_connections;
+  answered_connections_t *any_connections; /* opened for calls to the incarnation that they name */
   answered_connections_t *hold_connections;
 } session_group_t;
 
@@ -51,6 +54,8 @@
   char *path;
   char *header;
   char *header_value;
+  gint64 born;      /* the incarnation that it is meant for; 0: not known */
+  bool is_withheld; /* was not sent on the connection that it got */
   gint64 deadline_us;
   http_call_done_t done;
   void *data;
@@ -64,7 +69,7 @@
   gint64 born;
   gint64 deadline_us;
   guint64 connection; /* that it was sent on; 0: not sent */
-  bool is_withheld;   /* was not sent, as the connection was new */
+  bool is_withheld;   /* the order, or its check, was not sent on the connection that it got */
   guint check_count;
   session_order_t callbacks;
   void *data;
@@ -75,9 +80,9 @@
 {
   call_base_t base;
   char *address;
-  gint64 born; /* of the incarnation whose ends it acknowledges */
+  gint64 born; /* of the incarnation that it is for, and whose ends it acknowledges */
   bool is_acknowledging;
-  bool is_withheld; /* was not sent, as the connection was new */
+  bool is_withheld; /* was not sent on the connection that it got */
   bool has_ack;     /* has ends to acknowledge on a connection on which it has answered */
   guint wait_ms;    /* if there were room for all hold requests */
   session_hold_t callbacks;
@@ -100,10 +105,11 @@
 
   if (group->order != NULL)
     return group;
-  group->order = http_session_new (ORDER_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
-  group->any = http_session_new (ORDER_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
+  group->order = http_session_new (ORDER_SESSION_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
+  group->any = http_session_new (ORDER_SESSION_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
   group->hold = http_session_new (HOLD_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
   group->order_connections = answered_connections_new (ORDER_MAX_CONNECTIONS, idle_connection_us);
+  group->any_connections = answered_connections_new (ORDER_MAX_CONNECTIONS, idle_connection_us);
   group->hold_connections = answered_connections_new (HOLD_MAX_CONNECTIONS, idle_connection_us);
   return group;
 }
@@ -121,6 +127,7 @@
       g_clear_object (&group->any);
       g_clear_object (&group->hold);
       g_clear_pointer (&group->order_connections, answered_connections_free);
+      g_clear_pointer (&group->any_connections, answered_connections_free);
       g_clear_pointer (&group->hold_connections, answered_connections_free);
     }
   g_clear_pointer (&sessions->share, connection_share_free);
@@ -200,13 +207,40 @@
 
 /* ---- Requests that may reach any incarnation. */
 
+static incarnation_t
+any_incarnation (const any_call_t *call)
+{
+  return (incarnation_t){ .address = call->address, .born = call->born };
+}
+
+/* A connection that was opened for a call to a former incarnation may have no process at its other
+ * end. */
+static bool
+may_send_any (guint64 id, void *data)
+{
+  any_call_t *call = data;
+  answered_connections_t *connections = call->base.group->any_connections;
+  incarnation_t incarnation = any_incarnation (call);
+
+  (void) note_used (id, &call->base);
+  call->is_withheld = answered_connections_is_former (connections, id, &incarnation);
+  (void) answered_connections_touch (connections, id, &incarnation, clock_now_us ());
+  return !call->is_withheld;
+}
+
 static void
-finish_any (const http_result_t *result, void *data)
+note_any_opened (guint64 id, GIOStream *stream, void *data)
 {
   any_call_t *call = data;
+  incarnation_t incarnation = any_incarnation (call);
 
-  if (call->base.claim.pool != NULL)
-    note_unused (&call->base, result);
+  note_opened (id, stream, &call->base);
+  answered_connections_add (call->base.group->any_connections, id, &incarnation, clock_now_us ());
+}
+
+static void
+finish_any (const http_result_t *result, any_call_t *call)
+{
   call->done (result, call->data);
   base_clear (&call->base);
   g_free (call->http.body);
@@ -217,6 +251,24 @@
   g_free (call);
 }
 
+static void claim_any (any_call_t *call);
+
+static void
+handle_any_result (const http_result_t *result, void *data)
+{
+  any_call_t *call = data;
+
+  note_unused (&call->base, result);
+  if (call->is_withheld && !result->sent && !call->base.sessions->is_closed)
+    {
+      /* The connection that was not used counts until it is closed. */
+      connection_share_release (&call->base.claim);
+      claim_any (call);
+    }
+  else
+    finish_any (result, call);
+}
+
 static void
 any_granted (bool is_granted, void *data)
 {
@@ -231,22 +283,35 @@
       finish_any (&unsent, call);
       return;
     }
-  call->http.body = NULL;
+  http.body = g_strdup (call->http.body);
   http.timeout_ms = (guint) MAX (left_ms, 1);
-  http_call (call->base.group->any, &http, finish_any, call);
+  call->is_withheld = false;
+  http_call (call->base.group->any, &http, handle_any_result, call);
+}
+
+/* Claims a connection for what is left of the time of the call. */
+static void
+claim_any (any_call_t *call)
+{
+  gint64 left_ms = (call->deadline_us - clock_now_us ()) / 1000;
+  connection_request_t request = { .session = call->base.group->any,
+                                   .address = call->address,
+                                   .connections_max = ORDER_MAX_CONNECTIONS,
+                                   .use = CONNECTION_FOR_STOP,
+                                   .born = call->born,
+                                   .timeout_ms = (guint) MAX (left_ms, 0) };
+
+  claim_connection (&call->base, &request, any_granted, call);
 }
 
 void
 executor_sessions_send (executor_sessions_t *sessions,
                         const http_call_t *http,
+                        gint64 born,
                         http_call_done_t done,
                         void *data)
 {
   any_call_t *call = g_new0 (any_call_t, 1);
-  connection_request_t request = { .address = http->address,
-                                   .connections_max = ORDER_MAX_CONNECTIONS,
-                                   .use = CONNECTION_FOR_STOP,
-                                   .timeout_ms = http->timeout_ms };
 
   base_init (&call->base, sessions, http->address);
   call->http = *http;
@@ -254,13 +319,13 @@
   call->http.path = call->path = g_strdup (http->path);
   call->http.header = call->header = g_strdup (http->header);
   call->http.header_value = call->header_value = g_strdup (http->header_value);
-  call->http.may_send = note_used;
-  call->http.opened = note_opened;
+  call->http.may_send = may_send_any;
+  call->http.opened = note_any_opened;
+  call->born = born;
   call->deadline_us = clock_now_us () + (gint64) http->timeout_ms * 1000;
   call->done = done;
   call->data = data;
-  request.session = call->base.group->any;
-  claim_connection (&call->base, &request, any_granted, call);
+  claim_any (call);
 }
 
 /* ---- Orders. */
@@ -295,6 +360,19 @@
   return true;
 }
 
+/* A check that goes on a connection to a former incarnation may get no answer. */
+static bool
+may_send_check (guint64 id, void *data)
+{
+  order_call_t *order = data;
+  incarnation_t incarnation = order_incarnation (order);
+
+  (void) note_used (id, &order->base);
+  order->is_withheld
+      = answered_connections_is_former (order->base.group->order_connections, id, &incarnation);
+  return !order->is_withheld;
+}
+
 /* Sends the order or, if `is_check`, a check, unless the time of the order is over, which ends it.
  */
 static void
@@ -311,7 +389,7 @@
   http = is_check ? order->callbacks.make_check (order->data)
                   : order->callbacks.make_order (order->data);
   http.timeout_ms = (guint) left_ms;
-  http.may_send = is_check ? note_used : may_send_order;
+  http.may_send = is_check ? may_send_check : may_send_order;
   http.opened = note_opened;
   http_call (order->base.group->order, &http, done, order);
 }
@@ -376,7 +454,12 @@
   if (has_answered && answering.born > 0)
     answered_connections_add (order->base.group->order_connections, result->connection, &answering,
                               clock_now_us ());
-  if (has_answered && answering.born == order->born)
+  if (order->is_withheld && !result->sent)
+    {
+      order->check_count--;
+      check_instead (order);
+    }
+  else if (has_answered && answering.born == order->born)
     send_order (order);
   else if (has_answered && answering.born > 0)
     finish_order (order, SESSION_ORDER_OTHER);
@@ -389,6 +472,7 @@
 send_check (order_call_t *order)
 {
   order->check_count++;
+  order->is_withheld = false;
   send_before_deadline (order, true, handle_check_result);
 }
 
@@ -401,6 +485,7 @@
                                    .address = order->address,
                                    .connections_max = ORDER_MAX_CONNECTIONS,
                                    .use = CONNECTION_FOR_START,
+                                   .born = order->born,
                                    .timeout_ms = (guint) MAX (left_ms, 0) };
 
   claim_connection (&order->base, &request, done, order);
@@ -443,11 +528,13 @@
 may_send_hold (guint64 id, void *data)
 {
   hold_call_t *hold = data;
+  const answered_connections_t *connections = hold->base.group->hold_connections;
   incarnation_t incarnation = { .address = hold->address, .born = hold->born };
 
   (void) note_used (id, &hold->base);
   hold->is_withheld
-      = !answered_connections_has (hold->base.group->hold_connections, id, &incarnation);
+      = answered_connections_is_former (connections, id, &incarnation)
+        || (hold->is_acknowledging && !answered_connections_has (connections, id, &incarnation));
   return !hold->is_withheld;
 }
 
@@ -521,7 +608,7 @@
   http_call_t http = hold->callbacks.make_hold (hold->is_acknowledging, wait_ms, hold->data);
 
   hold->is_withheld = false;
-  http.may_send = hold->is_acknowledging ? may_send_hold : note_used;
+  http.may_send = may_send_hold;
   http.opened = note_opened;
   http_call (hold->base.group->hold, &http, handle_hold_result, hold);
 }
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -7,6 +7,7 @@
 #include "decide/fence_token.h"
 #include "decide/text_table.h"
 #include "entry/codec.h"
+#include "entry/executor_clock.h"
 #include "platform/advice_calls.h"
 #include "platform/executor_calls.h"
 
@@ -39,14 +40,19 @@
   guint64 acked;        /* ends of it up to this number may be acknowledged */
   guint64 mark;         /* latest mark from the leader; reports on later hold requests return it */
   guint64 last_listed_end; /* highest number among the ends that it listed */
-  gint64 clock_ms;         /* the clock of `born` when it last answered a hold request */
-  gint64 clock_read_at_us; /* this VM's clock at that moment; 0: no answer yet */
+  clock_reading_t clock;   /* of `born`, from its last answer to a hold request */
   gint64 read_us;          /* processor time for its last answer to a hold request */
   gint64 latest_expiry_ms; /* of the leases in calls to it, on the clock as known then; 0: none */
   bool is_answering;       /* the last hold request was answered */
   bool is_hold_immediate;  /* the next hold request does not wait for an end */
-  bool is_hold_pending;
-  bool is_released; /* no longer assigned; freed after the last pending call */
+  guint64 sent_hold;       /* number of the last hold request; they count from 1 */
+  guint64 ended_hold;      /* the highest number among those that have ended */
+  guint64 told_hold;       /* the highest number among those whose result is known to the leader */
+  guint pending_hold_count;
+  bool is_lease_pending; /* one of them asked for a lease */
+  gint64 hold_born;      /* the incarnation that the last one is for, as `assigned_born` */
+  guint hold_fence_step; /* of its token */
+  bool is_released;      /* no longer assigned; freed after the last pending call */
   guint hold_timer;
   guint pending_call_count; /* includes the hold request */
 } held_executor_t;
@@ -54,13 +60,15 @@
 typedef struct
 {
   held_executor_t *executor;
+  guint64 number;
   guint64 mark;
   guint fence_step;        /* as sent */
   guint64 acked;           /* as sent */
   guint64 last_listed_end; /* when it was sent */
   guint wait_ms;
-  bool has_lease_request;
+  bool has_lease_request; /* of its own, or of one that was pending when it was sent */
   guint generation;
+  gint64 sent_us;
 } hold_call_t;
 
 typedef struct
@@ -70,10 +78,14 @@
   guint64 order;
   guint fence_step; /* as sent */
   guint generation;
+  gint64 sent_us;
+  gint64 born;           /* the incarnation that it is for */
+  clock_reading_t clock; /* of that incarnation, when the order was sent */
 } order_call_t;
 
 enum
 {
+  HOLDS_MAX = 2,             /* pending hold requests to an executor */
   HOLD_WAIT_MS = 1000,       /* short enough to detect a lost hold request well within a lease */
   UNANSWERED_RETRY_MS = 250, /* also the retry interval while the leader's lease is invalid */
   UNACKED_RETRY_MS = 150,    /* while ends are unacknowledged, as hold requests then do not wait */
@@ -93,6 +105,7 @@
 static const gint64 validity_margin_us = 50 * 1000;
 
 static void send_hold (held_executor_t *executor);
+static void send_hold_beside (held_executor_t *executor);
 
 static bool
 is_leadership_valid (const agent_t *agent)
@@ -157,19 +170,21 @@
 static gint64
 grant_lease_ms (held_executor_t *executor)
 {
-  if (executor->clock_read_at_us == 0 || !is_assigned_incarnation (executor))
+  if (executor->clock.answered_us == 0 || !is_assigned_incarnation (executor))
     return 0;
-  executor->latest_expiry_ms = executor->clock_ms
-                               + (clock_now_us () - executor->clock_read_at_us) / 1000
+  executor->latest_expiry_ms = executor->clock.clock_ms
+                               + (clock_now_us () - executor->clock.answered_us) / 1000
                                + (gint64) executor->agent->lease_ms;
   return executor->latest_expiry_ms;
 }
 
 static void
-record_clock (held_executor_t *executor, const executor_answer_t *answer)
+record_clock (const hold_call_t *call, const executor_answer_t *answer)
 {
-  executor->clock_ms = answer->clock_ms;
-  executor->clock_read_at_us = answer->clock_ms > 0 ? clock_now_us () : 0;
+  call->executor->clock
+      = (clock_reading_t){ .clock_ms = answer->clock_ms,
+                           .asked_us = call->sent_us,
+                           .answered_us = answer->clock_ms > 0 ? clock_now_us () : 0 };
 }
 
 static gboolean
@@ -267,18 +282,19 @@
   LOG_INFO (is_answering ? "executor_regained" : "executor_lost",
             "executor=%s address=%s born=%" G_GINT64_FORMAT " clock_ms=%" G_GINT64_FORMAT
             " lease_until_ms=%" G_GINT64_FORMAT,
-            executor->id, executor->address, executor->born, executor->clock_ms,
+            executor->id, executor->address, executor->born, executor->clock.clock_ms,
             executor->latest_expiry_ms);
 }
 
 static void
 log_incarnation (const held_executor_t *executor, gint64 born, guint64 acked)
 {
-  LOG_INFO (
-      "executor_incarnation",
-      "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT " acked=%" G_GUINT64_FORMAT
-      " clock_ms=%" G_GINT64_FORMAT " former_lease_until_ms=%" G_GINT64_FORMAT,
-      executor->id, born, executor->born, acked, executor->clock_ms, executor->latest_expiry_ms);
+  LOG_INFO ("executor_incarnation",
+            "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+            " acked=%" G_GUINT64_FORMAT " clock_ms=%" G_GINT64_FORMAT
+            " former_lease_until_ms=%" G_GINT64_FORMAT,
+            executor->id, born, executor->born, acked, executor->clock.clock_ms,
+            executor->latest_expiry_ms);
 }
 
 /* Whether the executor answered at once although it was to wait and lists no new end.  Asked again
@@ -315,12 +331,25 @@
   return (guint) (MAX (interval_us - elapsed_us, 0) / 1000);
 }
 
+/* Whether the last hold request is not for the incarnation that calls are for by now: it has a
+ * former token, or another incarnation was assigned and has not answered yet. */
+static bool
+is_hold_outdated (const held_executor_t *executor)
+{
+  if (executor->hold_fence_step < executor->fence_step)
+    return true;
+  return executor->hold_born != executor->assigned_born && executor->born != 0
+         && executor->born != executor->assigned_born;
+}
+
 /* Returns how long the next hold request waits; 0: it is sent at once. */
 static guint
 retry_ms (const hold_call_t *call, const executor_answer_t *answer, bool has_report)
 {
   const held_executor_t *executor = call->executor;
 
+  if (is_hold_outdated (executor))
+    return 0;
   if (!has_report)
     return UNANSWERED_RETRY_MS;
   if (!is_assigned_incarnation (executor))
@@ -351,53 +380,102 @@
   return outcome == ORDER_FENCED && fence_step < executor->fence_step;
 }
 
+/* Keeps what the answer to a hold request tells of the executor. */
 static void
-hold_answered (const executor_answer_t *answer, const executor_report_t *rows, void *data)
+note_rows (const hold_call_t *call, const executor_answer_t *answer, const executor_report_t *rows)
 {
-  g_autofree hold_call_t *call = data;
   held_executor_t *executor = call->executor;
+
+  record_clock (call, answer);
+  if (executor->born != rows->born)
+    {
+      log_incarnation (executor, rows->born, call->acked);
+      executor->last_listed_end = 0;
+      executor->latest_expiry_ms = 0;
+    }
+  executor->born = rows->born;
+  for (guint i = 0; i < rows->ended_count; i++)
+    executor->last_listed_end = MAX (executor->last_listed_end, rows->ended[i].number);
+}
+
+static void
+report_hold (const hold_call_t *call,
+             const executor_answer_t *answer,
+             const executor_report_t *rows)
+{
   Mimosastair__Report report = MIMOSASTAIR__REPORT__INIT;
-  bool is_stale = call->generation != executor->agent->generation;
-  guint64 acked = call->acked;
 
+  report.executor = call->executor->id;
   report.mark = call->mark;
   report.fence_step = call->fence_step;
   report.renewed = call->has_lease_request;
   report.age_us = answer->elapsed_us;
-  if (finish_call (executor))
-    return;
-  executor->is_hold_pending = false;
-  executor->read_us = answer->read_us;
-  if (is_for_former_step (executor, answer->outcome, call->fence_step))
-    {
-      send_hold (executor);
-      return;
-    }
-  log_reachability (executor, rows != NULL);
-  report.executor = executor->id;
   report.reached = rows != NULL;
+  report.born = rows != NULL ? rows->born : 0;
   report.fenced = answer->outcome == ORDER_FENCED;
+  send_report (call->executor->agent, &report, rows);
+}
+
+static void
+end_hold (const hold_call_t *call)
+{
+  held_executor_t *executor = call->executor;
+
+  executor->pending_hold_count--;
+  if (executor->pending_hold_count == 0)
+    executor->is_lease_pending = false;
+  executor->ended_hold = MAX (executor->ended_hold, call->number);
+}
+
+/* Takes note of a result, unless that of a later request is known: that tells more, and its report
+ * told of the lease that this request asked for. */
+static void
+take_hold_result (const hold_call_t *call,
+                  const executor_answer_t *answer,
+                  const executor_report_t *rows)
+{
+  held_executor_t *executor = call->executor;
+
+  if (executor->told_hold > call->number
+      || is_for_former_step (executor, answer->outcome, call->fence_step))
+    return;
+  executor->told_hold = call->number;
+  log_reachability (executor, rows != NULL);
   if (rows != NULL)
+    note_rows (call, answer, rows);
+  if (call->generation == executor->agent->generation)
+    report_hold (call, answer, rows);
+}
+
+/* Whether the last hold request has no result yet. */
+static bool
+is_hold_pending (const held_executor_t *executor)
+{
+  return executor->ended_hold < executor->sent_hold;
+}
+
+static void
+hold_answered (const executor_answer_t *answer, const executor_report_t *rows, void *data)
+{
+  g_autofree hold_call_t *call = data;
+  held_executor_t *executor = call->executor;
+  bool is_last = call->number == executor->sent_hold;
+
+  if (finish_call (executor))
+    return;
+  end_hold (call);
+  take_hold_result (call, answer, rows);
+  if (!is_last)
     {
-      report.born = rows->born;
-      record_clock (executor, answer);
-      if (executor->born != rows->born)
-        {
-          log_incarnation (executor, rows->born, acked);
-          executor->last_listed_end = 0;
-          executor->latest_expiry_ms = 0;
-        }
-      executor->born = rows->born;
-      for (guint i = 0; i < rows->ended_count; i++)
-        executor->last_listed_end = MAX (executor->last_listed_end, rows->ended[i].number);
+      send_hold_beside (executor);
+      return;
     }
-  if (!is_stale)
-    send_report (executor->agent, &report, rows);
+  executor->read_us = answer->read_us;
   hold_again (call, answer, rows != NULL);
 }
 
 static void
-send_hold (held_executor_t *executor)
+send_hold_request (held_executor_t *executor)
 {
   agent_t *agent = executor->agent;
   executor_target_t target = { .executor = executor->id,
@@ -405,15 +483,8 @@
                                .fence = call_fence (executor),
                                .born = executor->assigned_born };
   executor_hold_t hold = { .acked = ack_cursor (executor) };
-  hold_call_t *call;
+  hold_call_t *call = g_new0 (hold_call_t, 1);
 
-  if (executor->is_hold_pending)
-    return;
-  if (!is_leadership_valid (agent))
-    {
-      schedule_hold (executor, UNANSWERED_RETRY_MS);
-      return;
-    }
   /* An unanswered request may still have renewed the lease, so each one postpones the expiry that
    * the leader has to assume.  After one, no renewal is requested until the executor answers. */
   if (executor->is_answering)
@@ -422,20 +493,48 @@
       && executor->last_listed_end <= hold.acked)
     hold.wait_ms = HOLD_WAIT_MS;
   executor->is_hold_immediate = false;
-  executor->is_hold_pending = true;
+  executor->is_lease_pending |= hold.lease_expiry_ms > 0;
+  executor->hold_born = executor->assigned_born;
+  executor->hold_fence_step = executor->fence_step;
+  executor->pending_hold_count++;
   executor->pending_call_count++;
-  call = g_new0 (hold_call_t, 1);
   call->executor = executor;
+  call->number = ++executor->sent_hold;
   call->mark = executor->mark;
   call->fence_step = executor->fence_step;
   call->acked = hold.acked;
   call->last_listed_end = executor->last_listed_end;
   call->wait_ms = hold.wait_ms;
-  call->has_lease_request = hold.lease_expiry_ms > 0;
+  call->has_lease_request = executor->is_lease_pending;
   call->generation = agent->generation;
+  call->sent_us = clock_now_us ();
   executor_hold (agent->calls, &target, &hold, hold_answered, call);
 }
 
+/* Sends the next hold request, unless the last one has no result yet. */
+static void
+send_hold (held_executor_t *executor)
+{
+  if (is_hold_pending (executor))
+    return;
+  if (is_leadership_valid (executor->agent))
+    send_hold_request (executor);
+  else
+    schedule_hold (executor, UNANSWERED_RETRY_MS);
+}
+
+/* Sends a hold request beside one that was sent for a former incarnation, and may hang on a
+ * connection to it.  Calls are of use to the present one once it has seen its token. */
+static void
+send_hold_beside (held_executor_t *executor)
+{
+  if (!is_hold_pending (executor) || executor->pending_hold_count >= HOLDS_MAX
+      || !is_hold_outdated (executor) || !is_leadership_valid (executor->agent))
+    return;
+  executor->is_hold_immediate = true;
+  send_hold_request (executor);
+}
+
 static void
 handle_assign (agent_t *agent, const Mimosastair__Assign *message)
 {
@@ -471,8 +570,11 @@
       executor->mark = message->mark;
       executor->is_hold_immediate = true;
     }
-  if (executor->is_hold_pending)
-    return;
+  if (is_hold_pending (executor))
+    {
+      send_hold_beside (executor);
+      return;
+    }
   if (executor->hold_timer != 0)
     g_source_remove (executor->hold_timer);
   executor->hold_timer = 0;
@@ -511,15 +613,65 @@
   send_result_message (agent, &result);
 }
 
+/* Whether the outcome tells what the answering incarnation knows of the run.  Any other says that
+ * nothing was done, whichever incarnation answered, or that there was no answer. */
+static bool
+is_of_incarnation (order_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case ORDER_OK:
+    case ORDER_OLD_RUN:
+    case ORDER_LEASE_EXPIRED:
+    case ORDER_NO_CAPACITY:
+    case ORDER_BAD_TICKET:
+      return true;
+    case ORDER_NO_ANSWER:
+    case ORDER_NOT_SENT:
+    case ORDER_FENCED:
+    case ORDER_UNHEALTHY:
+    case ORDER_EXECUTOR_RESTARTED:
+      return false;
+    }
+  return false;
+}
+
+/* Whether another incarnation has answered the order than the one that it is for, by its clock. */
+static bool
+is_answered_by_other (const order_call_t *call, const executor_answer_t *answer)
+{
+  clock_range_t range;
+
+  if (call->clock.answered_us == 0 || !is_of_incarnation (answer->outcome))
+    return false;
+  range = executor_clock_range (&call->clock, call->sent_us, clock_now_us ());
+  if (executor_clock_is_in_range (&range, answer->clock_ms))
+    return false;
+  LOG_WARN ("order_answered_by_other",
+            "executor=%s order=%" G_GUINT64_FORMAT " born=%" G_GINT64_FORMAT
+            " clock_ms=%" G_GINT64_FORMAT " expected_min_ms=%" G_GINT64_FORMAT
+            " expected_max_ms=%" G_GINT64_FORMAT " outcome=%s",
+            call->executor->id, call->order, call->born, answer->clock_ms, range.min_ms,
+            range.max_ms, order_outcome_name (answer->outcome));
+  return true;
+}
+
+static order_outcome_t
+order_outcome (const order_call_t *call, const executor_answer_t *answer)
+{
+  if (is_for_former_step (call->executor, answer->outcome, call->fence_step))
+    return ORDER_EXECUTOR_RESTARTED;
+  /* What has become of the run in the incarnation that the order is for is not known. */
+  return is_answered_by_other (call, answer) ? ORDER_NO_ANSWER : answer->outcome;
+}
+
 static void
 order_answered (const executor_answer_t *answer, void *data)
 {
   order_call_t *call = data;
   agent_t *agent = call->agent;
-  order_outcome_t outcome = answer->outcome;
+  order_outcome_t outcome = order_outcome (call, answer);
 
-  if (is_for_former_step (call->executor, outcome, call->fence_step))
-    outcome = ORDER_EXECUTOR_RESTARTED;
   (void) finish_call (call->executor);
   /* Report the outcome even if the executor has been assigned to another VM meanwhile. */
   if (call->generation == agent->generation)
@@ -537,6 +689,11 @@
   call->order = order;
   call->fence_step = executor->fence_step;
   call->generation = agent->generation;
+  call->sent_us = clock_now_us ();
+  call->born = executor->born;
+  /* Before the incarnation that calls are for has answered, its clock is not known. */
+  if (is_assigned_incarnation (executor))
+    call->clock = executor->clock;
   executor->pending_call_count++;
   return call;
 }
@@ -640,7 +797,8 @@
     }
   target = (executor_target_t){ .executor = executor->id,
                                 .address = executor->address,
-                                .fence = call_fence (executor) };
+                                .fence = call_fence (executor),
+                                .born = executor->assigned_born };
   executor_stop (agent->calls, &target, &task, message->run, order_answered,
                  order_call_new (agent, executor, message->order));
 }
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -6,6 +6,7 @@
 #include "base/json.h"
 #include "decide/fence_token.h"
 #include "entry/agent.h"
+#include "entry/executor_clock.h"
 #include "peer/link.h"
 
 static const char job[] = "00000000000000aa";
@@ -19,6 +20,9 @@
   LEASE_MS = 5000,
   LEADER_FENCE = 7 * FENCE_STEPS_PER_LEADER,
   CLOCK_AHEAD_MS = 60000, /* of the former incarnation */
+  REACH_MAX_MS = 300,     /* until calls to a new incarnation are answered; a call may take 1700 */
+  FORMER_HOLD_MS = 2000,  /* longer than a hold request goes without an answer */
+  ORDER_CONNECTIONS = 6,  /* as many as orders to one executor may have */
   COSTLY_VALUES = 120000, /* nearly as many as are read */
   COSTLY_EXECUTORS = 3,
   COSTLY_WATCH_MS = 4000
@@ -34,11 +38,15 @@
   gint64 born;      /* as last reported */
   guint fence_step;
   bool is_fenced; /* a report said so */
+  guint64 order;  /* the last one */
   order_outcome_t outcome;
   guint outcome_step; /* that the result of the order names */
   bool has_outcome;
+  guint ok_count; /* orders that were carried out */
   guint report_count;
-  guint advice_count; /* answers to calls for advice */
+  guint unreached_count;   /* reports of no answer */
+  gint64 renewed_for_born; /* the latest of them that tells of a lease; 0: none */
+  guint advice_count;      /* answers to calls for advice */
 } caller_t;
 
 static bool
@@ -54,12 +62,18 @@
       caller->born = report->born;
       caller->fence_step = report->fence_step;
       caller->is_fenced |= report->fenced;
+      caller->unreached_count += report->reached ? 0 : 1;
+      if (report->renewed)
+        caller->renewed_for_born = report->born;
       for (gsize j = 0; j < report->n_ended; j++)
         caller->last_end = MAX (caller->last_end, report->ended[j]->number);
     }
   caller->advice_count += (guint) frame->n_advice;
   for (gsize i = 0; i < frame->n_result; i++)
     {
+      caller->ok_count += frame->result[i]->outcome == ORDER_OK ? 1 : 0;
+      if (frame->result[i]->order != caller->order)
+        continue;
       caller->outcome = frame->result[i]->outcome;
       caller->outcome_step = frame->result[i]->fence_step;
       caller->has_outcome = true;
@@ -230,7 +244,7 @@
   Mimosastair__TaskRef ref = MIMOSASTAIR__TASK_REF__INIT;
 
   ref.job = (char *) job;
-  message.order = 1;
+  message.order = ++caller->order;
   message.executor = (char *) "e";
   message.born = born;
   message.task = &ref;
@@ -590,33 +604,411 @@
   caller_close (&caller);
 }
 
-/* The new leader was deposed, as the first stop orders of a VM carried the token of the former one:
- * the VM did not know the new one before the next pong. */
 static void
-test_stop_before_token_is_known (void)
+send_stop (caller_t *caller)
 {
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
   Mimosastair__StopOrder message = MIMOSASTAIR__STOP_ORDER__INIT;
   Mimosastair__StopOrder *list = &message;
   Mimosastair__TaskRef ref = MIMOSASTAIR__TASK_REF__INIT;
-  caller_t caller;
 
-  caller_open (&caller, BORN);
-  agent_reset (caller.agent);
-  assign (&caller, 0, 0);
   ref.job = (char *) job;
-  message.order = 1;
+  message.order = ++caller->order;
   message.executor = (char *) "e";
   message.task = &ref;
   message.run = 1;
   frame.n_stop = 1;
   frame.stop = &list;
-  agent_handle_frame (caller.agent, &frame);
-  CU_ASSERT_TRUE (loop_run_until (has_outcome, &caller));
-  CU_ASSERT_EQUAL (caller.outcome, ORDER_NOT_SENT);
+  caller->has_outcome = false;
+  agent_handle_frame (caller->agent, &frame);
+}
+
+/* Has the VM stop a task; returns the outcome. */
+static order_outcome_t
+stop_task (caller_t *caller)
+{
+  send_stop (caller);
+  CU_ASSERT_TRUE (loop_run_until (has_outcome, caller));
+  return caller->outcome;
+}
+
+/* The new leader was deposed, as the first stop orders of a VM carried the token of the former one:
+ * the VM did not know the new one before the next pong. */
+static void
+test_stop_before_token_is_known (void)
+{
+  caller_t caller;
+
+  caller_open (&caller, BORN);
+  agent_reset (caller.agent);
+  assign (&caller, 0, 0);
+  CU_ASSERT_EQUAL (stop_task (&caller), ORDER_NOT_SENT);
+  caller_close (&caller);
+}
+
+/* The executor has carried out a start and a stop order on connections that stay open, and starts
+ * again; no hold request has shown that. */
+static void
+restart_behind_orders (caller_t *caller)
+{
+  caller_open (caller, FORMER_BORN);
+  fake_executor_advance_clock (caller->executor, CLOCK_AHEAD_MS);
+  assign (caller, FORMER_BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, caller));
+  CU_ASSERT_EQUAL (start_task (caller, FORMER_BORN), ORDER_OK);
+  CU_ASSERT_EQUAL (stop_task (caller), ORDER_OK);
+  fake_executor_restart_behind_connections (caller->executor, BORN);
+}
+
+/* TWICE: the next incarnation carried out a start order that was meant for the former one, and its
+ * answer confirmed the run as one of the former.  The leader took the run for gone with that
+ * incarnation, and the task started elsewhere. */
+static void
+test_twice_start_answered_by_next_incarnation (void)
+{
+  caller_t caller;
+
+  restart_behind_orders (&caller);
+  CU_ASSERT_EQUAL (start_task (&caller, FORMER_BORN), ORDER_NO_ANSWER);
+  CU_ASSERT_EQUAL (fake_executor_starts (caller.executor), 1);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, &caller));
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_OK);
+  caller_close (&caller);
+}
+
+/* The same of a refusal, which tells nothing of the former incarnation. */
+static void
+test_twice_start_refused_by_next_incarnation (void)
+{
+  static const char *const reasons[] = { "late", "old", "room", "ticket" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (reasons); i++)
+    {
+      caller_t caller;
+
+      restart_behind_orders (&caller);
+      fake_executor_refuse_starts (caller.executor, reasons[i]);
+      CU_ASSERT_EQUAL (start_task (&caller, FORMER_BORN), ORDER_NO_ANSWER);
+      caller_close (&caller);
+    }
+}
+
+/* The same of a stop order, which confirmed nothing for the former incarnation. */
+static void
+test_twice_stop_answered_by_next_incarnation (void)
+{
+  caller_t caller;
+
+  restart_behind_orders (&caller);
+  CU_ASSERT_EQUAL (stop_task (&caller), ORDER_NO_ANSWER);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, &caller));
+  CU_ASSERT_EQUAL (stop_task (&caller), ORDER_OK);
+  caller_close (&caller);
+}
+
+/* An answer that does not state the clock does not tell which incarnation it is of. */
+static void
+test_twice_start_answered_without_clock (void)
+{
+  caller_t caller;
+
+  caller_open (&caller, BORN);
+  assign (&caller, BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, &caller));
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_OK);
+  fake_executor_set_answer (caller.executor, "{}");
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_NO_ANSWER);
+  caller_close (&caller);
+}
+
+/* Whether the answer of an incarnation whose clock runs at this rate is taken for its own.  The
+ * clock was read at `read_us` for a hold request, and at `ordered_us` for an order. */
+static bool
+is_own_answer (const clock_reading_t *hold,
+               gint64 read_us,
+               gint64 sent_us,
+               gint64 ordered_us,
+               gint64 now_us,
+               double rate)
+{
+  gint64 clock_ms = hold->clock_ms + (gint64) ((double) (ordered_us - read_us) * rate / 1000);
+  clock_range_t range = executor_clock_range (hold, sent_us, now_us);
+
+  return executor_clock_is_in_range (&range, clock_ms);
+}
+
+/* LOST: an order that its incarnation has carried out counted as unanswered, as the VM was paused
+ * or an answer was slow. */
+static void
+test_lost_own_answer_out_of_range (void)
+{
+  static const gint64 delays_us[] = { 0, 3 * 1000, 500 * 1000, 40 * G_USEC_PER_SEC };
+  static const double rates[] = { 0.98, 1.0, 1.02 };
+  enum
+  {
+    CASES = G_N_ELEMENTS (delays_us)
+  };
+  guint refused = 0;
+
+  /* The digits of `i` choose the delays from each of the six moments to the next. */
+  for (guint i = 0; i < CASES * CASES * CASES * CASES * CASES * G_N_ELEMENTS (rates); i++)
+    {
+      gint64 asked_us = G_USEC_PER_SEC;
+      gint64 read_us = asked_us + delays_us[i % CASES];
+      gint64 answered_us = read_us + delays_us[i / CASES % CASES];
+      gint64 sent_us = answered_us + delays_us[i / CASES / CASES % CASES];
+      gint64 ordered_us = sent_us + delays_us[i / CASES / CASES / CASES % CASES];
+      gint64 now_us = ordered_us + delays_us[i / CASES / CASES / CASES / CASES % CASES];
+      double rate = rates[i / CASES / CASES / CASES / CASES / CASES];
+      clock_reading_t hold
+          = { .clock_ms = CLOCK_AHEAD_MS, .asked_us = asked_us, .answered_us = answered_us };
+
+      refused += is_own_answer (&hold, read_us, sent_us, ordered_us, now_us, rate) ? 0 : 1;
+    }
+  CU_ASSERT_EQUAL (refused, 0);
+}
+
+/* TWICE: a range that is much wider than it need be takes the next incarnation for the former. */
+static void
+test_twice_range_of_clock_too_wide (void)
+{
+  clock_reading_t hold = { .clock_ms = CLOCK_AHEAD_MS,
+                           .asked_us = G_USEC_PER_SEC,
+                           .answered_us = 2 * G_USEC_PER_SEC };
+  clock_range_t range = executor_clock_range (&hold, 12 * G_USEC_PER_SEC, 13 * G_USEC_PER_SEC);
+
+  CU_ASSERT_EQUAL (range.min_ms, CLOCK_AHEAD_MS + 9800 - 50);
+  CU_ASSERT_EQUAL (range.max_ms, CLOCK_AHEAD_MS + 12240 + 50);
+  CU_ASSERT_TRUE (executor_clock_is_in_range (&range, range.min_ms));
+  CU_ASSERT_TRUE (executor_clock_is_in_range (&range, range.max_ms));
+  CU_ASSERT_FALSE (executor_clock_is_in_range (&range, range.min_ms - 1));
+  CU_ASSERT_FALSE (executor_clock_is_in_range (&range, range.max_ms + 1));
+  range.min_ms = -1;
+  CU_ASSERT_FALSE (executor_clock_is_in_range (&range, 0));
+}
+
+/* ---- An executor that starts again while the connections of the former incarnation stay open, and
+ * are silent.  The leader learns of the next one from its registry entry. */
+
+static void
+open_former (caller_t *caller)
+{
+  caller_open (caller, FORMER_BORN);
+  fake_executor_advance_clock (caller->executor, CLOCK_AHEAD_MS);
+  assign (caller, FORMER_BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, caller));
+}
+
+static bool
+is_idle (void *data)
+{
+  return !fake_executor_is_held (((const caller_t *) data)->executor);
+}
+
+/* Checks how long it takes until a hold request with the token of the next incarnation, which is
+ * assigned now, is answered. */
+static void
+check_reach (caller_t *caller, guint fence_step)
+{
+  gint64 began_us = clock_now_us ();
+
+  assign_step (caller, BORN, 0, fence_step);
+  CU_ASSERT_TRUE (loop_run_until (is_born, caller));
+  CU_ASSERT (clock_now_us () - began_us <= REACH_MAX_MS * 1000);
+  CU_ASSERT_EQUAL (caller->fence_step, fence_step);
+}
+
+/* An order to the next incarnation is answered in time. */
+static void
+check_order_in_time (caller_t *caller, bool is_stop)
+{
+  gint64 began_us = clock_now_us ();
+
+  if (is_stop)
+    send_stop (caller);
+  else
+    send_start (caller, BORN);
+  CU_ASSERT_TRUE (loop_run_until (has_outcome, caller));
+  CU_ASSERT_EQUAL (caller->outcome, ORDER_OK);
+  CU_ASSERT (clock_now_us () - began_us <= REACH_MAX_MS * 1000);
+}
+
+/* The next incarnation was reached when the hold request to the former one had got no answer, 1.7 s
+ * later.  The end of that request must not tell that the next one is lost. */
+static void
+test_restarted_executor_reached_while_former_hold_hangs (void)
+{
+  caller_t caller;
+  guint reports;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_held, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  caller.renewed_for_born = 0;
+  check_reach (&caller, 1);
+  /* The request to the former incarnation asked for a lease, and has no report of its own. */
+  CU_ASSERT_EQUAL (caller.renewed_for_born, BORN);
+  check_order_in_time (&caller, false);
+  reports = caller.report_count;
+  loop_run_ms (FORMER_HOLD_MS);
+  CU_ASSERT_EQUAL (caller.unreached_count, 0);
+  CU_ASSERT (caller.report_count > reports + 1);
+  CU_ASSERT_EQUAL (caller.born, BORN);
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_OK);
   caller_close (&caller);
 }
 
+/* The same, where the hold request goes on a connection that is idle since the former incarnation
+ * has answered on it. */
+static void
+test_restarted_executor_reached_while_former_connection_hangs (void)
+{
+  caller_t caller;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 1);
+  CU_ASSERT_EQUAL (caller.unreached_count, 0);
+  caller_close (&caller);
+}
+
+/* The same of both connections of hold requests. */
+static void
+test_restarted_executor_reached_while_former_connections_hang (void)
+{
+  caller_t caller;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_held, &caller));
+  assign_step (&caller, FORMER_BORN, 0, 1);
+  CU_ASSERT_TRUE (loop_run_until (is_called_for_next, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 2);
+  CU_ASSERT_EQUAL (caller.unreached_count, 0);
+  caller_close (&caller);
+}
+
+/* While both hold requests that may be open have no answer, an incarnation is reached as soon as
+ * one of them ends, and no third one is sent. */
+static void
+test_executor_restarted_twice_while_former_holds_hang (void)
+{
+  caller_t caller;
+  gint64 began_us;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_held, &caller));
+  fake_executor_restart_silently (caller.executor, FORMER_BORN + 1);
+  assign_step (&caller, FORMER_BORN + 1, 0, 1);
+  CU_ASSERT_TRUE (loop_run_until (is_called_for_next, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  began_us = clock_now_us ();
+  assign_step (&caller, BORN, 0, 2);
+  loop_run_ms (5 * FAKE_EXECUTOR_ANSWER_MS);
+  CU_ASSERT_EQUAL (fake_executor_holds (caller.executor), 0);
+  CU_ASSERT_TRUE (loop_run_until (is_born, &caller));
+  /* The second request does not wait, and goes without an answer for 0.7 s. */
+  CU_ASSERT (clock_now_us () - began_us <= (700 + REACH_MAX_MS) * 1000);
+  CU_ASSERT_EQUAL (caller.fence_step, 2);
+  caller_close (&caller);
+}
+
+/* Sends as many orders to the former incarnation as there may be connections. */
+static void
+send_orders (caller_t *caller, bool is_stop)
+{
+  for (guint i = 0; i < ORDER_CONNECTIONS; i++)
+    {
+      if (is_stop)
+        send_stop (caller);
+      else
+        send_start (caller, FORMER_BORN);
+    }
+}
+
+static bool
+has_all_orders (void *data)
+{
+  return ((const caller_t *) data)->ok_count == ORDER_CONNECTIONS;
+}
+
+/* The VM has used as many connections to the former incarnation as orders may have.  One that is
+ * opened beside others may be used in the second round only. */
+static void
+open_order_connections (caller_t *caller, bool is_stop)
+{
+  open_former (caller);
+  for (guint i = 0; i < 2; i++)
+    {
+      caller->ok_count = 0;
+      send_orders (caller, is_stop);
+      CU_ASSERT_TRUE (loop_run_until (has_all_orders, caller));
+    }
+}
+
+/* LOST: orders to the next incarnation went on connections to the former one, one after the other,
+ * and got no answer for 500 ms each. */
+static void
+test_lost_start_on_silent_connection (void)
+{
+  caller_t caller;
+
+  open_order_connections (&caller, false);
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 1);
+  check_order_in_time (&caller, false);
+  check_order_in_time (&caller, false);
+  CU_ASSERT_EQUAL (fake_executor_starts (caller.executor), 2);
+  caller_close (&caller);
+}
+
+/* The same of stop orders. */
+static void
+test_lost_stop_on_silent_connection (void)
+{
+  caller_t caller;
+
+  open_order_connections (&caller, true);
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 1);
+  check_order_in_time (&caller, true);
+  check_order_in_time (&caller, true);
+  caller_close (&caller);
+}
+
+/* LOST: orders to the next incarnation waited until those to the former one had got no answer. */
+static void
+check_order_beside_hanging_ones (bool is_stop)
+{
+  caller_t caller;
+
+  open_order_connections (&caller, is_stop);
+  fake_executor_restart_silently (caller.executor, BORN);
+  send_orders (&caller, is_stop);
+  check_reach (&caller, 1);
+  check_order_in_time (&caller, is_stop);
+  caller_close (&caller);
+}
+
+static void
+test_lost_start_beside_hanging_ones (void)
+{
+  check_order_beside_hanging_ones (false);
+}
+
+static void
+test_lost_stop_beside_hanging_ones (void)
+{
+  check_order_beside_hanging_ones (true);
+}
+
 /* ---- A leader, whose other VMs are played by the test. */
 
 typedef struct
@@ -833,6 +1225,24 @@
     { "lost_step_of_start", test_lost_step_of_start },
     { "refusal_of_former_token_deposes_nobody", test_refusal_of_former_token_deposes_nobody },
     { "stop_before_token_is_known", test_stop_before_token_is_known },
+    { "twice_start_answered_by_next_incarnation", test_twice_start_answered_by_next_incarnation },
+    { "twice_start_refused_by_next_incarnation", test_twice_start_refused_by_next_incarnation },
+    { "twice_stop_answered_by_next_incarnation", test_twice_stop_answered_by_next_incarnation },
+    { "twice_start_answered_without_clock", test_twice_start_answered_without_clock },
+    { "restarted_executor_reached_while_former_hold_hangs",
+      test_restarted_executor_reached_while_former_hold_hangs },
+    { "restarted_executor_reached_while_former_connection_hangs",
+      test_restarted_executor_reached_while_former_connection_hangs },
+    { "restarted_executor_reached_while_former_connections_hang",
+      test_restarted_executor_reached_while_former_connections_hang },
+    { "executor_restarted_twice_while_former_holds_hang",
+      test_executor_restarted_twice_while_former_holds_hang },
+    { "lost_start_on_silent_connection", test_lost_start_on_silent_connection },
+    { "lost_stop_on_silent_connection", test_lost_stop_on_silent_connection },
+    { "lost_start_beside_hanging_ones", test_lost_start_beside_hanging_ones },
+    { "lost_stop_beside_hanging_ones", test_lost_stop_beside_hanging_ones },
+    { "lost_own_answer_out_of_range", test_lost_own_answer_out_of_range },
+    { "twice_range_of_clock_too_wide", test_twice_range_of_clock_too_wide },
     { "twice_result_of_former_leader", test_twice_result_of_former_leader },
     { "twice_calls_before_next_leader", test_twice_calls_before_next_leader },
     { "route_advice_for_former_leader", test_route_advice_for_former_leader },
