--- a/src/decide/fence_token.h
+++ b/src/decide/fence_token.h
@@ -3,8 +3,8 @@
  * An executor ignores calls with a lower token than the highest that it has seen.  Its next
  * incarnation has seen none, and takes calls that were meant for the former one, however late:
  * their leases are on another clock and their acknowledgements count other ends.  So a leader
- * numbers the incarnations of each executor that it has known, and each has a token of its own.
- * Pure functions.
+ * counts the steps of each executor that it knows: each incarnation begins with a step of its own,
+ * and a start order has a later one than any acknowledgement sent before it.  Pure functions.
  */
 #pragma once
 
@@ -12,7 +12,8 @@
 
 enum
 {
-  FENCE_STEPS_PER_LEADER = 4096 /* incarnations of an executor that one leader can tell apart */
+  FENCE_STEPS_PER_LEADER = 1 << 20,                      /* of an executor, under one leader */
+  FENCE_STEPS_FOR_STARTS = FENCE_STEPS_PER_LEADER - 4096 /* the others are for incarnations */
 };
 
 /* Returns the first token of the leader whose record has this revision, which it tells the VMs. The
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -126,6 +126,7 @@
   guint64 order;
   const char *executor;
   gint64 born;
+  guint fence_step; /* that its token is made with */
   task_ref_t task;
   guint run;
   const char *spec;
@@ -180,8 +181,9 @@
   /* The job has ended, which must be stored with the next batch. */
   void (*finish) (const char *job, job_state_t state, void *data);
   /* From now on, calls to the executor are for the incarnation `born` (0: not known yet) and carry
-   * the token of `fence_step`.  Acknowledge ends of that incarnation, and of no other, up to number
-   * `acked`; and return `mark` in reports on hold requests that are sent from now on. */
+   * the token of `fence_step`; start orders name their own.  Acknowledge ends of that incarnation,
+   * and of no other, up to number `acked`; and return `mark` in reports on hold requests that are
+   * sent from now on. */
   void (*acknowledge) (
       const char *executor, gint64 born, guint64 acked, guint64 mark, guint fence_step, void *data);
   /* Have a VM send hold requests to the executor, or stop sending them if `address` is NULL. */
@@ -325,7 +327,7 @@
 void scheduler_executor_reassigned (scheduler_t *scheduler, const char *id, gint64 now_us);
 
 /* To be called before scheduler_order_result() with the step that the order's token was made with,
- * which is the present one of its executor otherwise. */
+ * which is the latest one of its executor otherwise. */
 void scheduler_order_token (scheduler_t *scheduler, guint64 order, guint fence_step);
 
 void scheduler_order_result (scheduler_t *scheduler,
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -1,4 +1,3 @@
-#include "decide/fence_token.h"
 #include "decide/scheduler_state.h"
 
 #include <string.h>
@@ -176,21 +175,6 @@
   executor->has_crashed = false;
 }
 
-/* Gives the next incarnation a token of its own: calls that were meant for the former one, on its
- * clock and with the numbers of its ends, have no effect once the next one has seen that. */
-static void
-raise_fence_step (scheduler_t *scheduler, executor_t *executor)
-{
-  if (executor->fence_step + 1 < FENCE_STEPS_PER_LEADER)
-    {
-      executor->fence_step++;
-      return;
-    }
-  executor->is_out_of_steps = true;
-  scheduler_log (scheduler, "executor_out_of_steps", "executor=%s born=%" G_GINT64_FORMAT,
-                 executor->id, executor->born);
-}
-
 /* Forgets what is known of the former incarnation. */
 static void
 reset_incarnation (executor_t *executor, gint64 born, gint64 now_us)
@@ -202,6 +186,7 @@
   executor->is_address_doubtful = false;
   executor->last_seen_end = 0;
   executor->acked = 0;
+  executor->told_acked = 0;
   executor->consecutive_failures = 0;
   executor->is_on_probation = false;
   executor->ejected_until_us = 0;
@@ -242,25 +227,11 @@
   scheduler_log (scheduler, "executor_restarted",
                  "executor=%s born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT, executor->id,
                  born, former_born);
-  raise_fence_step (scheduler, executor);
+  scheduler_begin_fence_steps (scheduler, executor);
   scheduler_send_terms (scheduler, executor);
   end_incarnation (scheduler, executor, now_us);
 }
 
-void
-scheduler_send_terms (scheduler_t *scheduler, const executor_t *executor)
-{
-  scheduler->ops->acknowledge (executor->id, executor->born, executor->acked, executor->told_mark,
-                               executor->fence_step, scheduler->data);
-}
-
-void
-scheduler_acknowledge (scheduler_t *scheduler, executor_t *executor)
-{
-  executor->told_mark = executor->mark;
-  scheduler_send_terms (scheduler, executor);
-}
-
 /* Has a VM send hold requests to the executor.  A VM that did so before may have renewed the
  * executor's lease in a request whose report does not arrive. */
 static void
@@ -594,6 +565,25 @@
   executor->is_reachable = is_reachable;
 }
 
+/* The incarnation has seen a later token.  That of a start order is known from its refusal only, if
+ * no answer came and another VM has sent the order.  A VM of an earlier version knows no steps, and
+ * is refused until the next leader. */
+static void
+handle_fenced (scheduler_t *scheduler,
+               executor_t *executor,
+               const executor_report_t *report,
+               gint64 now_us)
+{
+  if (report->fence_step >= executor->last_step)
+    {
+      scheduler->ops->deposed (scheduler->data);
+      return;
+    }
+  set_reachable (scheduler, executor, false, now_us);
+  if (report->fence_step >= executor->first_step)
+    scheduler_fence_step_seen (scheduler, executor, executor->last_step);
+}
+
 void
 scheduler_executor_report (scheduler_t *scheduler, const executor_report_t *report, gint64 now_us)
 {
@@ -603,11 +593,7 @@
     return;
   if (report->is_fenced)
     {
-      /* A VM of an earlier version knows no steps, and is refused until the next leader. */
-      if (report->fence_step == executor->fence_step)
-        scheduler->ops->deposed (scheduler->data);
-      else
-        set_reachable (scheduler, executor, false, now_us);
+      handle_fenced (scheduler, executor, report, now_us);
       return;
     }
   if (report->is_lease_requested)
@@ -621,8 +607,9 @@
   scheduler_executor_survived (executor);
   executor->has_reported = true;
   executor->last_report_us = now_us;
-  if (report->fence_step == executor->fence_step)
+  if (report->fence_step >= executor->first_step)
     scheduler_note_fence_seen (scheduler, executor, now_us);
+  scheduler_fence_step_seen (scheduler, executor, report->fence_step);
   scheduler_check_expired_runs (scheduler, executor, report, now_us);
   handle_ends (scheduler, executor, report, now_us);
   handle_running (scheduler, executor, report, now_us);
@@ -631,6 +618,7 @@
   remove_stopped_runs (scheduler, executor, report, now_us);
   if (!g_queue_is_empty (&executor->pending_acks))
     scheduler_acknowledge_stored (scheduler, executor);
+  scheduler_update_terms (scheduler, executor);
 }
 
 void
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -156,6 +156,7 @@
   clear_order (scheduler, order);
   *order = scheduler->next_order++;
   run->has_former_token = false;
+  run->has_lower_token = false;
   g_hash_table_insert (scheduler->runs_by_order, order, run);
   return *order;
 }
@@ -264,6 +265,7 @@
     .order = new_order (scheduler, run, &run->start_order),
     .executor = run->executor->id,
     .born = run->executor->born,
+    .fence_step = scheduler_next_start_step (scheduler, run->executor),
     .task = run->ref,
     .run = run->number,
     .spec = task->step->job->spec->spec,
@@ -273,6 +275,7 @@
   };
 
   run->state = RUN_STARTING;
+  run->start_step = order.fence_step;
   run->start_sent_us = now_us;
   run->ticket_until_us = scheduler_ticket_until_us (task->step, run->executor);
   scheduler_log (scheduler, "task_start",
@@ -586,7 +589,10 @@
 {
   /* A start renews the executor's lease, also one that is refused or gets no answer. */
   if (is_answered_by_addressee (outcome) && !run->has_former_token)
-    scheduler_note_fence_seen (scheduler, run->executor, now_us);
+    {
+      scheduler_note_fence_seen (scheduler, run->executor, now_us);
+      scheduler_fence_step_seen (scheduler, run->executor, run->start_step);
+    }
   if (outcome != ORDER_NOT_SENT && outcome != ORDER_EXECUTOR_RESTARTED)
     scheduler_note_start_unanswered (scheduler, run->executor, now_us);
   if (outcome == ORDER_NO_ANSWER && !run->was_reported)
@@ -729,7 +735,23 @@
   run_t *run = g_hash_table_lookup (scheduler->runs_by_order, &order);
 
   if (run != NULL)
-    run->has_former_token = fence_step != run->executor->fence_step;
+    {
+      run->has_former_token = fence_step < run->executor->first_step;
+      run->has_lower_token = fence_step < run->executor->last_step;
+    }
+}
+
+/* The outcome of an order that was refused as the executor has seen a later token. */
+static order_outcome_t
+fenced_outcome (scheduler_t *scheduler, run_t *run, bool is_start)
+{
+  /* A VM of an earlier version does not know of the step. */
+  if (run->has_former_token)
+    return ORDER_NOT_SENT;
+  if (!run->has_lower_token)
+    return ORDER_FENCED;
+  scheduler_fence_step_seen (scheduler, run->executor, run->executor->last_step);
+  return is_start ? ORDER_OLD_RUN : ORDER_NOT_SENT;
 }
 
 void
@@ -745,9 +767,8 @@
     return;
   is_start = run->start_order == order;
   clear_order (scheduler, is_start ? &run->start_order : &run->stop_order);
-  /* The executor has seen a later step, of which a VM of an earlier version does not know. */
-  if (outcome == ORDER_FENCED && run->has_former_token)
-    outcome = ORDER_NOT_SENT;
+  if (outcome == ORDER_FENCED)
+    outcome = fenced_outcome (scheduler, run, is_start);
   if (outcome != ORDER_OK)
     scheduler_log (scheduler, "order_failed",
                    "job=%s task=%u.%u.%u run=%u executor=%s order=%" G_GUINT64_FORMAT " outcome=%s",
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -60,6 +60,7 @@
   bool has_unknown_job;         /* it takes all that the executor has */
   workspace_account_t *account; /* that it counts for; NULL: none */
   guint64 start_order;          /* in flight; 0: none */
+  guint start_step;             /* of its token; 0 if an earlier leader has sent it */
   guint64 stop_order;           /* in flight; 0: none */
   gint64 start_sent_us;         /* when the start order was sent; 0: not by this leader */
   gint64 ticket_until_us;       /* the ticket of the start order has expired then; 0: it has none */
@@ -77,6 +78,7 @@
   bool is_restored;       /* an earlier leader started it */
   gint64 placed_born;     /* is_restored: on this incarnation; 0: not known */
   bool has_former_token;  /* its order carried the token of a former incarnation */
+  bool has_lower_token;   /* its order carried a lower one than the incarnation may have seen */
   bool has_turn;          /* its step had a turn when it was placed */
   bool is_counted_lost;   /* among the runs that were lost with their executor */
   bool is_timed;          /* counts among the running tasks of its step's `runtime` */
@@ -240,8 +242,12 @@
   resource_vector_t capacity;
   resource_vector_t used;
   gint64 born;          /* identifies the incarnation; 0: unknown */
-  guint fence_step;     /* number of the incarnation, of those that this leader has known */
-  bool has_seen_fence;  /* it has answered a call with the token of that step */
+  guint first_step;     /* of fencing tokens, with which calls to this incarnation began */
+  guint fence_step;     /* the highest one that it may be known to have seen, of calls but starts */
+  guint last_step;      /* the highest one that any call may carry */
+  guint start_step;     /* of the next start order: above all told with ends to acknowledge */
+  guint64 told_acked;   /* ends that its VM was told to acknowledge */
+  bool has_seen_fence;  /* it has answered a call with a token of this incarnation */
   bool is_out_of_steps; /* its incarnations can no longer be told apart by tokens */
   gint64 born_known_us; /* since when that incarnation is known */
   /* The incarnation that wrote the registry entry: service, labels, rack, capacity and whether it
@@ -418,6 +424,21 @@
  * and among equal ones those that were known first. */
 void scheduler_list_open_executors (scheduler_t *scheduler, gint64 now_us);
 
+/* scheduler_fences.c */
+/* The incarnation has a token of its own from now on: calls that were meant for the former one, on
+ * its clock and with the numbers of its ends, have no effect once it has seen that. */
+void scheduler_begin_fence_steps (scheduler_t *scheduler, executor_t *executor);
+/* Returns the step of a start order that is sent now. */
+guint scheduler_next_start_step (scheduler_t *scheduler, executor_t *executor);
+/* The incarnation has seen this step: calls from now on carry no lower one. */
+void scheduler_fence_step_seen (scheduler_t *scheduler, executor_t *executor, guint step);
+/* Tells the executor's VM for which incarnation calls are, and which ends may be acknowledged. */
+void scheduler_send_terms (scheduler_t *scheduler, executor_t *executor);
+/* The same, with a new mark. */
+void scheduler_acknowledge (scheduler_t *scheduler, executor_t *executor);
+/* The same, if other ends may be acknowledged than the VM was told. */
+void scheduler_update_terms (scheduler_t *scheduler, executor_t *executor);
+
 /* scheduler_leases.c */
 /* Notes that a lease may have been granted as late as `from_us`. */
 void
@@ -454,10 +475,6 @@
 /* Whether the run was started on the incarnation of its executor that is known.  An earlier leader
  * may have started it on another one. */
 bool scheduler_run_is_of_known_incarnation (const run_t *run);
-/* Tells the executor's VM for which incarnation calls are. */
-void scheduler_send_terms (scheduler_t *scheduler, const executor_t *executor);
-/* The same, with ends to acknowledge or a new mark. */
-void scheduler_acknowledge (scheduler_t *scheduler, executor_t *executor);
 /* Counts and logs the runs in the report that outlived their lease: they had been given up. */
 void scheduler_check_expired_runs (scheduler_t *scheduler,
                                    executor_t *executor,
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -36,7 +36,10 @@
   char *address;
   gint64 born;          /* identifies the incarnation that answered last */
   gint64 assigned_born; /* the incarnation that calls are for; 0: not known */
-  guint fence_step;     /* its number, for the token of these calls */
+  guint first_step;     /* of the tokens of calls to it */
+  guint fence_step;     /* of these calls but starts, as the leader last told */
+  guint start_step;     /* the highest of a start order */
+  guint seen_step;      /* a refusal has shown that the executor has seen it; 0: none has */
   guint64 acked;        /* ends of it up to this number may be acknowledged */
   guint64 mark;         /* latest mark from the leader; reports on later hold requests return it */
   guint64 last_listed_end; /* highest number among the ends that it listed */
@@ -147,11 +150,32 @@
     held_executor_free (executor);
 }
 
-/* The token of calls to the incarnation that the executor is assigned as. */
+/* The step of calls to the incarnation that the executor is assigned as, but for start orders. */
+static guint
+call_step (const held_executor_t *executor)
+{
+  return MAX (executor->fence_step, executor->seen_step);
+}
+
 static gint64
 call_fence (const held_executor_t *executor)
 {
-  return fence_token (executor->agent->fence, executor->fence_step);
+  return fence_token (executor->agent->fence, call_step (executor));
+}
+
+/* Whether a call was refused that had a lower token than another one of this leader. */
+static bool
+is_overtaken (const held_executor_t *executor, order_outcome_t outcome, guint fence_step)
+{
+  return outcome == ORDER_FENCED && fence_step < MAX (call_step (executor), executor->start_step);
+}
+
+/* The executor has seen the token of a start order, though no answer may have told. */
+static void
+note_overtaken (held_executor_t *executor, order_outcome_t outcome, guint fence_step)
+{
+  if (is_overtaken (executor, outcome, fence_step))
+    executor->seen_step = MAX (executor->seen_step, executor->start_step);
 }
 
 /* Whether the incarnation that answered last is the one that calls are for, as far as known.  A
@@ -215,6 +239,9 @@
 {
   if (!executor->is_answering || executor->assigned_born != executor->born)
     return 0;
+  /* A start whose token has been seen may not be settled; the leader knows. */
+  if (executor->seen_step > executor->fence_step)
+    return 0;
   return executor->acked;
 }
 
@@ -336,7 +363,7 @@
 static bool
 is_hold_outdated (const held_executor_t *executor)
 {
-  if (executor->hold_fence_step < executor->fence_step)
+  if (executor->hold_fence_step < executor->first_step)
     return true;
   return executor->hold_born != executor->assigned_born && executor->born != 0
          && executor->born != executor->assigned_born;
@@ -348,7 +375,7 @@
 {
   const held_executor_t *executor = call->executor;
 
-  if (is_hold_outdated (executor))
+  if (is_hold_outdated (executor) || is_overtaken (executor, answer->outcome, call->fence_step))
     return 0;
   if (!has_report)
     return UNANSWERED_RETRY_MS;
@@ -377,7 +404,7 @@
 static bool
 is_for_former_step (const held_executor_t *executor, order_outcome_t outcome, guint fence_step)
 {
-  return outcome == ORDER_FENCED && fence_step < executor->fence_step;
+  return outcome == ORDER_FENCED && fence_step < executor->first_step;
 }
 
 /* Keeps what the answer to a hold request tells of the executor. */
@@ -436,8 +463,9 @@
 {
   held_executor_t *executor = call->executor;
 
+  note_overtaken (executor, answer->outcome, call->fence_step);
   if (executor->told_hold > call->number
-      || is_for_former_step (executor, answer->outcome, call->fence_step))
+      || is_overtaken (executor, answer->outcome, call->fence_step))
     return;
   executor->told_hold = call->number;
   log_reachability (executor, rows != NULL);
@@ -495,13 +523,13 @@
   executor->is_hold_immediate = false;
   executor->is_lease_pending |= hold.lease_expiry_ms > 0;
   executor->hold_born = executor->assigned_born;
-  executor->hold_fence_step = executor->fence_step;
+  executor->hold_fence_step = call_step (executor);
   executor->pending_hold_count++;
   executor->pending_call_count++;
   call->executor = executor;
   call->number = ++executor->sent_hold;
   call->mark = executor->mark;
-  call->fence_step = executor->fence_step;
+  call->fence_step = executor->hold_fence_step;
   call->acked = hold.acked;
   call->last_listed_end = executor->last_listed_end;
   call->wait_ms = hold.wait_ms;
@@ -539,6 +567,7 @@
 handle_assign (agent_t *agent, const Mimosastair__Assign *message)
 {
   held_executor_t *executor = g_hash_table_lookup (agent->executors, message->executor);
+  bool is_new = false;
 
   if (message->drop)
     {
@@ -560,8 +589,15 @@
       executor->id = g_strdup (message->executor);
       executor->address = g_strdup (message->address);
       executor->is_hold_immediate = true;
+      is_new = true;
       g_hash_table_insert (agent->executors, executor->id, executor);
     }
+  if (is_new || executor->assigned_born != message->born)
+    {
+      executor->first_step = message->fence_step;
+      executor->start_step = message->fence_step;
+      executor->seen_step = 0;
+    }
   executor->assigned_born = message->born;
   executor->fence_step = message->fence_step;
   executor->acked = message->acked;
@@ -672,6 +708,7 @@
   agent_t *agent = call->agent;
   order_outcome_t outcome = order_outcome (call, answer);
 
+  note_overtaken (call->executor, outcome, call->fence_step);
   (void) finish_call (call->executor);
   /* Report the outcome even if the executor has been assigned to another VM meanwhile. */
   if (call->generation == agent->generation)
@@ -680,14 +717,14 @@
 }
 
 static order_call_t *
-order_call_new (agent_t *agent, held_executor_t *executor, guint64 order)
+order_call_new (agent_t *agent, held_executor_t *executor, guint64 order, guint fence_step)
 {
   order_call_t *call = g_new0 (order_call_t, 1);
 
   call->agent = agent;
   call->executor = executor;
   call->order = order;
-  call->fence_step = executor->fence_step;
+  call->fence_step = fence_step;
   call->generation = agent->generation;
   call->sent_us = clock_now_us ();
   call->born = executor->born;
@@ -756,6 +793,7 @@
                              .checkpoint = message->checkpoint,
                              .ticket = message->ticket };
   executor_target_t target;
+  guint step;
   order_outcome_t outcome = check_incarnation (executor, message->born);
 
   if (order.spec == NULL)
@@ -774,12 +812,15 @@
       send_result (agent, message->order, ORDER_NOT_SENT);
       return;
     }
+  /* A leader of an earlier version does not name a step. */
+  step = MAX (message->fence_step, call_step (executor));
+  executor->start_step = MAX (executor->start_step, step);
   target = (executor_target_t){ .executor = executor->id,
                                 .address = executor->address,
-                                .fence = call_fence (executor),
+                                .fence = fence_token (agent->fence, step),
                                 .born = message->born };
   executor_start (agent->calls, &target, &order, order_answered,
-                  order_call_new (agent, executor, message->order));
+                  order_call_new (agent, executor, message->order, step));
 }
 
 static void
@@ -800,7 +841,7 @@
                                 .fence = call_fence (executor),
                                 .born = executor->assigned_born };
   executor_stop (agent->calls, &target, &task, message->run, order_answered,
-                 order_call_new (agent, executor, message->order));
+                 order_call_new (agent, executor, message->order, call_step (executor)));
 }
 
 typedef struct
--- a/src/entry/leader_orders.c
+++ b/src/entry/leader_orders.c
@@ -116,6 +116,7 @@
   message.order = order->order;
   message.executor = (char *) order->executor;
   message.born = order->born;
+  message.fence_step = order->fence_step;
   message.task = &ref;
   message.run = order->run;
   fill_text (&message, vm, order);
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -3451,7 +3451,7 @@
   (ProtobufCMessageInit) mimosastair__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[11] =
 {
   {
     "order",
@@ -3573,11 +3573,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence_step",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__StartOrder, fence_step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__start_order__field_indices_by_name[] = {
   2,   /* field[2] = born */
   6,   /* field[6] = checkpoint */
   1,   /* field[1] = executor */
+  10,   /* field[10] = fence_step */
   0,   /* field[0] = order */
   4,   /* field[4] = run */
   5,   /* field[5] = spec */
@@ -3589,7 +3602,7 @@
 static const ProtobufCIntRange mimosastair__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mimosastair__start_order__descriptor =
 {
@@ -3599,7 +3612,7 @@
   "Mimosastair__StartOrder",
   "mimosastair",
   sizeof(Mimosastair__StartOrder),
-  10,
+  11,
   mimosastair__start_order__field_descriptors,
   mimosastair__start_order__field_indices_by_name,
   1,  mimosastair__start_order__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -468,7 +468,7 @@
   uint64_t mark;
   protobuf_c_boolean drop;
   /*
-   * number of that incarnation, for the token of calls to it
+   * that the token of calls is made with, but for start orders
    */
   uint32_t fence_step;
 };
@@ -538,10 +538,14 @@
    * of the text left out: the first 16 bytes of its SHA-256
    */
   ProtobufCBinaryData text_digest;
+  /*
+   * that its token is made with; 0: that of other calls
+   */
+  uint32_t fence_step;
 };
 #define MIMOSASTAIR__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__start_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 struct  Mimosastair__StopOrder
--- a/tests/process/leader_refused.py
+++ b/tests/process/leader_refused.py
@@ -5,7 +5,7 @@
 
 import harness
 
-FENCE_STEPS = 4096  # tokens of a leader
+FENCE_STEPS = 1 << 20  # tokens of a leader
 HAND_OVER_S = 8.0
 
 
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -175,6 +175,7 @@
   /* The incarnation that calls are for, and whose ends `acked` counts, and its number. */
   gint64 assigned_born[EXECUTOR_COUNT];
   guint fence_step[EXECUTOR_COUNT];
+  guint first_step[EXECUTOR_COUNT]; /* of calls to the incarnation */
   guint64 acked[EXECUTOR_COUNT];       /* ends up to this number may be acknowledged */
   guint64 mark[EXECUTOR_COUNT];        /* sent with hold requests and returned in reports */
   gint64 learned_born[EXECUTOR_COUNT]; /* latest incarnation in a report or registry entry */
@@ -848,6 +849,14 @@
   call->fence = fence_token (fence_token_first (leader->fence), call->fence_step);
 }
 
+/* A start order names the step of its token. */
+static void
+set_start_token (const model_leader_t *leader, event_t *call, guint fence_step)
+{
+  call->fence_step = fence_step;
+  call->fence = fence_token (fence_token_first (leader->fence), fence_step);
+}
+
 static event_t *
 push_order (model_leader_t *leader, event_kind_t kind, const char *executor, guint64 order)
 {
@@ -918,6 +927,7 @@
       return;
     }
   event = push_order (leader, EVENT_START, order->executor, order->order);
+  set_start_token (leader, event, order->fence_step);
   event->born = order->born;
   event->job = job_number (order->task.job);
   event->index = order->task.index;
@@ -979,6 +989,8 @@
 {
   model_leader_t *leader = data;
 
+  if (leader->assigned_born[executor_index (executor)] != born)
+    leader->first_step[executor_index (executor)] = fence_step;
   leader->assigned_born[executor_index (executor)] = born;
   leader->fence_step[executor_index (executor)] = fence_step;
   leader->acked[executor_index (executor)] = acked;
@@ -1348,6 +1360,14 @@
 /* Whether the incarnation refused a call that was meant for a former one. */
 static bool
 is_for_former_step (const model_leader_t *leader, const event_t *answer)
+{
+  return answer->outcome == ORDER_FENCED
+         && answer->fence_step < leader->first_step[answer->executor];
+}
+
+/* Whether the executor refused a call since it has seen a later one of this leader. */
+static bool
+is_overtaken (const model_leader_t *leader, const event_t *answer)
 {
   return answer->outcome == ORDER_FENCED
          && answer->fence_step < leader->fence_step[answer->executor];
@@ -1379,7 +1399,7 @@
   if (leader == NULL || leader->is_deposed
       || event->assignment != leader->assignment[event->executor])
     return;
-  if (is_for_former_step (leader, event))
+  if (is_overtaken (leader, event))
     {
       next = push_leader_event (leader, EVENT_NEXT_HOLD, MS);
       next->executor = event->executor;
@@ -1921,6 +1941,7 @@
     case EVENT_RESULT:
       if (leader == NULL || leader->is_deposed)
         return;
+      scheduler_order_token (leader->scheduler, event->order, event->fence_step);
       scheduler_order_result (leader->scheduler, event->order,
                               is_for_former_step (leader, event) ? ORDER_EXECUTOR_RESTARTED
                                                                  : event->outcome,
