--- a/src/backend/answered_connections.c
+++ b/src/backend/answered_connections.c
@@ -113,6 +113,20 @@
   return find_connection (connections, id, incarnation) != NULL;
 }
 
+bool
+answered_connections_drop_former (answered_connections_t *connections,
+                                  guint64 id,
+                                  const incarnation_t *incarnation)
+{
+  const connection_t *connection = g_hash_table_lookup (connections->by_id, &id);
+
+  if (connection == NULL || connection->born >= incarnation->born
+      || !is_to_address (connection, incarnation->address))
+    return false;
+  g_hash_table_remove (connections->by_id, &id);
+  return true;
+}
+
 bool
 answered_connections_touch (answered_connections_t *connections,
                             guint64 id,
--- a/src/backend/answered_connections.h
+++ b/src/backend/answered_connections.h
@@ -33,6 +33,12 @@
                                guint64 id,
                                const incarnation_t *incarnation);
 
+/* Has a former incarnation answered on the connection?  If so, the connection may be open without
+ * a process at its other end: the caller does not use it, which closes it, and it is forgotten. */
+bool answered_connections_drop_former (answered_connections_t *connections,
+                                       guint64 id,
+                                       const incarnation_t *incarnation);
+
 /* Marks the connection as used now, if the incarnation has answered on it.  Returns whether it
  * has. */
 bool answered_connections_touch (answered_connections_t *connections,
--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -75,9 +75,9 @@
 {
   call_base_t base;
   char *address;
-  gint64 born; /* of the incarnation whose ends it acknowledges */
+  gint64 born; /* of the incarnation that it is for, and whose ends it acknowledges */
   bool is_acknowledging;
-  bool is_withheld; /* was not sent, as the connection was new */
+  bool is_withheld; /* was not sent on the connection that it got */
   bool has_ack;     /* has ends to acknowledge on a connection on which it has answered */
   guint wait_ms;    /* if there were room for all hold requests */
   session_hold_t callbacks;
@@ -443,11 +443,13 @@
 may_send_hold (guint64 id, void *data)
 {
   hold_call_t *hold = data;
+  answered_connections_t *connections = hold->base.group->hold_connections;
   incarnation_t incarnation = { .address = hold->address, .born = hold->born };
 
   (void) note_used (id, &hold->base);
   hold->is_withheld
-      = !answered_connections_has (hold->base.group->hold_connections, id, &incarnation);
+      = answered_connections_drop_former (connections, id, &incarnation)
+        || (hold->is_acknowledging && !answered_connections_has (connections, id, &incarnation));
   return !hold->is_withheld;
 }
 
@@ -521,7 +523,7 @@
   http_call_t http = hold->callbacks.make_hold (hold->is_acknowledging, wait_ms, hold->data);
 
   hold->is_withheld = false;
-  http.may_send = hold->is_acknowledging ? may_send_hold : note_used;
+  http.may_send = may_send_hold;
   http.opened = note_opened;
   http_call (hold->base.group->hold, &http, handle_hold_result, hold);
 }
--- a/src/backend/executor_sessions.h
+++ b/src/backend/executor_sessions.h
@@ -62,8 +62,9 @@
 } session_hold_t;
 
 /* Sends a hold request that waits for `wait_ms` at most.  It waits less where there are more such
- * requests than connections to executors.  One that acknowledges ends of the incarnation, but got
- * another connection, is sent again without the acknowledgement.  `hold` is copied; its `done` is
+ * requests than connections to executors.  It is not sent on a connection on which a former
+ * incarnation has answered.  One that acknowledges ends of the incarnation, but got another
+ * connection, is sent again without the acknowledgement.  `hold` is copied; its `done` is
  * called exactly once, after this function has returned. */
 void executor_sessions_send_hold (executor_sessions_t *sessions,
                                   const incarnation_t *incarnation,
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -45,8 +45,14 @@
   gint64 latest_expiry_ms; /* of the leases in calls to it, on the clock as known then; 0: none */
   bool is_answering;       /* the last hold request was answered */
   bool is_hold_immediate;  /* the next hold request does not wait for an end */
-  bool is_hold_pending;
-  bool is_released; /* no longer assigned; freed after the last pending call */
+  guint64 sent_hold;       /* number of the last hold request; they count from 1 */
+  guint64 ended_hold;      /* the highest number among those that have ended */
+  guint64 told_hold;       /* the highest number among those whose result is known to the leader */
+  guint pending_hold_count;
+  bool is_lease_pending; /* one of them asked for a lease */
+  gint64 hold_born;      /* the incarnation that the last one is for, as `assigned_born` */
+  guint hold_fence_step; /* of its token */
+  bool is_released;      /* no longer assigned; freed after the last pending call */
   guint hold_timer;
   guint pending_call_count; /* includes the hold request */
 } held_executor_t;
@@ -54,12 +60,13 @@
 typedef struct
 {
   held_executor_t *executor;
+  guint64 number;
   guint64 mark;
   guint fence_step;        /* as sent */
   guint64 acked;           /* as sent */
   guint64 last_listed_end; /* when it was sent */
   guint wait_ms;
-  bool has_lease_request;
+  bool has_lease_request; /* of its own, or of one that was pending when it was sent */
   guint generation;
   gint64 sent_us;
 } hold_call_t;
@@ -78,6 +85,7 @@
 
 enum
 {
+  HOLDS_MAX = 2,             /* pending hold requests to an executor */
   HOLD_WAIT_MS = 1000,       /* short enough to detect a lost hold request well within a lease */
   UNANSWERED_RETRY_MS = 250, /* also the retry interval while the leader's lease is invalid */
   UNACKED_RETRY_MS = 150,    /* while ends are unacknowledged, as hold requests then do not wait */
@@ -97,6 +105,7 @@
 static const gint64 validity_margin_us = 50 * 1000;
 
 static void send_hold (held_executor_t *executor);
+static void send_hold_beside (held_executor_t *executor);
 
 static bool
 is_leadership_valid (const agent_t *agent)
@@ -322,12 +331,25 @@
   return (guint) (MAX (interval_us - elapsed_us, 0) / 1000);
 }
 
+/* Whether the last hold request is not for the incarnation that calls are for by now: it has a
+ * former token, or another incarnation was assigned and has not answered yet. */
+static bool
+is_hold_outdated (const held_executor_t *executor)
+{
+  if (executor->hold_fence_step < executor->fence_step)
+    return true;
+  return executor->hold_born != executor->assigned_born && executor->born != 0
+         && executor->born != executor->assigned_born;
+}
+
 /* Returns how long the next hold request waits; 0: it is sent at once. */
 static guint
 retry_ms (const hold_call_t *call, const executor_answer_t *answer, bool has_report)
 {
   const held_executor_t *executor = call->executor;
 
+  if (is_hold_outdated (executor))
+    return 0;
   if (!has_report)
     return UNANSWERED_RETRY_MS;
   if (!is_assigned_incarnation (executor))
@@ -358,53 +380,102 @@
   return outcome == ORDER_FENCED && fence_step < executor->fence_step;
 }
 
+/* Keeps what the answer to a hold request tells of the executor. */
 static void
-hold_answered (const executor_answer_t *answer, const executor_report_t *rows, void *data)
+note_rows (const hold_call_t *call, const executor_answer_t *answer, const executor_report_t *rows)
 {
-  g_autofree hold_call_t *call = data;
   held_executor_t *executor = call->executor;
+
+  record_clock (call, answer);
+  if (executor->born != rows->born)
+    {
+      log_incarnation (executor, rows->born, call->acked);
+      executor->last_listed_end = 0;
+      executor->latest_expiry_ms = 0;
+    }
+  executor->born = rows->born;
+  for (guint i = 0; i < rows->ended_count; i++)
+    executor->last_listed_end = MAX (executor->last_listed_end, rows->ended[i].number);
+}
+
+static void
+report_hold (const hold_call_t *call,
+             const executor_answer_t *answer,
+             const executor_report_t *rows)
+{
   Mimosastair__Report report = MIMOSASTAIR__REPORT__INIT;
-  bool is_stale = call->generation != executor->agent->generation;
-  guint64 acked = call->acked;
 
+  report.executor = call->executor->id;
   report.mark = call->mark;
   report.fence_step = call->fence_step;
   report.renewed = call->has_lease_request;
   report.age_us = answer->elapsed_us;
-  if (finish_call (executor))
-    return;
-  executor->is_hold_pending = false;
-  executor->read_us = answer->read_us;
-  if (is_for_former_step (executor, answer->outcome, call->fence_step))
-    {
-      send_hold (executor);
-      return;
-    }
-  log_reachability (executor, rows != NULL);
-  report.executor = executor->id;
   report.reached = rows != NULL;
+  report.born = rows != NULL ? rows->born : 0;
   report.fenced = answer->outcome == ORDER_FENCED;
+  send_report (call->executor->agent, &report, rows);
+}
+
+static void
+end_hold (const hold_call_t *call)
+{
+  held_executor_t *executor = call->executor;
+
+  executor->pending_hold_count--;
+  if (executor->pending_hold_count == 0)
+    executor->is_lease_pending = false;
+  executor->ended_hold = MAX (executor->ended_hold, call->number);
+}
+
+/* Takes note of a result, unless that of a later request is known: that tells more, and its report
+ * told of the lease that this request asked for. */
+static void
+take_hold_result (const hold_call_t *call,
+                  const executor_answer_t *answer,
+                  const executor_report_t *rows)
+{
+  held_executor_t *executor = call->executor;
+
+  if (executor->told_hold > call->number
+      || is_for_former_step (executor, answer->outcome, call->fence_step))
+    return;
+  executor->told_hold = call->number;
+  log_reachability (executor, rows != NULL);
   if (rows != NULL)
+    note_rows (call, answer, rows);
+  if (call->generation == executor->agent->generation)
+    report_hold (call, answer, rows);
+}
+
+/* Whether the last hold request has no result yet. */
+static bool
+is_hold_pending (const held_executor_t *executor)
+{
+  return executor->ended_hold < executor->sent_hold;
+}
+
+static void
+hold_answered (const executor_answer_t *answer, const executor_report_t *rows, void *data)
+{
+  g_autofree hold_call_t *call = data;
+  held_executor_t *executor = call->executor;
+  bool is_last = call->number == executor->sent_hold;
+
+  if (finish_call (executor))
+    return;
+  end_hold (call);
+  take_hold_result (call, answer, rows);
+  if (!is_last)
     {
-      report.born = rows->born;
-      record_clock (call, answer);
-      if (executor->born != rows->born)
-        {
-          log_incarnation (executor, rows->born, acked);
-          executor->last_listed_end = 0;
-          executor->latest_expiry_ms = 0;
-        }
-      executor->born = rows->born;
-      for (guint i = 0; i < rows->ended_count; i++)
-        executor->last_listed_end = MAX (executor->last_listed_end, rows->ended[i].number);
+      send_hold_beside (executor);
+      return;
     }
-  if (!is_stale)
-    send_report (executor->agent, &report, rows);
+  executor->read_us = answer->read_us;
   hold_again (call, answer, rows != NULL);
 }
 
 static void
-send_hold (held_executor_t *executor)
+send_hold_request (held_executor_t *executor)
 {
   agent_t *agent = executor->agent;
   executor_target_t target = { .executor = executor->id,
@@ -412,15 +483,8 @@
                                .fence = call_fence (executor),
                                .born = executor->assigned_born };
   executor_hold_t hold = { .acked = ack_cursor (executor) };
-  hold_call_t *call;
+  hold_call_t *call = g_new0 (hold_call_t, 1);
 
-  if (executor->is_hold_pending)
-    return;
-  if (!is_leadership_valid (agent))
-    {
-      schedule_hold (executor, UNANSWERED_RETRY_MS);
-      return;
-    }
   /* An unanswered request may still have renewed the lease, so each one postpones the expiry that
    * the leader has to assume.  After one, no renewal is requested until the executor answers. */
   if (executor->is_answering)
@@ -429,21 +493,48 @@
       && executor->last_listed_end <= hold.acked)
     hold.wait_ms = HOLD_WAIT_MS;
   executor->is_hold_immediate = false;
-  executor->is_hold_pending = true;
+  executor->is_lease_pending |= hold.lease_expiry_ms > 0;
+  executor->hold_born = executor->assigned_born;
+  executor->hold_fence_step = executor->fence_step;
+  executor->pending_hold_count++;
   executor->pending_call_count++;
-  call = g_new0 (hold_call_t, 1);
   call->executor = executor;
+  call->number = ++executor->sent_hold;
   call->mark = executor->mark;
   call->fence_step = executor->fence_step;
   call->acked = hold.acked;
   call->last_listed_end = executor->last_listed_end;
   call->wait_ms = hold.wait_ms;
-  call->has_lease_request = hold.lease_expiry_ms > 0;
+  call->has_lease_request = executor->is_lease_pending;
   call->generation = agent->generation;
   call->sent_us = clock_now_us ();
   executor_hold (agent->calls, &target, &hold, hold_answered, call);
 }
 
+/* Sends the next hold request, unless the last one has no result yet. */
+static void
+send_hold (held_executor_t *executor)
+{
+  if (is_hold_pending (executor))
+    return;
+  if (is_leadership_valid (executor->agent))
+    send_hold_request (executor);
+  else
+    schedule_hold (executor, UNANSWERED_RETRY_MS);
+}
+
+/* Sends a hold request beside one that was sent for a former incarnation, and may hang on a
+ * connection to it.  Calls are of use to the present one once it has seen its token. */
+static void
+send_hold_beside (held_executor_t *executor)
+{
+  if (!is_hold_pending (executor) || executor->pending_hold_count >= HOLDS_MAX
+      || !is_hold_outdated (executor) || !is_leadership_valid (executor->agent))
+    return;
+  executor->is_hold_immediate = true;
+  send_hold_request (executor);
+}
+
 static void
 handle_assign (agent_t *agent, const Mimosastair__Assign *message)
 {
@@ -479,8 +570,11 @@
       executor->mark = message->mark;
       executor->is_hold_immediate = true;
     }
-  if (executor->is_hold_pending)
-    return;
+  if (is_hold_pending (executor))
+    {
+      send_hold_beside (executor);
+      return;
+    }
   if (executor->hold_timer != 0)
     g_source_remove (executor->hold_timer);
   executor->hold_timer = 0;
--- a/tests/fake_executor.c
+++ b/tests/fake_executor.c
@@ -25,6 +25,7 @@
   guint starts;
   GPtrArray *texts; /* of start orders */
   GQueue waiting;   /* hold_t */
+  guint life;       /* raised when the connections of all former ones fall silent; from 1 */
 };
 
 typedef struct
@@ -130,6 +131,19 @@
                    g_strdup (json_get_string (json_node_get_object (root), WIRE_SPEC, "")));
 }
 
+/* Whether the connection was used before the connections of that time fell silent. */
+static bool
+is_on_silent_connection (const fake_executor_t *executor, SoupServerMessage *message)
+{
+  static const char key[] = "life";
+  GObject *socket = G_OBJECT (soup_server_message_get_socket (message));
+  guint life = GPOINTER_TO_UINT (g_object_get_data (socket, key));
+
+  if (life == 0)
+    g_object_set_data (socket, key, GUINT_TO_POINTER (executor->life));
+  return life != 0 && life != executor->life;
+}
+
 static char *
 build_refusal (const fake_executor_t *executor)
 {
@@ -146,7 +160,9 @@
 {
   fake_executor_t *executor = data;
 
-  if (executor->answer != NULL)
+  if (is_on_silent_connection (executor, message))
+    soup_server_message_pause (message);
+  else if (executor->answer != NULL)
     standin_respond (message, 200, g_strdup (executor->answer));
   else if (strcmp (path, WIRE_HOLD) == 0)
     handle_hold (executor, message);
@@ -166,6 +182,7 @@
   fake_executor_t *executor = g_new0 (fake_executor_t, 1);
 
   executor->born = born;
+  executor->life = 1;
   executor->started_us = g_get_monotonic_time ();
   executor->texts = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&executor->waiting);
@@ -236,6 +253,14 @@
   begin_incarnation (executor, born);
 }
 
+void
+fake_executor_restart_silently (fake_executor_t *executor, gint64 born)
+{
+  g_queue_clear (&executor->waiting);
+  executor->life++;
+  begin_incarnation (executor, born);
+}
+
 void
 fake_executor_set_answer (fake_executor_t *executor, const char *body)
 {
--- a/tests/fake_executor.h
+++ b/tests/fake_executor.h
@@ -34,6 +34,9 @@
  * also what the former one has received. */
 void fake_executor_restart_behind_connections (fake_executor_t *executor, gint64 born);
 
+/* Starts again at its address; its connections stay open, and get no answer any more. */
+void fake_executor_restart_silently (fake_executor_t *executor, gint64 born);
+
 /* Answers every call with this body and status 200; NULL: as usual. */
 void fake_executor_set_answer (fake_executor_t *executor, const char *body);
 
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -20,6 +20,8 @@
   LEASE_MS = 5000,
   LEADER_FENCE = 7 * FENCE_STEPS_PER_LEADER,
   CLOCK_AHEAD_MS = 60000, /* of the former incarnation */
+  REACH_MAX_MS = 300,     /* until calls to a new incarnation are answered; a call may take 1700 */
+  FORMER_HOLD_MS = 2000,  /* longer than a hold request goes without an answer */
   COSTLY_VALUES = 120000, /* nearly as many as are read */
   COSTLY_EXECUTORS = 3,
   COSTLY_WATCH_MS = 4000
@@ -35,11 +37,14 @@
   gint64 born;      /* as last reported */
   guint fence_step;
   bool is_fenced; /* a report said so */
+  guint64 order;  /* the last one */
   order_outcome_t outcome;
   guint outcome_step; /* that the result of the order names */
   bool has_outcome;
   guint report_count;
-  guint advice_count; /* answers to calls for advice */
+  guint unreached_count;   /* reports of no answer */
+  gint64 renewed_for_born; /* the latest of them that tells of a lease; 0: none */
+  guint advice_count;      /* answers to calls for advice */
 } caller_t;
 
 static bool
@@ -55,12 +60,17 @@
       caller->born = report->born;
       caller->fence_step = report->fence_step;
       caller->is_fenced |= report->fenced;
+      caller->unreached_count += report->reached ? 0 : 1;
+      if (report->renewed)
+        caller->renewed_for_born = report->born;
       for (gsize j = 0; j < report->n_ended; j++)
         caller->last_end = MAX (caller->last_end, report->ended[j]->number);
     }
   caller->advice_count += (guint) frame->n_advice;
   for (gsize i = 0; i < frame->n_result; i++)
     {
+      if (frame->result[i]->order != caller->order)
+        continue;
       caller->outcome = frame->result[i]->outcome;
       caller->outcome_step = frame->result[i]->fence_step;
       caller->has_outcome = true;
@@ -231,7 +241,7 @@
   Mimosastair__TaskRef ref = MIMOSASTAIR__TASK_REF__INIT;
 
   ref.job = (char *) job;
-  message.order = 1;
+  message.order = ++caller->order;
   message.executor = (char *) "e";
   message.born = born;
   message.task = &ref;
@@ -591,9 +601,8 @@
   caller_close (&caller);
 }
 
-/* Has the VM stop a task; returns the outcome. */
-static order_outcome_t
-stop_task (caller_t *caller)
+static void
+send_stop (caller_t *caller)
 {
   Mimosastair__Frame frame = MIMOSASTAIR__FRAME__INIT;
   Mimosastair__StopOrder message = MIMOSASTAIR__STOP_ORDER__INIT;
@@ -601,7 +610,7 @@
   Mimosastair__TaskRef ref = MIMOSASTAIR__TASK_REF__INIT;
 
   ref.job = (char *) job;
-  message.order = 1;
+  message.order = ++caller->order;
   message.executor = (char *) "e";
   message.task = &ref;
   message.run = 1;
@@ -609,6 +618,13 @@
   frame.stop = &list;
   caller->has_outcome = false;
   agent_handle_frame (caller->agent, &frame);
+}
+
+/* Has the VM stop a task; returns the outcome. */
+static order_outcome_t
+stop_task (caller_t *caller)
+{
+  send_stop (caller);
   CU_ASSERT_TRUE (loop_run_until (has_outcome, caller));
   return caller->outcome;
 }
@@ -770,6 +786,137 @@
   CU_ASSERT_FALSE (executor_clock_is_in_range (&range, 0));
 }
 
+/* ---- An executor that starts again while the connections of the former incarnation stay open, and
+ * are silent.  The leader learns of the next one from its registry entry. */
+
+static void
+open_former (caller_t *caller)
+{
+  caller_open (caller, FORMER_BORN);
+  fake_executor_advance_clock (caller->executor, CLOCK_AHEAD_MS);
+  assign (caller, FORMER_BORN, 0);
+  CU_ASSERT_TRUE (loop_run_until (is_leased, caller));
+}
+
+static bool
+is_idle (void *data)
+{
+  return !fake_executor_is_held (((const caller_t *) data)->executor);
+}
+
+/* Checks how long it takes until a hold request with the token of the next incarnation, which is
+ * assigned now, is answered. */
+static void
+check_reach (caller_t *caller, guint fence_step)
+{
+  gint64 began_us = clock_now_us ();
+
+  assign_step (caller, BORN, 0, fence_step);
+  CU_ASSERT_TRUE (loop_run_until (is_born, caller));
+  CU_ASSERT (clock_now_us () - began_us <= REACH_MAX_MS * 1000);
+  CU_ASSERT_EQUAL (caller->fence_step, fence_step);
+}
+
+/* An order to the next incarnation is answered in time. */
+static void
+check_order_in_time (caller_t *caller, bool is_stop)
+{
+  gint64 began_us = clock_now_us ();
+
+  if (is_stop)
+    send_stop (caller);
+  else
+    send_start (caller, BORN);
+  CU_ASSERT_TRUE (loop_run_until (has_outcome, caller));
+  CU_ASSERT_EQUAL (caller->outcome, ORDER_OK);
+  CU_ASSERT (clock_now_us () - began_us <= REACH_MAX_MS * 1000);
+}
+
+/* The next incarnation was reached when the hold request to the former one had got no answer, 1.7 s
+ * later.  The end of that request must not tell that the next one is lost. */
+static void
+test_restarted_executor_reached_while_former_hold_hangs (void)
+{
+  caller_t caller;
+  guint reports;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_held, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  caller.renewed_for_born = 0;
+  check_reach (&caller, 1);
+  /* The request to the former incarnation asked for a lease, and has no report of its own. */
+  CU_ASSERT_EQUAL (caller.renewed_for_born, BORN);
+  check_order_in_time (&caller, false);
+  reports = caller.report_count;
+  loop_run_ms (FORMER_HOLD_MS);
+  CU_ASSERT_EQUAL (caller.unreached_count, 0);
+  CU_ASSERT (caller.report_count > reports + 1);
+  CU_ASSERT_EQUAL (caller.born, BORN);
+  CU_ASSERT_EQUAL (start_task (&caller, BORN), ORDER_OK);
+  caller_close (&caller);
+}
+
+/* The same, where the hold request goes on a connection that is idle since the former incarnation
+ * has answered on it. */
+static void
+test_restarted_executor_reached_while_former_connection_hangs (void)
+{
+  caller_t caller;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 1);
+  CU_ASSERT_EQUAL (caller.unreached_count, 0);
+  caller_close (&caller);
+}
+
+/* The same of both connections of hold requests. */
+static void
+test_restarted_executor_reached_while_former_connections_hang (void)
+{
+  caller_t caller;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_held, &caller));
+  assign_step (&caller, FORMER_BORN, 0, 1);
+  CU_ASSERT_TRUE (loop_run_until (is_called_for_next, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 2);
+  CU_ASSERT_EQUAL (caller.unreached_count, 0);
+  caller_close (&caller);
+}
+
+/* While both hold requests that may be open have no answer, an incarnation is reached as soon as
+ * one of them ends, and no third one is sent. */
+static void
+test_executor_restarted_twice_while_former_holds_hang (void)
+{
+  caller_t caller;
+  gint64 began_us;
+
+  open_former (&caller);
+  CU_ASSERT_TRUE (loop_run_until (is_idle, &caller));
+  CU_ASSERT_TRUE (loop_run_until (is_held, &caller));
+  fake_executor_restart_silently (caller.executor, FORMER_BORN + 1);
+  assign_step (&caller, FORMER_BORN + 1, 0, 1);
+  CU_ASSERT_TRUE (loop_run_until (is_called_for_next, &caller));
+  fake_executor_restart_silently (caller.executor, BORN);
+  began_us = clock_now_us ();
+  assign_step (&caller, BORN, 0, 2);
+  loop_run_ms (5 * FAKE_EXECUTOR_ANSWER_MS);
+  CU_ASSERT_EQUAL (fake_executor_holds (caller.executor), 0);
+  CU_ASSERT_TRUE (loop_run_until (is_born, &caller));
+  /* The second request does not wait, and goes without an answer for 0.7 s. */
+  CU_ASSERT (clock_now_us () - began_us <= (700 + REACH_MAX_MS) * 1000);
+  CU_ASSERT_EQUAL (caller.fence_step, 2);
+  caller_close (&caller);
+}
+
 /* ---- A leader, whose other VMs are played by the test. */
 
 typedef struct
@@ -990,6 +1137,14 @@
     { "twice_start_refused_by_next_incarnation", test_twice_start_refused_by_next_incarnation },
     { "twice_stop_answered_by_next_incarnation", test_twice_stop_answered_by_next_incarnation },
     { "twice_start_answered_without_clock", test_twice_start_answered_without_clock },
+    { "restarted_executor_reached_while_former_hold_hangs",
+      test_restarted_executor_reached_while_former_hold_hangs },
+    { "restarted_executor_reached_while_former_connection_hangs",
+      test_restarted_executor_reached_while_former_connection_hangs },
+    { "restarted_executor_reached_while_former_connections_hang",
+      test_restarted_executor_reached_while_former_connections_hang },
+    { "executor_restarted_twice_while_former_holds_hang",
+      test_executor_restarted_twice_while_former_holds_hang },
     { "lost_own_answer_out_of_range", test_lost_own_answer_out_of_range },
     { "twice_range_of_clock_too_wide", test_twice_range_of_clock_too_wide },
     { "twice_result_of_former_leader", test_twice_result_of_former_leader },
