--- a/src/backend/answered_connections.c
+++ b/src/backend/answered_connections.c
@@ -167,7 +167,8 @@
 
   if (connection == NULL)
     {
-      forget_idle (connections, incarnation->address);
+      if (!g_hash_table_contains (connections->by_id, &id))
+        forget_idle (connections, incarnation->address);
       return false;
     }
   connection->is_busy = true;
--- a/src/backend/answered_connections.h
+++ b/src/backend/answered_connections.h
@@ -1,7 +1,8 @@
 /* The connections of one session on which an incarnation of an executor has answered.
  *
- * A connection ends with the process at its other end, so what is sent on one of them reaches the
- * incarnation that has answered on it, or nobody.  A connection may be closed without notice here.
+ * What is sent on one of them normally reaches the incarnation that has answered on it, or nobody:
+ * a connection may be closed without notice here, or stay open without an answer.  But it may also
+ * outlive the incarnation, and the next one answers on it (entry/executor_clock.h).
  */
 #pragma once
 
@@ -17,8 +18,8 @@
   gint64 born;
 } incarnation_t;
 
-/* `connections_max` and `idle_us` are those of the session: how many connections it opens to each
- * address, and how long an unused one stays open. */
+/* `connections_max` is how many connections there are to an incarnation at most, and `idle_us` how
+ * long the session keeps an unused one open. */
 answered_connections_t *answered_connections_new (guint connections_max, gint64 idle_us);
 void answered_connections_free (answered_connections_t *connections); /* accepts NULL */
 
@@ -46,8 +47,9 @@
                                  const incarnation_t *incarnation,
                                  gint64 now_us);
 
-/* Marks the connection as busy, if the incarnation has answered on it.  If not, the session found
- * no idle connection to the address: forgets those that count as idle, and returns false. */
+/* Marks the connection as busy, if the incarnation has answered on it; if not, returns false.  A
+ * connection on which nobody has answered is new, so the session found no idle one to the address:
+ * forgets those that count as idle. */
 bool answered_connections_take (answered_connections_t *connections,
                                 guint64 id,
                                 const incarnation_t *incarnation);
--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -64,7 +64,7 @@
   gint64 born;
   gint64 deadline_us;
   guint64 connection; /* that it was sent on; 0: not sent */
-  bool is_withheld;   /* was not sent, as the connection was new */
+  bool is_withheld;   /* the order, or its check, was not sent on the connection that it got */
   guint check_count;
   session_order_t callbacks;
   void *data;
@@ -295,6 +295,19 @@
   return true;
 }
 
+/* A check that goes on a connection to a former incarnation may get no answer. */
+static bool
+may_send_check (guint64 id, void *data)
+{
+  order_call_t *order = data;
+  incarnation_t incarnation = order_incarnation (order);
+
+  (void) note_used (id, &order->base);
+  order->is_withheld
+      = answered_connections_drop_former (order->base.group->order_connections, id, &incarnation);
+  return !order->is_withheld;
+}
+
 /* Sends the order or, if `is_check`, a check, unless the time of the order is over, which ends it.
  */
 static void
@@ -311,7 +324,7 @@
   http = is_check ? order->callbacks.make_check (order->data)
                   : order->callbacks.make_order (order->data);
   http.timeout_ms = (guint) left_ms;
-  http.may_send = is_check ? note_used : may_send_order;
+  http.may_send = is_check ? may_send_check : may_send_order;
   http.opened = note_opened;
   http_call (order->base.group->order, &http, done, order);
 }
@@ -376,7 +389,12 @@
   if (has_answered && answering.born > 0)
     answered_connections_add (order->base.group->order_connections, result->connection, &answering,
                               clock_now_us ());
-  if (has_answered && answering.born == order->born)
+  if (order->is_withheld && !result->sent)
+    {
+      order->check_count--;
+      check_instead (order);
+    }
+  else if (has_answered && answering.born == order->born)
     send_order (order);
   else if (has_answered && answering.born > 0)
     finish_order (order, SESSION_ORDER_OTHER);
@@ -389,6 +407,7 @@
 send_check (order_call_t *order)
 {
   order->check_count++;
+  order->is_withheld = false;
   send_before_deadline (order, true, handle_check_result);
 }
 
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -22,6 +22,7 @@
   CLOCK_AHEAD_MS = 60000, /* of the former incarnation */
   REACH_MAX_MS = 300,     /* until calls to a new incarnation are answered; a call may take 1700 */
   FORMER_HOLD_MS = 2000,  /* longer than a hold request goes without an answer */
+  ORDER_CONNECTIONS = 6,  /* as many as orders to one executor may have */
   COSTLY_VALUES = 120000, /* nearly as many as are read */
   COSTLY_EXECUTORS = 3,
   COSTLY_WATCH_MS = 4000
@@ -41,6 +42,7 @@
   order_outcome_t outcome;
   guint outcome_step; /* that the result of the order names */
   bool has_outcome;
+  guint ok_count; /* orders that were carried out */
   guint report_count;
   guint unreached_count;   /* reports of no answer */
   gint64 renewed_for_born; /* the latest of them that tells of a lease; 0: none */
@@ -69,6 +71,7 @@
   caller->advice_count += (guint) frame->n_advice;
   for (gsize i = 0; i < frame->n_result; i++)
     {
+      caller->ok_count += frame->result[i]->outcome == ORDER_OK ? 1 : 0;
       if (frame->result[i]->order != caller->order)
         continue;
       caller->outcome = frame->result[i]->outcome;
@@ -917,6 +920,55 @@
   caller_close (&caller);
 }
 
+/* Sends as many orders to the former incarnation as there may be connections. */
+static void
+send_orders (caller_t *caller, bool is_stop)
+{
+  for (guint i = 0; i < ORDER_CONNECTIONS; i++)
+    {
+      if (is_stop)
+        send_stop (caller);
+      else
+        send_start (caller, FORMER_BORN);
+    }
+}
+
+static bool
+has_all_orders (void *data)
+{
+  return ((const caller_t *) data)->ok_count == ORDER_CONNECTIONS;
+}
+
+/* The VM has used as many connections to the former incarnation as orders may have.  One that is
+ * opened beside others may be used in the second round only. */
+static void
+open_order_connections (caller_t *caller, bool is_stop)
+{
+  open_former (caller);
+  for (guint i = 0; i < 2; i++)
+    {
+      caller->ok_count = 0;
+      send_orders (caller, is_stop);
+      CU_ASSERT_TRUE (loop_run_until (has_all_orders, caller));
+    }
+}
+
+/* LOST: orders to the next incarnation went on connections to the former one, one after the other,
+ * and got no answer for 500 ms each. */
+static void
+test_lost_start_on_silent_connection (void)
+{
+  caller_t caller;
+
+  open_order_connections (&caller, false);
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 1);
+  check_order_in_time (&caller, false);
+  check_order_in_time (&caller, false);
+  CU_ASSERT_EQUAL (fake_executor_starts (caller.executor), 2);
+  caller_close (&caller);
+}
+
 /* ---- A leader, whose other VMs are played by the test. */
 
 typedef struct
@@ -1145,6 +1197,7 @@
       test_restarted_executor_reached_while_former_connections_hang },
     { "executor_restarted_twice_while_former_holds_hang",
       test_executor_restarted_twice_while_former_holds_hang },
+    { "lost_start_on_silent_connection", test_lost_start_on_silent_connection },
     { "lost_own_answer_out_of_range", test_lost_own_answer_out_of_range },
     { "twice_range_of_clock_too_wide", test_twice_range_of_clock_too_wide },
     { "twice_result_of_former_leader", test_twice_result_of_former_leader },
