--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -24,6 +24,7 @@
   SoupSession *any;
   SoupSession *hold; /* separate: a hold request occupies its connection while it waits */
   answered_connections_t *order_connections;
+  answered_connections_t *any_connections; /* opened for calls to the incarnation that they name */
   answered_connections_t *hold_connections;
 } session_group_t;
 
@@ -51,6 +52,8 @@
   char *path;
   char *header;
   char *header_value;
+  gint64 born;      /* the incarnation that it is meant for; 0: not known */
+  bool is_withheld; /* was not sent on the connection that it got */
   gint64 deadline_us;
   http_call_done_t done;
   void *data;
@@ -104,6 +107,7 @@
   group->any = http_session_new (ORDER_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
   group->hold = http_session_new (HOLD_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
   group->order_connections = answered_connections_new (ORDER_MAX_CONNECTIONS, idle_connection_us);
+  group->any_connections = answered_connections_new (ORDER_MAX_CONNECTIONS, idle_connection_us);
   group->hold_connections = answered_connections_new (HOLD_MAX_CONNECTIONS, idle_connection_us);
   return group;
 }
@@ -121,6 +125,7 @@
       g_clear_object (&group->any);
       g_clear_object (&group->hold);
       g_clear_pointer (&group->order_connections, answered_connections_free);
+      g_clear_pointer (&group->any_connections, answered_connections_free);
       g_clear_pointer (&group->hold_connections, answered_connections_free);
     }
   g_clear_pointer (&sessions->share, connection_share_free);
@@ -200,13 +205,40 @@
 
 /* ---- Requests that may reach any incarnation. */
 
+static incarnation_t
+any_incarnation (const any_call_t *call)
+{
+  return (incarnation_t){ .address = call->address, .born = call->born };
+}
+
+/* A connection that was opened for a call to a former incarnation may have no process at its other
+ * end. */
+static bool
+may_send_any (guint64 id, void *data)
+{
+  any_call_t *call = data;
+  answered_connections_t *connections = call->base.group->any_connections;
+  incarnation_t incarnation = any_incarnation (call);
+
+  (void) note_used (id, &call->base);
+  call->is_withheld = answered_connections_drop_former (connections, id, &incarnation);
+  (void) answered_connections_touch (connections, id, &incarnation, clock_now_us ());
+  return !call->is_withheld;
+}
+
 static void
-finish_any (const http_result_t *result, void *data)
+note_any_opened (guint64 id, GIOStream *stream, void *data)
 {
   any_call_t *call = data;
+  incarnation_t incarnation = any_incarnation (call);
+
+  note_opened (id, stream, &call->base);
+  answered_connections_add (call->base.group->any_connections, id, &incarnation, clock_now_us ());
+}
 
-  if (call->base.claim.pool != NULL)
-    note_unused (&call->base, result);
+static void
+finish_any (const http_result_t *result, any_call_t *call)
+{
   call->done (result, call->data);
   base_clear (&call->base);
   g_free (call->http.body);
@@ -217,6 +249,24 @@
   g_free (call);
 }
 
+static void claim_any (any_call_t *call);
+
+static void
+handle_any_result (const http_result_t *result, void *data)
+{
+  any_call_t *call = data;
+
+  note_unused (&call->base, result);
+  if (call->is_withheld && !result->sent && !call->base.sessions->is_closed)
+    {
+      /* The connection that was not used counts until it is closed. */
+      connection_share_release (&call->base.claim);
+      claim_any (call);
+    }
+  else
+    finish_any (result, call);
+}
+
 static void
 any_granted (bool is_granted, void *data)
 {
@@ -231,22 +281,34 @@
       finish_any (&unsent, call);
       return;
     }
-  call->http.body = NULL;
+  http.body = g_strdup (call->http.body);
   http.timeout_ms = (guint) MAX (left_ms, 1);
-  http_call (call->base.group->any, &http, finish_any, call);
+  call->is_withheld = false;
+  http_call (call->base.group->any, &http, handle_any_result, call);
+}
+
+/* Claims a connection for what is left of the time of the call. */
+static void
+claim_any (any_call_t *call)
+{
+  gint64 left_ms = (call->deadline_us - clock_now_us ()) / 1000;
+  connection_request_t request = { .session = call->base.group->any,
+                                   .address = call->address,
+                                   .connections_max = ORDER_MAX_CONNECTIONS,
+                                   .use = CONNECTION_FOR_STOP,
+                                   .timeout_ms = (guint) MAX (left_ms, 0) };
+
+  claim_connection (&call->base, &request, any_granted, call);
 }
 
 void
 executor_sessions_send (executor_sessions_t *sessions,
                         const http_call_t *http,
+                        gint64 born,
                         http_call_done_t done,
                         void *data)
 {
   any_call_t *call = g_new0 (any_call_t, 1);
-  connection_request_t request = { .address = http->address,
-                                   .connections_max = ORDER_MAX_CONNECTIONS,
-                                   .use = CONNECTION_FOR_STOP,
-                                   .timeout_ms = http->timeout_ms };
 
   base_init (&call->base, sessions, http->address);
   call->http = *http;
@@ -254,13 +316,13 @@
   call->http.path = call->path = g_strdup (http->path);
   call->http.header = call->header = g_strdup (http->header);
   call->http.header_value = call->header_value = g_strdup (http->header_value);
-  call->http.may_send = note_used;
-  call->http.opened = note_opened;
+  call->http.may_send = may_send_any;
+  call->http.opened = note_any_opened;
+  call->born = born;
   call->deadline_us = clock_now_us () + (gint64) http->timeout_ms * 1000;
   call->done = done;
   call->data = data;
-  request.session = call->base.group->any;
-  claim_connection (&call->base, &request, any_granted, call);
+  claim_any (call);
 }
 
 /* ---- Orders. */
--- a/src/backend/executor_sessions.h
+++ b/src/backend/executor_sessions.h
@@ -73,9 +73,11 @@
                                   const session_hold_t *hold,
                                   void *data);
 
-/* Sends a request that may reach any incarnation.  Its body is taken, and `may_send` and `opened`
- * are filled in here.  `done` is called as by http_call(). */
+/* Sends a request that may reach any incarnation, but not on a connection that was opened for a
+ * former one than `born`; 0: any connection will do.  Its body is taken, and `may_send` and
+ * `opened` are filled in here.  `done` is called as by http_call(). */
 void executor_sessions_send (executor_sessions_t *sessions,
                              const http_call_t *http,
+                             gint64 born,
                              http_call_done_t done,
                              void *data);
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -797,7 +797,8 @@
     }
   target = (executor_target_t){ .executor = executor->id,
                                 .address = executor->address,
-                                .fence = call_fence (executor) };
+                                .fence = call_fence (executor),
+                                .born = executor->assigned_born };
   executor_stop (agent->calls, &target, &task, message->run, order_answered,
                  order_call_new (agent, executor, message->order));
 }
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -969,6 +969,20 @@
   caller_close (&caller);
 }
 
+/* The same of stop orders. */
+static void
+test_lost_stop_on_silent_connection (void)
+{
+  caller_t caller;
+
+  open_order_connections (&caller, true);
+  fake_executor_restart_silently (caller.executor, BORN);
+  check_reach (&caller, 1);
+  check_order_in_time (&caller, true);
+  check_order_in_time (&caller, true);
+  caller_close (&caller);
+}
+
 /* ---- A leader, whose other VMs are played by the test. */
 
 typedef struct
@@ -1198,6 +1212,7 @@
     { "executor_restarted_twice_while_former_holds_hang",
       test_executor_restarted_twice_while_former_holds_hang },
     { "lost_start_on_silent_connection", test_lost_start_on_silent_connection },
+    { "lost_stop_on_silent_connection", test_lost_stop_on_silent_connection },
     { "lost_own_answer_out_of_range", test_lost_own_answer_out_of_range },
     { "twice_range_of_clock_too_wide", test_twice_range_of_clock_too_wide },
     { "twice_result_of_former_leader", test_twice_result_of_former_leader },
