--- a/src/backend/connection_share.c
+++ b/src/backend/connection_share.c
@@ -21,6 +21,8 @@
   guint idle_count; /* of these, unused and not about to be closed */
   guint connections_max;
   guint granted_count;
+  gint64 born;         /* the latest incarnation that a claim was for */
+  guint present_count; /* granted claims for that one */
   guint started_count; /* granted claims that use a connection */
   guint waiting_count;
   guint cost; /* as counted in the share */
@@ -275,12 +277,20 @@
   return share_limit == 0 || share->open_count < share_limit || close_one_idle (share);
 }
 
+static bool
+is_for_present (const connection_claim_t *claim)
+{
+  return claim->born == claim->pool->born;
+}
+
 static bool
 may_grant (const connection_claim_t *claim)
 {
   const connection_pool_t *pool = claim->pool;
+  /* Calls to a former incarnation may hang until they time out. */
+  guint count = is_for_present (claim) ? pool->present_count : pool->granted_count;
 
-  if (pool->granted_count >= pool->connections_max)
+  if (count >= pool->connections_max)
     return false;
   if (claim->use == CONNECTION_FOR_HOLD && claim->share->granted_poll_count >= poll_limit ())
     return false;
@@ -302,6 +312,8 @@
 {
   leave_queue (claim);
   claim->pool->granted_count++;
+  if (is_for_present (claim))
+    claim->pool->present_count++;
   if (claim->use == CONNECTION_FOR_HOLD)
     claim->share->granted_poll_count++;
   pool_update (claim->pool);
@@ -388,6 +400,15 @@
   return NULL;
 }
 
+static void
+raise_born (connection_pool_t *pool, gint64 born)
+{
+  if (born <= pool->born)
+    return;
+  pool->born = born;
+  pool->present_count = 0;
+}
+
 static bool
 has_waiting (const connection_share_t *share)
 {
@@ -427,9 +448,11 @@
   *claim = (connection_claim_t){ .share = share,
                                  .pool = ensure_pool (share, request),
                                  .use = request->use,
+                                 .born = request->born,
                                  .deadline_us = now_us + (gint64) request->timeout_ms * 1000,
                                  .done = done,
                                  .data = data };
+  raise_born (claim->pool, claim->born);
   list_push_back (&share->waiting[request->use], &claim->node);
   claim->pool->waiting_count++;
   total_waiting++;
@@ -449,6 +472,8 @@
   if (claim->use == CONNECTION_FOR_HOLD)
     share->granted_poll_count--;
   claim->pool->granted_count--;
+  if (is_for_present (claim))
+    claim->pool->present_count--;
   pool_update (claim->pool);
   claim->pool = NULL;
   grant_waiting (share);
--- a/src/backend/connection_share.h
+++ b/src/backend/connection_share.h
@@ -44,6 +44,7 @@
   connection_pool_t *pool;
   open_connection_t *connection; /* that its call uses now; NULL: none yet */
   connection_use_t use;
+  gint64 born;
   gint64 deadline_us;
   connection_claim_done_t done;
   void *data;
@@ -54,8 +55,9 @@
 {
   const void *session;   /* identifies it */
   const char *address;   /* "IP:PORT" */
-  guint connections_max; /* of the session to this address */
+  guint connections_max; /* to one incarnation of the executor at this address */
   connection_use_t use;
+  gint64 born; /* that incarnation; calls to former ones leave it its connections; 0: not known */
   guint timeout_ms; /* the longest wait */
 } connection_request_t;
 
--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -8,11 +8,13 @@
   /* Each event of a session costs time in proportion to its calls and connections, so executors
    * that do not answer would take the processor from all others. */
   SESSION_GROUPS = 64,
-  ORDER_MAX_CONNECTIONS = 6, /* per executor */
-  HOLD_MAX_CONNECTIONS = 2,  /* per executor */
-  CHECKS_MAX = 3,            /* of connections, for one order */
-  IDLE_CONNECTION_S = 120,   /* long, because opening a connection is expensive */
-  HOLD_CLAIM_MS = 2000       /* two turns of all hold requests, which are one second apart */
+  ORDER_MAX_CONNECTIONS = 6, /* per incarnation of an executor */
+  /* Calls to a former incarnation may hang until they time out. */
+  ORDER_SESSION_MAX_CONNECTIONS = 2 * ORDER_MAX_CONNECTIONS,
+  HOLD_MAX_CONNECTIONS = 2, /* per executor */
+  CHECKS_MAX = 3,           /* of connections, for one order */
+  IDLE_CONNECTION_S = 120,  /* long, because opening a connection is expensive */
+  HOLD_CLAIM_MS = 2000      /* two turns of all hold requests, which are one second apart */
 };
 
 static const gint64 idle_connection_us = (gint64) IDLE_CONNECTION_S * G_USEC_PER_SEC;
@@ -103,8 +105,8 @@
 
   if (group->order != NULL)
     return group;
-  group->order = http_session_new (ORDER_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
-  group->any = http_session_new (ORDER_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
+  group->order = http_session_new (ORDER_SESSION_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
+  group->any = http_session_new (ORDER_SESSION_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
   group->hold = http_session_new (HOLD_MAX_CONNECTIONS, 0, IDLE_CONNECTION_S);
   group->order_connections = answered_connections_new (ORDER_MAX_CONNECTIONS, idle_connection_us);
   group->any_connections = answered_connections_new (ORDER_MAX_CONNECTIONS, idle_connection_us);
@@ -296,6 +298,7 @@
                                    .address = call->address,
                                    .connections_max = ORDER_MAX_CONNECTIONS,
                                    .use = CONNECTION_FOR_STOP,
+                                   .born = call->born,
                                    .timeout_ms = (guint) MAX (left_ms, 0) };
 
   claim_connection (&call->base, &request, any_granted, call);
@@ -482,6 +485,7 @@
                                    .address = order->address,
                                    .connections_max = ORDER_MAX_CONNECTIONS,
                                    .use = CONNECTION_FOR_START,
+                                   .born = order->born,
                                    .timeout_ms = (guint) MAX (left_ms, 0) };
 
   claim_connection (&order->base, &request, done, order);
--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -983,6 +983,32 @@
   caller_close (&caller);
 }
 
+/* LOST: orders to the next incarnation waited until those to the former one had got no answer. */
+static void
+check_order_beside_hanging_ones (bool is_stop)
+{
+  caller_t caller;
+
+  open_order_connections (&caller, is_stop);
+  fake_executor_restart_silently (caller.executor, BORN);
+  send_orders (&caller, is_stop);
+  check_reach (&caller, 1);
+  check_order_in_time (&caller, is_stop);
+  caller_close (&caller);
+}
+
+static void
+test_lost_start_beside_hanging_ones (void)
+{
+  check_order_beside_hanging_ones (false);
+}
+
+static void
+test_lost_stop_beside_hanging_ones (void)
+{
+  check_order_beside_hanging_ones (true);
+}
+
 /* ---- A leader, whose other VMs are played by the test. */
 
 typedef struct
@@ -1213,6 +1239,8 @@
       test_executor_restarted_twice_while_former_holds_hang },
     { "lost_start_on_silent_connection", test_lost_start_on_silent_connection },
     { "lost_stop_on_silent_connection", test_lost_stop_on_silent_connection },
+    { "lost_start_beside_hanging_ones", test_lost_start_beside_hanging_ones },
+    { "lost_stop_beside_hanging_ones", test_lost_stop_beside_hanging_ones },
     { "lost_own_answer_out_of_range", test_lost_own_answer_out_of_range },
     { "twice_range_of_clock_too_wide", test_twice_range_of_clock_too_wide },
     { "twice_result_of_former_leader", test_twice_result_of_former_leader },
