--- a/src/backend/answered_connections.c
+++ b/src/backend/answered_connections.c
@@ -114,14 +114,17 @@
 }
 
 bool
-answered_connections_is_former (const answered_connections_t *connections,
-                                guint64 id,
-                                const incarnation_t *incarnation)
+answered_connections_drop_former (answered_connections_t *connections,
+                                  guint64 id,
+                                  const incarnation_t *incarnation)
 {
   const connection_t *connection = g_hash_table_lookup (connections->by_id, &id);
 
-  return connection != NULL && connection->born < incarnation->born
-         && is_to_address (connection, incarnation->address);
+  if (connection == NULL || connection->born >= incarnation->born
+      || !is_to_address (connection, incarnation->address))
+    return false;
+  g_hash_table_remove (connections->by_id, &id);
+  return true;
 }
 
 bool
--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -223,7 +223,7 @@
   incarnation_t incarnation = any_incarnation (call);
 
   (void) note_used (id, &call->base);
-  call->is_withheld = answered_connections_is_former (connections, id, &incarnation);
+  call->is_withheld = answered_connections_drop_former (connections, id, &incarnation);
   (void) answered_connections_touch (connections, id, &incarnation, clock_now_us ());
   return !call->is_withheld;
 }
@@ -369,7 +369,7 @@
 
   (void) note_used (id, &order->base);
   order->is_withheld
-      = answered_connections_is_former (order->base.group->order_connections, id, &incarnation);
+      = answered_connections_drop_former (order->base.group->order_connections, id, &incarnation);
   return !order->is_withheld;
 }
 
@@ -528,12 +528,12 @@
 may_send_hold (guint64 id, void *data)
 {
   hold_call_t *hold = data;
-  const answered_connections_t *connections = hold->base.group->hold_connections;
+  answered_connections_t *connections = hold->base.group->hold_connections;
   incarnation_t incarnation = { .address = hold->address, .born = hold->born };
 
   (void) note_used (id, &hold->base);
   hold->is_withheld
-      = answered_connections_is_former (connections, id, &incarnation)
+      = answered_connections_drop_former (connections, id, &incarnation)
         || (hold->is_acknowledging && !answered_connections_has (connections, id, &incarnation));
   return !hold->is_withheld;
 }
