--- a/src/decide/scheduler_batches.c
+++ b/src/decide/scheduler_batches.c
@@ -60,7 +60,7 @@
   pending_ack_t *ack = g_queue_peek_head (&executor->pending_acks);
   guint64 before = executor->acked;
 
-  while (ack != NULL && ack->batch <= scheduler->stored_batch)
+  while (ack != NULL && ack->batch <= scheduler->stored_batch && ack->not_before_us == 0)
     {
       executor->acked = MAX (executor->acked, ack->number);
       g_free (g_queue_pop_head (&executor->pending_acks));
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -117,7 +117,8 @@
 static bool
 may_start_after_restart (const run_t *run)
 {
-  return run->running_since_us == 0 && !scheduler_run_is_planned (run);
+  return (run->running_since_us == 0 || run->former_until_us > 0)
+         && !scheduler_run_is_planned (run);
 }
 
 /* The next incarnation may carry out a start order that has no result. */
@@ -396,10 +397,44 @@
           scheduler_task_failed (scheduler, task, end->run, now_us);
         }
     }
-  if (run != NULL)
+  if (run == NULL)
+    return;
+  if (run->former_until_us > 0 && scheduler_run_is_unsettled (run))
+    scheduler_run_ended_unsettled (scheduler, run, now_us);
+  else
     scheduler_remove_run (scheduler, run, now_us);
 }
 
+/* The next incarnation must not carry out a start order once the end of its task is acknowledged.
+ * Leaders send those again that got no answer from executors that need no ticket; for how long
+ * earlier ones did is not known. */
+static gint64
+ack_not_before_us (const scheduler_t *scheduler,
+                   const executor_t *executor,
+                   const reported_end_t *end)
+{
+  const run_t *run = scheduler_find_run (executor, &end->task, end->run);
+  const task_t *task = scheduler_find_task (scheduler, &end->task);
+
+  if (run != NULL && !run->is_restored)
+    return 0;
+  if (task != NULL && !scheduler_starts_repeat (task->step))
+    return 0;
+  return scheduler->epoch > 0 ? scheduler->former_starts_until_us : 0;
+}
+
+static void
+release_acks (executor_t *executor, gint64 now_us)
+{
+  for (GList *link = executor->pending_acks.head; link != NULL; link = link->next)
+    {
+      pending_ack_t *ack = link->data;
+
+      if (ack->not_before_us <= now_us)
+        ack->not_before_us = 0;
+    }
+}
+
 static void
 handle_ends (scheduler_t *scheduler,
              executor_t *executor,
@@ -414,9 +449,10 @@
       if (end->number <= executor->last_seen_end)
         continue;
       executor->last_seen_end = end->number;
-      handle_end (scheduler, executor, end, now_us);
       ack = g_new0 (pending_ack_t, 1);
       ack->number = end->number;
+      ack->not_before_us = ack_not_before_us (scheduler, executor, end);
+      handle_end (scheduler, executor, end, now_us);
       /* Only ends that change the stored progress wait for a batch. */
       ack->batch = end->how == END_DONE || end->how == END_FAILED ? scheduler->batch
                                                                   : scheduler->stored_batch;
@@ -470,7 +506,7 @@
       scheduler_expect_late_renewal (scheduler, run, now_us);
       scheduler_run_began (run, now_us);
       run->was_reported = true;
-      run->unsettled_until_us = 0;
+      scheduler_start_carried_out (run);
       if (run->task != NULL)
         scheduler_task_survived_start (scheduler, run->task, executor);
       if (run->state == RUN_RESTORED && run->task != NULL)
@@ -512,7 +548,7 @@
       next = node->next;
       if (run->state == RUN_RESTORED && run->task == NULL)
         scheduler_remove_run (scheduler, run, now_us);
-      else if (run->state == RUN_RESTORED)
+      else if (run->state == RUN_RESTORED && !scheduler_restart_restored (scheduler, run, now_us))
         scheduler_stop_run (scheduler, run, now_us);
     }
 }
@@ -611,11 +647,13 @@
     scheduler_note_fence_seen (scheduler, executor, now_us);
   scheduler_fence_step_seen (scheduler, executor, report->fence_step);
   scheduler_check_expired_runs (scheduler, executor, report, now_us);
+  scheduler_expect_former_starts (scheduler, now_us);
   handle_ends (scheduler, executor, report, now_us);
   handle_running (scheduler, executor, report, now_us);
   stop_unreported_runs (scheduler, executor, now_us);
   scheduler_check_stalls (scheduler, executor, now_us);
   remove_stopped_runs (scheduler, executor, report, now_us);
+  release_acks (executor, now_us);
   if (!g_queue_is_empty (&executor->pending_acks))
     scheduler_acknowledge_stored (scheduler, executor);
   scheduler_update_terms (scheduler, executor);
--- a/src/decide/scheduler_leases.c
+++ b/src/decide/scheduler_leases.c
@@ -102,21 +102,50 @@
     run->unsettled_until_us = MIN (run->unsettled_until_us, run->ticket_until_us);
 }
 
+void
+scheduler_expect_former_starts (scheduler_t *scheduler, gint64 now_us)
+{
+  if (scheduler->former_starts_until_us == 0)
+    scheduler->former_starts_until_us
+        = now_us + scheduler->limits.leader_lease_us + call_delay_max_us;
+}
+
+gint64
+scheduler_run_unsettled_until_us (const run_t *run)
+{
+  return MAX (run->unsettled_until_us, run->former_until_us);
+}
+
+bool
+scheduler_starts_repeat (const step_t *step)
+{
+  return !step->job->queue->advice.is_needed && !step->spec->gang;
+}
+
+void
+scheduler_start_carried_out (run_t *run)
+{
+  /* Earlier leaders may have ordered it more than once. */
+  if (run->is_restored && run->task != NULL && scheduler_starts_repeat (run->task->step))
+    run->former_until_us = MAX (run->former_until_us, run->unsettled_until_us);
+  run->unsettled_until_us = 0;
+}
+
 bool
 scheduler_run_is_unsettled (const run_t *run)
 {
-  return (run->start_order != 0 || run->unsettled_until_us > 0) && run->task != NULL
+  return (run->start_order != 0 || scheduler_run_unsettled_until_us (run) > 0) && run->task != NULL
          && !run->task->is_done && !run->task->step->job->is_ended;
 }
 
 gint64
 scheduler_run_unknown_until_us (const scheduler_t *scheduler, const run_t *run)
 {
-  gint64 started_us = 0;
+  gint64 until_us = scheduler_run_unsettled_until_us (run);
 
-  if (run->unsettled_until_us > 0)
-    started_us = lease_end_us (lease_max_us (scheduler), run->unsettled_until_us);
-  return MAX (started_us, run->late_renewal_until_us);
+  if (until_us > 0)
+    until_us = lease_end_us (lease_max_us (scheduler), until_us);
+  return MAX (until_us, run->late_renewal_until_us);
 }
 
 static void
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -289,6 +289,39 @@
   scheduler->ops->start (&order, scheduler->data);
 }
 
+static bool
+is_only_run (const run_t *run)
+{
+  const task_t *task = run->task;
+
+  return task->runs.next == &run->task_node && task->runs.prev == &run->task_node;
+}
+
+/* Whether the run may start on its executor as that is known now. */
+static bool
+may_restart (const run_t *run, gint64 now_us)
+{
+  const executor_t *executor = run->executor;
+
+  return scheduler_starts_repeat (run->task->step) && !run->task->is_done
+         && !run->task->step->job->is_ended && is_only_run (run)
+         && run->placed_born == executor->born && executor->has_seen_fence
+         && scheduler_resources_fit (executor->used, executor->capacity)
+         && scheduler_executor_is_usable (executor, now_us)
+         && scheduler_executor_is_eligible (run->task->step, executor);
+}
+
+bool
+scheduler_restart_restored (scheduler_t *scheduler, run_t *run, gint64 now_us)
+{
+  if (scheduler->is_closed || !may_restart (run, now_us))
+    return false;
+  run->former_until_us = run->unsettled_until_us;
+  run->unsettled_until_us = 0;
+  send_start (scheduler, run, now_us);
+  return true;
+}
+
 static run_t *
 find_withdrawn (const placement_t *placement)
 {
@@ -601,6 +634,17 @@
     run->unsettled_until_us = 0;
 }
 
+/* The executor did not start the run.  It must not do so any more if the task is to start
+ * elsewhere. */
+static void
+end_refused (scheduler_t *scheduler, run_t *run, gint64 now_us)
+{
+  if (scheduler_run_is_unsettled (run))
+    scheduler_resend_stop (scheduler, run, now_us);
+  else
+    scheduler_remove_run (scheduler, run, now_us);
+}
+
 static void
 handle_start_result (scheduler_t *scheduler, run_t *run, order_outcome_t outcome, gint64 now_us)
 {
@@ -637,14 +681,16 @@
     case ORDER_EXECUTOR_RESTARTED:
       break;
     }
-  scheduler_remove_run (scheduler, run, now_us);
+  end_refused (scheduler, run, now_us);
 }
 
 /* The time in which the start order may be carried out is over. */
 static bool
 is_time_over (const run_t *run, gint64 now_us)
 {
-  return run->start_order == 0 && run->unsettled_until_us > 0 && run->unsettled_until_us <= now_us;
+  gint64 until_us = scheduler_run_unsettled_until_us (run);
+
+  return run->start_order == 0 && until_us > 0 && until_us <= now_us;
 }
 
 /* The run is stopped.  Asks for a report that tells whether
@@ -665,6 +711,14 @@
     scheduler_stop_gang (scheduler, run->task->step, run->number, now_us);
 }
 
+void
+scheduler_run_ended_unsettled (scheduler_t *scheduler, run_t *run, gint64 now_us)
+{
+  run->state = RUN_STOPPED;
+  expect_report (scheduler, run, now_us);
+  stop_other_members (scheduler, run, now_us);
+}
+
 static void
 handle_stop_result (scheduler_t *scheduler, run_t *run, order_outcome_t outcome, gint64 now_us)
 {
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -66,7 +66,8 @@
   gint64 ticket_until_us;       /* the ticket of the start order has expired then; 0: it has none */
   gint64 unsettled_until_us;    /* the start order may be carried out until then; 0: it was, or was
                                  * never sent */
-  bool is_settling; /* its time is over, and reports from `mark` on tell whether it was */
+  gint64 former_until_us; /* the same for that of an earlier leader, if another one was sent */
+  bool is_settling;       /* its time is over, and reports from `mark` on tell whether it was */
   gint64 late_renewal_until_us; /* calls for a former incarnation may renew its lease until then; 0:
                                  * not any more */
   gint64 running_since_us;      /* when it was first known to run; 0: not known to have started */
@@ -209,6 +210,7 @@
 {
   guint64 number;
   guint64 batch;
+  gint64 not_before_us; /* a start order of its task may be carried out until then; 0: none may */
 } pending_ack_t;
 
 /* A run that was lost with its executor, which may have crashed or be cut off. */
@@ -305,7 +307,9 @@
 {
   scheduler_limits_t limits;
   guint epoch;
-  gint64 first_round_us; /* 0: none yet, so that nothing can have started */
+  gint64 first_round_us;         /* 0: none yet, so that nothing can have started */
+  gint64 former_starts_until_us; /* those of earlier leaders may be carried out until then; 0: not
+                                  * known yet */
   const scheduler_ops_t *ops;
   void *data;
   const desired_state_t *desired;
@@ -406,6 +410,11 @@
 void scheduler_stop_late_gangs (scheduler_t *scheduler, gint64 now_us);
 void scheduler_plan_run (scheduler_t *scheduler, run_t *run);
 void scheduler_store_planned (scheduler_t *scheduler);
+/* Orders the start of a run of an earlier leader again, which the executor does not list.  Returns
+ * false if that is not possible. */
+bool scheduler_restart_restored (scheduler_t *scheduler, run_t *run, gint64 now_us);
+/* The run has ended, though not well, but another start order of it may be carried out. */
+void scheduler_run_ended_unsettled (scheduler_t *scheduler, run_t *run, gint64 now_us);
 /* Stores the run, which is known from a report only, for the next leader. */
 void scheduler_store_adopted (scheduler_t *scheduler, run_t *run);
 
@@ -461,6 +470,15 @@
 /* A start order that was sent by `sent_us` has no result: any incarnation of the executor may carry
  * it out until its time is over. */
 void scheduler_note_start_unsettled (run_t *run, gint64 sent_us);
+/* VMs may have sent start orders of earlier leaders until shortly after the first report. */
+void scheduler_expect_former_starts (scheduler_t *scheduler, gint64 now_us);
+/* Whether a new leader orders starts of the step again that got no answer, as far as it knows: no
+ * ticket limits how late they are carried out, and no end elsewhere is one of the same run. */
+bool scheduler_starts_repeat (const step_t *step);
+/* One start order of the run has been carried out. */
+void scheduler_start_carried_out (run_t *run);
+/* Until when start orders of the run may be carried out that have no result; 0: there are none. */
+gint64 scheduler_run_unsettled_until_us (const run_t *run);
 /* Whether the task may not start elsewhere yet, as the start order of this run may still be carried
  * out, or may have been by an incarnation that is not known. */
 bool scheduler_run_is_unsettled (const run_t *run);
--- a/tests/former_clock.c
+++ b/tests/former_clock.c
@@ -281,6 +281,32 @@
   fixture_free (fixture);
 }
 
+/* LOST: the order of the former leader may have got no answer, which delayed the task for as long
+ * as such orders may be carried out.  The present incarnation is ordered to start the same run
+ * again. */
+static void
+test_lost_recorded_start_is_ordered_again (void)
+{
+  fixture_t *fixture = open_with_restored_run (2);
+  reported_end_t end = { .number = 1, .task = task_ref (1, 0), .run = 1, .checkpoint = "" };
+  const issued_order_t *start;
+
+  report (fixture, "e1", 2, 0, NULL, 0, NULL, 0);
+  start = expect_issued (fixture, 's');
+  CU_ASSERT_EQUAL (start->run, 1);
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  /* TWICE: the next incarnation may carry out the first order after the end is acknowledged. */
+  report (fixture, "e1", 2, fixture->mark, NULL, 0, &end, 1);
+  scheduler_batch_stored (fixture->scheduler, scheduler_batch_begin (fixture->scheduler));
+  fixture->now_us += (LEADER_LEASE_MS + CALL_DELAY_MAX_MS - 50) * MS;
+  report (fixture, "e1", 2, fixture->mark, NULL, 0, NULL, 0);
+  CU_ASSERT_EQUAL (fixture->acked, 0);
+  fixture->now_us += 100 * MS;
+  report (fixture, "e1", 2, fixture->mark, NULL, 0, NULL, 0);
+  CU_ASSERT_EQUAL (fixture->acked, 1);
+  fixture_free (fixture);
+}
+
 /* An executor takes no ticket of a former incarnation, nor one that has expired: a start that got
  * no answer is waited for until its ticket has expired. */
 static void
@@ -589,6 +615,7 @@
       test_twice_lease_of_former_clock_unknown_to_new_leader },
     { "twice_start_carried_out_by_next_incarnation",
       test_twice_start_carried_out_by_next_incarnation },
+    { "lost_recorded_start_is_ordered_again", test_lost_recorded_start_is_ordered_again },
     { "wait_for_unanswered_start_ends_with_ticket",
       test_wait_for_unanswered_start_ends_with_ticket },
     { "twice_start_stopped_in_former_incarnation", test_twice_start_stopped_in_former_incarnation },
