--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -175,7 +175,7 @@
   /* The incarnation that calls are for, and whose ends `acked` counts, and its number. */
   gint64 assigned_born[EXECUTOR_COUNT];
   guint fence_step[EXECUTOR_COUNT];
-  guint first_step[EXECUTOR_COUNT]; /* of calls to the incarnation */
+  guint first_step[EXECUTOR_COUNT];    /* of calls to the incarnation */
   guint64 acked[EXECUTOR_COUNT];       /* ends up to this number may be acknowledged */
   guint64 mark[EXECUTOR_COUNT];        /* sent with hold requests and returned in reports */
   gint64 learned_born[EXECUTOR_COUNT]; /* latest incarnation in a report or registry entry */
