--- a/tests/incarnation.c
+++ b/tests/incarnation.c
@@ -22,6 +22,7 @@
   CLOCK_AHEAD_MS = 60000, /* of the former incarnation */
   REACH_MAX_MS = 300,     /* until calls to a new incarnation are answered; a call may take 1700 */
   FORMER_HOLD_MS = 2000,  /* longer than a hold request goes without an answer */
+  FORMER_ORDER_MS = 700,  /* longer than an order does */
   ORDER_CONNECTIONS = 6,  /* as many as orders to one executor may have */
   COSTLY_VALUES = 120000, /* nearly as many as are read */
   COSTLY_EXECUTORS = 3,
@@ -994,6 +995,7 @@
   send_orders (&caller, is_stop);
   check_reach (&caller, 1);
   check_order_in_time (&caller, is_stop);
+  loop_run_ms (FORMER_ORDER_MS);
   caller_close (&caller);
 }
 
