--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -43,6 +43,7 @@
   guint64 acked;        /* ends of it up to this number may be acknowledged */
   guint64 mark;         /* latest mark from the leader; reports on later hold requests return it */
   guint64 last_listed_end; /* highest number among the ends that it listed */
+  guint64 unacked_end;     /* the same of its last answer; 0: that listed none */
   clock_reading_t clock;   /* of `born`, from its last answer to a hold request */
   gint64 read_us;          /* processor time for its last answer to a hold request */
   gint64 latest_expiry_ms; /* of the leases in calls to it, on the clock as known then; 0: none */
@@ -381,7 +382,7 @@
     return UNANSWERED_RETRY_MS;
   if (!is_assigned_incarnation (executor))
     return RESTARTED_RETRY_MS;
-  if (executor->last_listed_end > ack_cursor (executor))
+  if (executor->unacked_end > ack_cursor (executor))
     return UNACKED_RETRY_MS;
   return is_early (call, answer) && !executor->is_hold_immediate ? EARLY_RETRY_MS : 0;
 }
@@ -421,8 +422,10 @@
       executor->latest_expiry_ms = 0;
     }
   executor->born = rows->born;
+  executor->unacked_end = 0;
   for (guint i = 0; i < rows->ended_count; i++)
-    executor->last_listed_end = MAX (executor->last_listed_end, rows->ended[i].number);
+    executor->unacked_end = MAX (executor->unacked_end, rows->ended[i].number);
+  executor->last_listed_end = MAX (executor->last_listed_end, executor->unacked_end);
 }
 
 static void
@@ -517,8 +520,7 @@
    * the leader has to assume.  After one, no renewal is requested until the executor answers. */
   if (executor->is_answering)
     hold.lease_expiry_ms = grant_lease_ms (executor);
-  if (executor->is_answering && !executor->is_hold_immediate
-      && executor->last_listed_end <= hold.acked)
+  if (executor->is_answering && !executor->is_hold_immediate && executor->unacked_end <= hold.acked)
     hold.wait_ms = HOLD_WAIT_MS;
   executor->is_hold_immediate = false;
   executor->is_lease_pending |= hold.lease_expiry_ms > 0;
