--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -330,6 +330,10 @@
  * which is the latest one of its executor otherwise. */
 void scheduler_order_token (scheduler_t *scheduler, guint64 order, guint fence_step);
 
+/* To be called before scheduler_order_result() if the VM with the order is lost: it may carry the
+ * order out until the leader's lease, as it knows it, expires. */
+void scheduler_order_vm_lost (scheduler_t *scheduler, guint64 order, gint64 now_us);
+
 void scheduler_order_result (scheduler_t *scheduler,
                              guint64 order,
                              order_outcome_t outcome,
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -121,11 +121,11 @@
          && !scheduler_run_is_planned (run);
 }
 
-/* The next incarnation may carry out a start order that has no result. */
+/* The next incarnation may carry out a start order that is on its way. */
 static void
 expect_late_start (run_t *run, gint64 now_us)
 {
-  if (run->start_order != 0 || run->unsettled_until_us > 0)
+  if (run->start_order != 0)
     scheduler_note_start_unsettled (run, now_us);
 }
 
@@ -506,7 +506,7 @@
       scheduler_expect_late_renewal (scheduler, run, now_us);
       scheduler_run_began (run, now_us);
       run->was_reported = true;
-      scheduler_start_carried_out (run);
+      scheduler_start_carried_out (run, now_us);
       if (run->task != NULL)
         scheduler_task_survived_start (scheduler, run->task, executor);
       if (run->state == RUN_RESTORED && run->task != NULL)
@@ -569,7 +569,7 @@
 
       next = node->next;
       if (run->state == RUN_STOPPED && report->mark >= run->mark && !is_reported (report, run)
-          && (run->is_settling || !scheduler_run_is_unsettled (run)))
+          && scheduler_run_may_be_gone (run))
         {
           scheduler_remove_run (scheduler, run, now_us);
           /* Removing the run may have changed the rest of the list: start over. */
@@ -668,6 +668,8 @@
     return;
   executor->is_assigned = false;
   executor->is_reachable = false;
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    scheduler_start_vm_lost (scheduler, LIST_ENTRY (node, run_t, executor_node), now_us);
   scheduler_extend_lease_expiry (scheduler, executor, now_us + scheduler->limits.leader_lease_us);
   assign_executor (scheduler, executor, now_us);
 }
--- a/src/decide/scheduler_leases.c
+++ b/src/decide/scheduler_leases.c
@@ -119,16 +119,19 @@
 bool
 scheduler_starts_repeat (const step_t *step)
 {
-  return !step->job->queue->advice.is_needed && !step->spec->gang;
+  return !step->job->queue->advice.is_needed && !step->spec->gang && !step->spec->long_running;
 }
 
 void
-scheduler_start_carried_out (run_t *run)
+scheduler_start_carried_out (run_t *run, gint64 now_us)
 {
   /* Earlier leaders may have ordered it more than once. */
   if (run->is_restored && run->task != NULL && scheduler_starts_repeat (run->task->step))
-    run->former_until_us = MAX (run->former_until_us, run->unsettled_until_us);
+    run->former_until_us = scheduler_run_unsettled_until_us (run);
   run->unsettled_until_us = 0;
+  /* What is carried out after that finds the run. */
+  if (run->former_until_us <= now_us)
+    run->former_until_us = 0;
 }
 
 bool
@@ -138,6 +141,16 @@
          && !run->task->is_done && !run->task->step->job->is_ended;
 }
 
+bool
+scheduler_run_may_be_gone (const run_t *run)
+{
+  const step_spec_t *spec = run->task != NULL ? run->task->step->spec : NULL;
+
+  if (run->is_settling || !scheduler_run_is_unsettled (run))
+    return true;
+  return spec->long_running && !run->task->step->job->queue->advice.is_needed;
+}
+
 gint64
 scheduler_run_unknown_until_us (const scheduler_t *scheduler, const run_t *run)
 {
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -628,10 +628,28 @@
     }
   if (outcome != ORDER_NOT_SENT && outcome != ORDER_EXECUTOR_RESTARTED)
     scheduler_note_start_unanswered (scheduler, run->executor, now_us);
-  if (outcome == ORDER_NO_ANSWER && !run->was_reported)
-    scheduler_note_start_unsettled (run, now_us);
+  /* One that a report lists has been carried out, but not both if there were two. */
+  if (outcome == ORDER_NO_ANSWER && (!run->was_reported || run->former_until_us > 0))
+    scheduler_note_start_unsettled (run, MAX (now_us, run->sent_until_us));
   else
     run->unsettled_until_us = 0;
+  scheduler_update_terms (scheduler, run->executor);
+}
+
+void
+scheduler_start_vm_lost (const scheduler_t *scheduler, run_t *run, gint64 now_us)
+{
+  if (run->start_order != 0)
+    run->sent_until_us = now_us + scheduler->limits.leader_lease_us;
+}
+
+void
+scheduler_order_vm_lost (scheduler_t *scheduler, guint64 order, gint64 now_us)
+{
+  run_t *run = g_hash_table_lookup (scheduler->runs_by_order, &order);
+
+  if (run != NULL)
+    scheduler_start_vm_lost (scheduler, run, now_us);
 }
 
 /* The executor did not start the run.  It must not do so any more if the task is to start
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -63,6 +63,7 @@
   guint start_step;             /* of its token; 0 if an earlier leader has sent it */
   guint64 stop_order;           /* in flight; 0: none */
   gint64 start_sent_us;         /* when the start order was sent; 0: not by this leader */
+  gint64 sent_until_us;         /* a VM that is lost may send it until then; 0: none is */
   gint64 ticket_until_us;       /* the ticket of the start order has expired then; 0: it has none */
   gint64 unsettled_until_us;    /* the start order may be carried out until then; 0: it was, or was
                                  * never sent */
@@ -410,6 +411,8 @@
 void scheduler_stop_late_gangs (scheduler_t *scheduler, gint64 now_us);
 void scheduler_plan_run (scheduler_t *scheduler, run_t *run);
 void scheduler_store_planned (scheduler_t *scheduler);
+/* The VM with the start order of the run is lost, and may act until its leadership expires. */
+void scheduler_start_vm_lost (const scheduler_t *scheduler, run_t *run, gint64 now_us);
 /* Orders the start of a run of an earlier leader again, which the executor does not list.  Returns
  * false if that is not possible. */
 bool scheduler_restart_restored (scheduler_t *scheduler, run_t *run, gint64 now_us);
@@ -473,15 +476,20 @@
 /* VMs may have sent start orders of earlier leaders until shortly after the first report. */
 void scheduler_expect_former_starts (scheduler_t *scheduler, gint64 now_us);
 /* Whether a new leader orders starts of the step again that got no answer, as far as it knows: no
- * ticket limits how late they are carried out, and no end elsewhere is one of the same run. */
+ * ticket limits how late they are carried out, no end elsewhere is one of the same run, and the
+ * next start may wait. */
 bool scheduler_starts_repeat (const step_t *step);
-/* One start order of the run has been carried out. */
-void scheduler_start_carried_out (run_t *run);
+/* A report lists the run: one start order of it has been carried out. */
+void scheduler_start_carried_out (run_t *run, gint64 now_us);
 /* Until when start orders of the run may be carried out that have no result; 0: there are none. */
 gint64 scheduler_run_unsettled_until_us (const run_t *run);
 /* Whether the task may not start elsewhere yet, as the start order of this run may still be carried
  * out, or may have been by an incarnation that is not known. */
 bool scheduler_run_is_unsettled (const run_t *run);
+/* Whether the run, whose stop is confirmed, is gone if a report does not list it.  A task that
+ * lasts has to run again within seconds: without tickets, it does not wait until its start is
+ * settled. */
+bool scheduler_run_may_be_gone (const run_t *run);
 /* Until when the run may be alive on an incarnation that is not known; 0: it is on none. */
 gint64 scheduler_run_unknown_until_us (const scheduler_t *scheduler, const run_t *run);
 /* The run is alive.  Until the executor has seen its own token, calls that were meant for the
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -17,7 +17,7 @@
 static const gint64 deposed_max_us = G_USEC_PER_SEC;
 
 static void
-fail_orders (leader_t *leader, const vm_t *vm)
+fail_orders (leader_t *leader, const vm_t *vm, gint64 now_us)
 {
   g_autoptr (GArray) lost = g_array_new (FALSE, FALSE, sizeof (guint64));
   GHashTableIter iter;
@@ -33,8 +33,12 @@
       g_hash_table_iter_remove (&iter);
     }
   for (guint i = 0; i < lost->len; i++)
-    scheduler_order_result (leader->scheduler, g_array_index (lost, guint64, i), ORDER_NO_ANSWER,
-                            clock_now_us ());
+    {
+      guint64 order = g_array_index (lost, guint64, i);
+
+      scheduler_order_vm_lost (leader->scheduler, order, now_us);
+      scheduler_order_result (leader->scheduler, order, ORDER_NO_ANSWER, now_us);
+    }
 }
 
 void
@@ -47,7 +51,7 @@
             vm->executor_count);
   list_remove (&vm->node);
   leader_unassign_lost_vm (vm, now_us);
-  fail_orders (leader, vm);
+  fail_orders (leader, vm, now_us);
   if (vm->advice_order != 0)
     scheduler_advice_result (leader->scheduler, vm->advice_order, false, NULL, 0, now_us);
   link_free (vm->link);
