--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -570,6 +570,7 @@
 {
   held_executor_t *executor = g_hash_table_lookup (agent->executors, message->executor);
   bool is_new = false;
+  bool is_due;
 
   if (message->drop)
     {
@@ -594,8 +595,10 @@
       is_new = true;
       g_hash_table_insert (agent->executors, executor->id, executor);
     }
+  is_due = message->acked > executor->acked;
   if (is_new || executor->assigned_born != message->born)
     {
+      is_due = true;
       executor->first_step = message->fence_step;
       executor->start_step = message->fence_step;
       executor->seen_step = 0;
@@ -607,12 +610,16 @@
     {
       executor->mark = message->mark;
       executor->is_hold_immediate = true;
+      is_due = true;
     }
   if (is_hold_pending (executor))
     {
       send_hold_beside (executor);
       return;
     }
+  /* The next request waits for its time if it would tell and ask the same. */
+  if (executor->hold_timer != 0 && !is_due)
+    return;
   if (executor->hold_timer != 0)
     g_source_remove (executor->hold_timer);
   executor->hold_timer = 0;
