--- a/tests/former_clock.c
+++ b/tests/former_clock.c
@@ -604,6 +604,239 @@
   CU_ASSERT_EQUAL (fence_token (4097, 3), 4097);
 }
 
+/* ACKS: the leader follows another one, whose run the executor lists.  Once the orders of the former
+ * leader can no longer be carried out, ends are acknowledged while that run goes on. */
+static void
+test_acks_beside_run_of_former_leader (void)
+{
+  fixture_t *fixture = open_fixture (1);
+  placed_run_t placed = { .task = task_ref (1, 0), .run = 1, .executor = "e1", .born = 2 };
+  reported_run_t running = { .task = task_ref (1, 0), .run = 1, .checkpoint = "" };
+  reported_end_t end = { .number = 1, .task = task_ref (2, 0), .checkpoint = "" };
+  const issued_order_t *start = NULL;
+
+  add_job (fixture, make_job_spec (1, 1, 1000), true);
+  scheduler_restore_placement (fixture->scheduler, 1, &placed, 1, fixture->now_us);
+  list_executor (fixture, "e1", 2, false);
+  report (fixture, "e1", 2, 0, &running, 1, NULL, 0);
+  report (fixture, "e1", 2, fixture->mark, &running, 1, NULL, 0);
+  for (guint i = 0; i < 40; i++)
+    {
+      fixture->now_us += 1000 * MS;
+      running.percent++;
+      report (fixture, "e1", 2, fixture->mark, &running, 1, NULL, 0);
+      step (fixture);
+    }
+  add_job (fixture, make_job_spec (2, 1, 1000), false);
+  for (guint i = 0; i < 20 && fixture->unstored_placement == 0; i++)
+    {
+      fixture->now_us += 50 * MS;
+      step (fixture);
+      if ((start = next_issued (fixture, 's')) != NULL)
+        break;
+    }
+  g_assert_nonnull (start);
+  end.run = start->run;
+  scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  report (fixture, "e1", 2, fixture->mark, &running, 1, &end, 1);
+  scheduler_batch_stored (fixture->scheduler, scheduler_batch_begin (fixture->scheduler));
+  for (guint i = 0; i < 40; i++)
+    {
+      fixture->now_us += 1000 * MS;
+      running.percent++;
+      report (fixture, "e1", 2, fixture->mark, &running, 1, &end, 1);
+      step (fixture);
+    }
+  CU_ASSERT_EQUAL (fixture->acked, 1);
+  fixture_free (fixture);
+}
+
+/* LOST: a run of a former leader ends with its incarnation once no order can start it again: its
+ * task does not wait for a lease of the next one, which is cut off at once. */
+static void
+test_lost_run_of_former_leader_ends_with_incarnation (void)
+{
+  fixture_t *fixture = open_with_restored_run (2);
+  reported_run_t running = { .task = task_ref (1, 0), .run = 1, .checkpoint = "" };
+
+  report (fixture, "e1", 2, 0, &running, 1, NULL, 0);
+  for (guint i = 0; i < 40; i++)
+    {
+      fixture->now_us += 1000 * MS;
+      running.percent++;
+      report (fixture, "e1", 2, fixture->mark, &running, 1, NULL, 0);
+      step (fixture);
+    }
+  add_ready_executor (fixture, "e2");
+  list_executor (fixture, "e1", 3, false);
+  report_unreachable (fixture, "e1");
+  CU_ASSERT (ms_until_start (fixture, 60000) < 500);
+  fixture_free (fixture);
+}
+
+/* TWICE: the order of the former leader has been carried out, and that of this leader, which names
+ * the same run, got no answer.  The next incarnation may carry out the latter. */
+static void
+test_twice_second_start_of_listed_run (void)
+{
+  fixture_t *fixture = open_with_restored_run (2);
+  reported_run_t running = { .task = task_ref (1, 0), .run = 1, .checkpoint = "" };
+  const issued_order_t *order;
+  gint64 sent_us;
+
+  /* The executor is reached late. */
+  fixture->now_us += 10000 * MS;
+  report (fixture, "e1", 2, 0, NULL, 0, NULL, 0);
+  order = expect_issued (fixture, 's');
+  CU_ASSERT_EQUAL (order->run, 1);
+  sent_us = fixture->now_us;
+  fixture->now_us += 100 * MS;
+  report (fixture, "e1", 2, 0, &running, 1, NULL, 0);
+  fixture->now_us += 400 * MS;
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_NO_ANSWER, fixture->now_us);
+  order = expect_issued (fixture, 'x');
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_OK, fixture->now_us);
+  while (fixture->now_us < sent_us + CALL_DELAY_MAX_MS * MS)
+    {
+      report (fixture, "e1", 2, fixture->mark, NULL, 0, NULL, 0);
+      step (fixture);
+      if (next_issued (fixture, 's') != NULL)
+        break;
+      fixture->now_us += 50 * MS;
+    }
+  CU_ASSERT (fixture->now_us >= sent_us + CALL_DELAY_MAX_MS * MS);
+  fixture_free (fixture);
+}
+
+/* TWICE: the leader has lost its VM, which may be suspended, and send the order until its leadership
+ * expires; the call may be carried out that much later. */
+static void
+test_twice_start_sent_by_lost_vm (void)
+{
+  fixture_t *fixture = open_fixture (0);
+  const issued_order_t *order;
+
+  add_ready_executor (fixture, "e1");
+  add_job (fixture, make_job_spec (1, 1, 4000), false);
+  step (fixture);
+  order = expect_issued (fixture, 's');
+  scheduler_executor_vm_lost (fixture->scheduler, "e1", fixture->now_us);
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_NO_ANSWER, fixture->now_us);
+  report (fixture, "e1", 1, 0, NULL, 0, NULL, 0);
+  order = expect_issued (fixture, 'x');
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_OK, fixture->now_us);
+  report (fixture, "e1", 1, fixture->mark, NULL, 0, NULL, 0);
+  fixture->now_us += (LEADER_LEASE_MS + CALL_DELAY_MAX_MS - 100) * MS;
+  for (guint i = 0; i < 2; i++)
+    {
+      step (fixture);
+      report (fixture, "e1", 1, fixture->mark, NULL, 0, NULL, 0);
+    }
+  CU_ASSERT (ms_until_start (fixture, 50) >= 50);
+  fixture_free (fixture);
+}
+
+/* LOST: an executor that starts again every few seconds does not keep a task whose order was sent
+ * long ago. */
+static void
+test_lost_start_on_restarting_executor (void)
+{
+  fixture_t *fixture = open_fixture (0);
+  const issued_order_t *order;
+  gint64 from_us = fixture->now_us;
+  bool is_started = false;
+
+  add_ready_executor (fixture, "e1");
+  add_job (fixture, make_job_spec (1, 1, 4000), false);
+  step (fixture);
+  order = expect_issued (fixture, 's');
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_NO_ANSWER, fixture->now_us);
+  add_ready_executor (fixture, "e2");
+  for (gint64 born = 2; born < 12 && !is_started; born++)
+    {
+      fixture->now_us += 10000 * MS;
+      report_restart (fixture, "e1", born);
+      for (guint i = 0; i < 3; i++)
+        {
+          while ((order = next_issued (fixture, 'x')) != NULL)
+            scheduler_order_result (fixture->scheduler, order->order, ORDER_OK, fixture->now_us);
+          report (fixture, "e1", born, fixture->mark, NULL, 0, NULL, 0);
+        }
+      is_started = ms_until_start (fixture, 100) < 100;
+    }
+  CU_ASSERT (is_started);
+  CU_ASSERT (fixture->now_us - from_us <= 30000 * MS);
+  fixture_free (fixture);
+}
+
+/* LOST: a task that lasts ran under the former leader, and fails soon after the change.  It may be
+ * without a run for 9 s (6 s and 3 s of calm). */
+static void
+test_lost_failed_run_of_former_leader (void)
+{
+  fixture_t *fixture = open_fixture (1);
+  placed_run_t placed = { .task = task_ref (1, 0), .run = 1, .executor = "e1", .born = 2 };
+  reported_run_t running
+      = { .task = task_ref (1, 0), .run = 1, .checkpoint = "", .percent = 100 };
+  reported_end_t end = {
+    .number = 1, .task = task_ref (1, 0), .run = 1, .how = END_FAILED, .checkpoint = ""
+  };
+  job_spec_t *spec = make_job_spec (1, 1, 1000);
+  gint64 waited_ms;
+  bool is_started = false;
+
+  spec->steps[0].long_running = true;
+  add_job (fixture, spec, true);
+  scheduler_restore_placement (fixture->scheduler, 1, &placed, 1, fixture->now_us);
+  list_executor (fixture, "e1", 2, false);
+  report (fixture, "e1", 2, 0, &running, 1, NULL, 0);
+  add_ready_executor (fixture, "e2");
+  fixture->now_us += 1000 * MS;
+  report (fixture, "e1", 2, fixture->mark, NULL, 0, &end, 1);
+  for (waited_ms = 0; waited_ms < 30000 && !is_started; waited_ms += 50)
+    {
+      fixture->now_us += 50 * MS;
+      report (fixture, "e1", 2, fixture->mark, NULL, 0, &end, 1);
+      report (fixture, "e2", 1, fixture->mark, NULL, 0, NULL, 0);
+      step (fixture);
+      is_started = next_issued (fixture, 's') != NULL;
+    }
+  CU_ASSERT (waited_ms < 9000);
+  fixture_free (fixture);
+}
+
+/* LOST: the answer to the start of a task that lasts is lost, and the executor goes on answering.
+ * The task may be without a run for 9 s (6 s and 3 s of calm). */
+static void
+test_lost_answer_to_start_of_lasting_task (void)
+{
+  fixture_t *fixture = open_fixture (0);
+  job_spec_t *spec = make_job_spec (1, 1, 1000);
+  const issued_order_t *order;
+  gint64 waited_ms;
+  bool is_started = false;
+
+  add_ready_executor (fixture, "e1");
+  add_ready_executor (fixture, "e2");
+  spec->steps[0].long_running = true;
+  add_job (fixture, spec, false);
+  step (fixture);
+  order = expect_issued (fixture, 's');
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_NO_ANSWER, fixture->now_us);
+  order = expect_issued (fixture, 'x');
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_OK, fixture->now_us);
+  for (waited_ms = 0; waited_ms < 30000 && !is_started; waited_ms += 50)
+    {
+      fixture->now_us += 50 * MS;
+      report (fixture, "e1", 1, fixture->mark, NULL, 0, NULL, 0);
+      report (fixture, "e2", 1, fixture->mark, NULL, 0, NULL, 0);
+      step (fixture);
+      is_started = next_issued (fixture, 's') != NULL;
+    }
+  CU_ASSERT (waited_ms < 9000);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -618,6 +851,14 @@
     { "lost_recorded_start_is_ordered_again", test_lost_recorded_start_is_ordered_again },
     { "wait_for_unanswered_start_ends_with_ticket",
       test_wait_for_unanswered_start_ends_with_ticket },
+    { "acks_beside_run_of_former_leader", test_acks_beside_run_of_former_leader },
+    { "lost_run_of_former_leader_ends_with_incarnation",
+      test_lost_run_of_former_leader_ends_with_incarnation },
+    { "twice_second_start_of_listed_run", test_twice_second_start_of_listed_run },
+    { "twice_start_sent_by_lost_vm", test_twice_start_sent_by_lost_vm },
+    { "lost_start_on_restarting_executor", test_lost_start_on_restarting_executor },
+    { "lost_failed_run_of_former_leader", test_lost_failed_run_of_former_leader },
+    { "lost_answer_to_start_of_lasting_task", test_lost_answer_to_start_of_lasting_task },
     { "twice_start_stopped_in_former_incarnation", test_twice_start_stopped_in_former_incarnation },
     { "twice_late_run_unknown_to_next_leader", test_twice_late_run_unknown_to_next_leader },
     { "twice_lease_of_late_run", test_twice_lease_of_late_run },
