--- a/tests/former_clock.c
+++ b/tests/former_clock.c
@@ -837,6 +837,39 @@
   fixture_free (fixture);
 }
 
+/* TWICE: the executor is reached late.  The order of the former leader is carried out and its run
+ * ends, while that of this leader, which names the same run, has no answer: the next incarnation may
+ * carry out the latter, and must not after the end is acknowledged. */
+static void
+test_twice_second_start_after_end (void)
+{
+  fixture_t *fixture = open_with_restored_run (2);
+  reported_end_t end = { .number = 1, .task = task_ref (1, 0), .run = 1, .checkpoint = "" };
+  const issued_order_t *order;
+  gint64 sent_us;
+
+  add_ready_executor (fixture, "e2");
+  fixture->now_us += 13000 * MS;
+  report (fixture, "e1", 2, 0, NULL, 0, NULL, 0);
+  order = expect_issued (fixture, 's');
+  CU_ASSERT_EQUAL (order->run, 1);
+  sent_us = fixture->now_us;
+  fixture->now_us += 100 * MS;
+  report (fixture, "e1", 2, fixture->mark, NULL, 0, &end, 1);
+  scheduler_batch_stored (fixture->scheduler, scheduler_batch_begin (fixture->scheduler));
+  fixture->now_us += 400 * MS;
+  scheduler_order_result (fixture->scheduler, order->order, ORDER_NO_ANSWER, fixture->now_us);
+  fixture->acked = 0;
+  while (fixture->now_us < sent_us + (CALL_DELAY_MAX_MS - 100) * MS && fixture->acked == 0)
+    {
+      fixture->now_us += 100 * MS;
+      report (fixture, "e1", 2, fixture->mark, NULL, 0, &end, 1);
+      step (fixture);
+    }
+  CU_ASSERT_EQUAL (fixture->acked, 0);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -855,6 +888,7 @@
     { "lost_run_of_former_leader_ends_with_incarnation",
       test_lost_run_of_former_leader_ends_with_incarnation },
     { "twice_second_start_of_listed_run", test_twice_second_start_of_listed_run },
+    { "twice_second_start_after_end", test_twice_second_start_after_end },
     { "twice_start_sent_by_lost_vm", test_twice_start_sent_by_lost_vm },
     { "lost_start_on_restarting_executor", test_lost_start_on_restarting_executor },
     { "lost_failed_run_of_former_leader", test_lost_failed_run_of_former_leader },
