--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -399,6 +399,7 @@
     }
   if (run == NULL)
     return;
+  scheduler_start_carried_out (run, now_us);
   if (run->former_until_us > 0 && scheduler_run_is_unsettled (run))
     scheduler_run_ended_unsettled (scheduler, run, now_us);
   else
@@ -411,16 +412,18 @@
 static gint64
 ack_not_before_us (const scheduler_t *scheduler,
                    const executor_t *executor,
-                   const reported_end_t *end)
+                   const reported_end_t *end,
+                   gint64 now_us)
 {
   const run_t *run = scheduler_find_run (executor, &end->task, end->run);
   const task_t *task = scheduler_find_task (scheduler, &end->task);
 
-  if (run != NULL && !run->is_restored)
+  if (scheduler->epoch == 0 || (run != NULL && !run->is_restored))
     return 0;
   if (task != NULL && !scheduler_starts_repeat (task->step))
     return 0;
-  return scheduler->epoch > 0 ? scheduler->former_starts_until_us : 0;
+  return MAX (scheduler->former_starts_until_us,
+              run != NULL ? scheduler_repeated_until_us (run, now_us) : 0);
 }
 
 static void
@@ -451,7 +454,7 @@
       executor->last_seen_end = end->number;
       ack = g_new0 (pending_ack_t, 1);
       ack->number = end->number;
-      ack->not_before_us = ack_not_before_us (scheduler, executor, end);
+      ack->not_before_us = ack_not_before_us (scheduler, executor, end, now_us);
       handle_end (scheduler, executor, end, now_us);
       /* Only ends that change the stored progress wait for a batch. */
       ack->batch = end->how == END_DONE || end->how == END_FAILED ? scheduler->batch
--- a/src/decide/scheduler_leases.c
+++ b/src/decide/scheduler_leases.c
@@ -116,6 +116,14 @@
   return MAX (run->unsettled_until_us, run->former_until_us);
 }
 
+gint64
+scheduler_repeated_until_us (const run_t *run, gint64 now_us)
+{
+  gint64 until_us = scheduler_run_unsettled_until_us (run);
+
+  return run->start_order != 0 ? MAX (until_us, now_us + call_delay_max_us) : until_us;
+}
+
 bool
 scheduler_starts_repeat (const step_t *step)
 {
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -479,6 +479,8 @@
  * ticket limits how late they are carried out, no end elsewhere is one of the same run, and the
  * next start may wait. */
 bool scheduler_starts_repeat (const step_t *step);
+/* Until when a start order of the run may be carried out beside the one that was. */
+gint64 scheduler_repeated_until_us (const run_t *run, gint64 now_us);
 /* A report lists the run: one start order of it has been carried out. */
 void scheduler_start_carried_out (run_t *run, gint64 now_us);
 /* Until when start orders of the run may be carried out that have no result; 0: there are none. */
