--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -834,11 +834,14 @@
 {
   run_t *run = g_hash_table_lookup (scheduler->runs_by_order, &order);
   bool is_start;
+  bool is_overtaken;
 
   if (run == NULL)
     return;
   is_start = run->start_order == order;
   clear_order (scheduler, is_start ? &run->start_order : &run->stop_order);
+  /* A stop that is sent again then has a token that the executor takes. */
+  is_overtaken = outcome == ORDER_FENCED && run->has_lower_token && !run->has_former_token;
   if (outcome == ORDER_FENCED)
     outcome = fenced_outcome (scheduler, run, is_start);
   if (outcome != ORDER_OK)
@@ -854,6 +857,8 @@
     scheduler->ops->deposed (scheduler->data);
   else if (!is_start && run->state == RUN_STOPPING)
     handle_stop_result (scheduler, run, outcome, now_us);
+  if (is_overtaken && !is_start)
+    run->retry_at_us = now_us;
 }
 
 /* Sends failed stop orders again, and settles the starts whose time is over: an incarnation that is
