--- a/tests/process/executor_link.py
+++ b/tests/process/executor_link.py
@@ -13,8 +13,6 @@
 CALLS = ("/hold", "/run-start", "/run-stop")
 SENT_IN_CUT_SHARE = 0.3  # of calls sent while the executor is cut off: they may arrive after the cut
 NO_ANSWER_S = 3.0  # longer than callers wait
-# The leader knows of an incarnation by its first answer, and names it in the calls that follow.
-ANSWERS_UNTIL_REACHED = 8
 NEXT_S = 0.3
 POLL_S = 0.005
 
@@ -37,8 +35,6 @@
         self.next_share = 0.0
         self.healed = None  # set at the end of the cut; None: not cut off
         self.incarnations = weakref.WeakKeyDictionary()  # task that serves a connection -> born
-        self.fences = {}  # born -> the highest token of calls that were sent to this incarnation
-        self.answers = {}  # born -> number of CALLS that this incarnation has answered
         self.late_calls = set()  # tasks
         self.counts = dict.fromkeys(self.COUNTS, 0)
         self.inner = executor.http.handle
@@ -75,12 +71,6 @@
         while not self.executor.is_up:
             await asyncio.sleep(POLL_S)
 
-    def is_reached(self):
-        """Whether the present incarnation has had a call with its own token, or should have had one by now."""
-        born = self.executor.born
-        former = max((fence for other, fence in self.fences.items() if other < born), default=0)
-        return self.executor.fence > former or self.answers.get(born, 0) >= ANSWERS_UNTIL_REACHED
-
     # ---- Calls.
 
     async def handle(self, *request):
@@ -91,8 +81,6 @@
             self.incarnations[connection] = self.executor.born
         else:
             sent_to = self.incarnations[connection]
-        if request[1] in CALLS:
-            self.fences[sent_to] = max(self.fences.get(sent_to, 0), request[4].get("fence", 0))
         if self.healed is not None:
             return await self.lose(request, sent_to)
         if request[1] in CALLS:
@@ -107,8 +95,6 @@
         if self.healed is not None:
             await self.healed.wait()
             return laboratory.RESET
-        if request[1] in CALLS:
-            self.answers[self.executor.born] = self.answers.get(self.executor.born, 0) + 1
         return answer
 
     async def lose(self, request, sent_to):
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -5,8 +5,8 @@
 
 Each finding is printed with its rule; the exit status is 1 if there is one.  With `--lies`, executors and the store
 also answer with changed values, after which the rules LOST, TWICE, ACK and ROUTE are not checked.  `--limits` adds floods, ports
-in use, signals before the handlers and low limits.  `--unreached-acks`: an incarnation that no call with its own token
-has reached also carries out late acknowledgements that were meant for another one.
+in use, signals before the handlers and low limits.  `--unreached-acks` has no effect; late acknowledgements that reach an
+incarnation before any call with its own token are always carried out.
 """
 import argparse
 import asyncio
@@ -157,16 +157,13 @@
         """Whether the executor carries out a late call that was sent to this incarnation.
 
         A start order that the present incarnation must not run for its labels is lost, as no sender can prevent that
-        it arrives there.  So is an acknowledgement of ends that the present incarnation has had before a call with its
-        own token, unless `--unreached-acks` is given.
+        it arrives there.
         """
         if executor.born == incarnation or body.get("fence", 0) < executor.fence:
             return True
         if path == "/hold":
             forgotten = [end[0] for end in executor.ends if end[0] <= body.get("ack-cursor", 0)]
             if forgotten and not options.lies:
-                if not options.unreached_acks and not self.link(executor).is_reached():
-                    return False
                 self.find("ACK", f"{executor.id} forgets ends {forgotten} by a late call for another incarnation")
         if path == "/run-start":
             return json.loads(body["spec"]).get("requires") in (None, *executor.labels)
