--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -22,10 +23,24 @@
 POLL_S = 0.005
 
 
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(12000, 32000)
+given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 class Record:
