--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,49 +1,69 @@
-"""The operator removes the route of an accepted job, whose first run has ended `failed`, and the
-leader's VM is then stopped and started again.  The route allows two attempts: after the second run
-has ended `failed`, no third may start."""
+"""A task that lasts fails, as it may at any time, and is sent to an executor that was lost for good
+0.2 s before and is silent.  Within nine seconds the task must run again: six after its last run, and three in which
+nothing runs although there is room; these and the four before them are calm."""
 import asyncio
 import os
-import signal
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 from deployment import CannotRun, Broken, Executor, job, config, route, run_case
 
-ATTEMPTS = 2
-WORK_MS = 6000
+EXECUTORS = 5
+FAILS_AFTER_S = 0.2
+AFTER_RUN_S = 6.0
+NOTHING_RUNS_S = 3.0
+EARLIER = "00000000000000a1"
 JOB = "5c0e7a21d94b36f8"
+NEIGHBOUR = "00000000000000a2"
 TASK = f"{JOB}.0.0.0"
 
 
+def runs_on(deployment, task):
+    return [e for e in deployment.executors.values() if e.is_up and task in e.runs]
+
+
+async def submit(deployment, name, body):
+    status, _ = await deployment.call(deployment.entries[0], "POST", f"/plans/{name}", body)
+    if status != 200:
+        raise CannotRun(f"job {name} was not accepted")
+
+
 async def play(deployment, trouble):
-    plans = route("r-plans", "/plans/", attempts=ATTEMPTS)
-    swaps = route("r-swaps", "/swaps/", attempts=ATTEMPTS)
-    executors = [Executor(deployment, f"i-{name}") for name in "abc"]
-    await deployment.begin(config(7, [plans, swaps]), executors, 3)
-    leader = await deployment.until_leader()
+    deployment.ticket_jobs |= {EARLIER, JOB, NEIGHBOUR}
+    advised = route("r-plans", "/plans/", attempts=2, advice=deployment.advice_terms)
+    executors = [Executor(deployment, f"i-{n}", rack=f"r1-{n}") for n in range(EXECUTORS)]
+    await deployment.begin(config(7, [advised]), executors, 3)
+    await deployment.until_leader()
     await asyncio.sleep(2)
-    work = job(WORK_MS, ends=["failed", "failed"])
-    status, _ = await deployment.call(leader, "POST", f"/plans/{JOB}", work)
-    if status != 200:
-        raise CannotRun("the job was not accepted")
-    if not await deployment.wait_for(lambda: len(deployment.events("start", TASK)) == 2, 20):
-        raise CannotRun("the second run did not start")
+    # Some work that was done before, on all executors.
+    await submit(deployment, EARLIER, job(500, count=EXECUTORS, **{"max-per-server": 1}))
+    if not await deployment.wait_for(lambda: len(deployment.events("end")) == EXECUTORS, 20):
+        raise CannotRun("the earlier job did not end")
+    lasting = {"long-running": True, "est-runtime-ms": 1000}
+    await submit(deployment, JOB, job(0, **lasting))
+    if not await deployment.wait_for(lambda: runs_on(deployment, TASK), 10):
+        raise CannotRun("the task did not start")
+    first = runs_on(deployment, TASK)[0]
+    second = [executor for executor in executors if executor is not first][1]
+    # The scheduler prefers executors that are partly used.
+    await submit(deployment, NEIGHBOUR, job(0, cpu=3000, requires=second.rack, **lasting))
+    if not await deployment.wait_for(lambda: runs_on(deployment, f"{NEIGHBOUR}.0.0.0"), 10):
+        raise CannotRun("the neighbour did not start")
+    await asyncio.sleep(8)
     if trouble:
-        await deployment.configure(config(9, [swaps]))
-        await asyncio.sleep(1)
-        leader.kill(signal.SIGTERM)
-        if not await deployment.wait_for(lambda: leader.process.poll() is not None, 6):
-            leader.kill()
-        await asyncio.sleep(0.5)
-        leader.start()
-    if not await deployment.wait_for(lambda: len(deployment.events("end", TASK)) == 2, 20):
-        raise CannotRun("the second run did not end")
-    # What an earlier leader may have ordered is waited for, for some 15 s.
-    await deployment.wait_for(lambda: len(deployment.events("start", TASK)) > 2, 30)
-    starts = len(deployment.events("start", TASK))
-    if starts > ATTEMPTS:
-        raise Broken(f"BUDGET: run {starts} started after {ATTEMPTS} runs had ended failed")
+        second.crash("lost for good, silent", dark=True)
+        asyncio.ensure_future(second.forget())
+    await asyncio.sleep(FAILS_AFTER_S)
+    ended = time.monotonic()
+    await first._end(TASK, "failed")
+    await deployment.wait_for(lambda: runs_on(deployment, TASK), 50)
+    away_s = time.monotonic() - ended
+    bound_s = AFTER_RUN_S + NOTHING_RUNS_S
+    deployment.record.note("case", f"away for {away_s:.1f} s, allowed {bound_s:.1f} s")
+    if away_s > bound_s:
+        raise Broken(f"LOST: task {TASK} had no run for {away_s:.1f} s")
 
 
 run_case(play, HERE)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -270,6 +270,7 @@
         self.seq = 0
         self.state = "ready"
         self.is_up = False
+        self.is_dark = False
         self.jobs = set()
 
     def clock_ms(self):
@@ -326,9 +327,11 @@
         )
         self.next_end += 1
 
-    def crash(self, how="crashed"):
-        """Everything that runs here is gone; nobody is told."""
+    def crash(self, how="crashed", dark=False):
+        """Everything that runs here is gone; nobody is told.  One that is dark is silent: its address
+        still takes connections, and answers nothing."""
         self.is_up = False
+        self.is_dark = dark
         for key, run in self.runs.items():
             self.record.note(self.id, f"{how} under task {key} run {run['run']}")
             self.deployment.history.append(
@@ -338,7 +341,8 @@
         if not self.runs:
             self.record.note(self.id, how)
         self.runs = {}
-        self.close()
+        if not dark:
+            self.close()
 
     async def forget(self):
         """The store drops the entry after three heartbeats of silence."""
@@ -355,6 +359,8 @@
 
     async def handle(self, method, path, query, headers, body):
         await asyncio.sleep(0.001)
+        if self.is_dark:
+            await asyncio.Event().wait()
         target = headers.get("mimosastair-target-instance")
         if path == "/health":
             return 200, {}
