--- a/review/stand-ins-3/lab3.py
+++ b/review/stand-ins-3/lab3.py
@@ -26,6 +26,7 @@
 HEARTBEAT_S = 1.5
 ENDS_PER_ANSWER = 500  # "The others are returned again (500 at a time)."
 TICKET_S = 1.5
+VALUE_BYTES = 1048576  # `value-bytes` of the platform's store
 BOUNDS = {"hold-max-ms": 6000, "gang-wait-ms": 3000, "remote-factor": 1.5, "stop-grace-ms": 900}
 
 
@@ -279,6 +280,10 @@
                 keys = [r["key"] for r in body["expected-rev"]]
                 return 412, {"items": [self.items[k] for k in keys if k in self.items], "revision": self.revision}
         for row in body.get("set-keys", []):
+            bytes_ = len(row["value"]) * 3 // 4 - row["value"][-2:].count("=")
+            if bytes_ > VALUE_BYTES:
+                self.lab.record("store", f"refuses {row['key']}: {bytes_} bytes are more than {VALUE_BYTES}")
+                return 400, {}
             if row.get("lease", 0) and row["lease"] not in self.leases:
                 return 404, {}
         self.revision += 1
@@ -589,7 +594,7 @@
         self.routes = {}
         self.service = "rota"
         zones = ["za", "zb", "zc"]
-        self.executors = [Executor(self, f"i-{k:02}", self.service, self.ports.pop(), zones[k % 3], f"r1-{k // 8}",
+        self.executors = [Executor(self, f"i-7f3a91{k:02x}", self.service, self.ports.pop(), zones[k % 3], f"r1-{k // 8}",
                                    cpu, mem) for k in range(executors)]
         self.vms = [Vm(self, f"vm-{k + 1}", zones[k % 3], [self.ports.pop() for _ in range(4)],
                        self.advice_server.address) for k in range(vms)]
