--- a/review/stand-ins-3/lab3.py
+++ b/review/stand-ins-3/lab3.py
@@ -406,10 +406,25 @@
         self.lab.spawn(self.watch_lease())
 
     async def heartbeat(self):
-        while True:
+        while self.state != "gone":
             self.report()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def leave(self):
+        """Is lost for good: everything that runs on it terminates, and its entry goes after three intervals."""
+        self.lab.record(self.name, f"is lost with {len(self.running)} runs")
+        self.state = "gone"
+        await self.http.stop()
+        for run in self.running.values():
+            if run.timer is not None:
+                run.timer.cancel()
+        self.running.clear()
+
+        async def expire():
+            await asyncio.sleep(3 * HEARTBEAT_S)
+            self.lab.store.write_json(f"servers/{self.name}", None)
+        self.lab.spawn(expire())
+
     def report(self):
         self.seq += 1
         self.lab.store.write_json(f"servers/{self.name}", {
