--- a/review/stand-ins-3/lab3.py
+++ b/review/stand-ins-3/lab3.py
@@ -407,9 +407,27 @@
 
     async def heartbeat(self):
         while self.state != "gone":
-            self.report()
+            if self.state != "down":
+                self.report()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def crash(self, down_s):
+        """Is down for so long, and starts again under its id with nothing of before."""
+        self.lab.record(self.name, f"crashes with {', '.join(f'{t} run {r}' for t, r in self.running)}")
+        await self.http.stop()
+        for run in self.running.values():
+            if run.timer is not None:
+                run.timer.cancel()
+            self.lab.note_loss(self, run)
+        self.running.clear()
+        self.state = "down"
+        await asyncio.sleep(down_s)
+        self.reset()
+        await self.http.start()
+        self.state = "ready"
+        self.lab.record(self.name, f"is back, born {self.born}")
+        self.report()
+
     async def leave(self):
         """Is lost for good: everything that runs on it terminates, and its entry goes after three intervals."""
         self.lab.record(self.name, f"is lost with {len(self.running)} runs")
@@ -636,6 +654,9 @@
         self.record(executor.name, f"end {number}: {run.task} run {run.run} {how}")
         self.ends.setdefault(run.task, []).append((self.now(), executor.name, run.run, number, how, executor.born))
 
+    def note_loss(self, executor, run):
+        self.ends.setdefault(run.task, []).append((self.now(), executor.name, run.run, 0, "lost", executor.born))
+
     def note_ack(self, executor, cursor):
         self.record(executor.name, f"ends up to {cursor} are taken note of")
         for number in range(cursor, 0, -1):
@@ -825,7 +846,7 @@
         try:
             await asyncio.wait_for(case(lab), timeout_s)
             status = 1 if lab.broken else 0
-        except (CannotRun, asyncio.TimeoutError) as problem:
+        except (CannotRun, OSError, asyncio.TimeoutError) as problem:
             lab.record("case", f"could not run: {problem!r}")
             print(f"could not run: {problem!r}")
         finally:
