--- a/review/stand-ins-3/lab3.py
+++ b/review/stand-ins-3/lab3.py
@@ -382,6 +382,8 @@
         self.intercept = None  # async callable(executor, request) -> answer or None
         self.state = "ready"
         self.seq = 0
+        self.has_lease = False
+        self.lapses = []  # times
         self.reset()
 
     def reset(self):
@@ -453,9 +455,15 @@
     async def watch_lease(self):
         while True:
             await asyncio.sleep(0.02)
-            if self.running and self.clock() > self.deadline:
-                for run in list(self.running.values()):
-                    self.end(run, "lapsed")
+            if self.clock() <= self.deadline:
+                self.has_lease = True
+                continue
+            if self.has_lease:
+                self.lapses.append(self.lab.now())
+                self.lab.record(self.name, "its lease lapses")
+            self.has_lease = False
+            for run in list(self.running.values()):
+                self.end(run, "lapsed")
 
     def end(self, run, how):
         if self.running.get((run.task, run.run)) is not run:
@@ -793,12 +801,13 @@
         runs at the same time."""
         for task, starts in self.starts.items():
             for at, name, _, number, how, born in self.ends.get(task, []):
-                if how != "done" or (name, born, number) not in self.acks:
+                noted = self.acks.get((name, born, number))
+                if how != "done" or noted is None or self.has_lapsed(name, at, noted):
                     continue
                 for start, where, run in starts:
                     if start > at:
                         self.broke("TWICE", f"{task} ended done on {name} at {at:.3f} (end {number}, taken note of "
-                                   f"at {self.acks[name, born, number]:.3f}); run {run} began on {where} at {start:.3f}")
+                                   f"at {noted:.3f}); run {run} began on {where} at {start:.3f}")
             spans = []
             for start, where, run in starts:
                 stop = min((at for at, name, r, *_ in self.ends.get(task, []) if name == where and r == run),
@@ -810,6 +819,10 @@
                     self.broke("TWICE", f"{task}: run {later} began on {other} at {start:.3f}, while run {run} was at "
                                f"work on {where}")
 
+    def has_lapsed(self, name, since, until):
+        """An end whose executor's lease lapsed before it was taken note of doesn't count as taken note of."""
+        return any(since <= at <= until for e in self.executors if e.name == name for at in e.lapses)
+
     async def check_idle_job(self, prefix, job, tasks, window_s=3.0, vm=0):
         """LOST: for 3 s, the job has nothing running while the turn of `tasks` has come, there is capacity for it twice
         over, and under half of the service's capacity is in use.  `tasks`: {name: thousandths of a core}."""
