--- a/review/12/case.py
+++ b/review/12/case.py
@@ -41,4 +41,4 @@
     lab.check_twice()
 
 
-play(Path(__file__).parent, case, executors=4)
+play(Path(__file__).parent, case, executors=6)
