decide: reports of executors have a file of their own

The second part moves to scheduler_reports.c, unchanged but for scheduler_begin_incarnation(), which both use.

--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -430,6 +430,12 @@
 bool scheduler_resources_fit (resource_vector_t need, resource_vector_t resources);
 void scheduler_executor_free (gpointer data);
 executor_t *scheduler_ensure_executor (scheduler_t *scheduler, const char *id);
+/* The executor answers, or is listed, as the incarnation `born`: what is known of a former one is
+ * forgotten, and its runs are lost. */
+void scheduler_begin_incarnation (scheduler_t *scheduler,
+                                  executor_t *executor,
+                                  gint64 born,
+                                  gint64 now_us);
 
 /* scheduler_open.c */
 /* Lists the executors that can run a task in `open_executors`: those with the most free CPU first,
