--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -105,6 +105,7 @@
   guint running_count;
   const reported_end_t *ended;
   guint ended_count;
+  bool has_more_ends; /* the executor may have ended more runs than it lists */
 } executor_report_t;
 
 /* An entry of the executor registry. */
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -102,7 +102,7 @@
 {
   return executor->is_listed && !executor->is_draining && executor->has_reported
          && executor->entry_born == executor->born && executor->is_reachable
-         && !executor->is_out_of_steps
+         && !executor->is_out_of_steps && !executor->has_more_ends
          && (!executor->is_on_probation || list_is_empty (&executor->runs))
          && executor->ejected_until_us <= now_us && executor->trial_until_us <= now_us;
 }
@@ -182,6 +182,7 @@
   executor->has_reported = false;
   executor->is_address_doubtful = false;
   executor->last_seen_end = 0;
+  executor->has_more_ends = false;
   executor->acked = 0;
   executor->told_acked = 0;
   executor->consecutive_failures = 0;
--- a/src/decide/scheduler_leases.c
+++ b/src/decide/scheduler_leases.c
@@ -142,6 +142,13 @@
     run->former_until_us = 0;
 }
 
+void
+scheduler_start_settled (run_t *run)
+{
+  run->unsettled_until_us = 0;
+  run->former_until_us = 0;
+}
+
 bool
 scheduler_run_is_unsettled (const run_t *run)
 {
--- a/src/decide/scheduler_progress.c
+++ b/src/decide/scheduler_progress.c
@@ -133,7 +133,10 @@
 }
 
 void
-scheduler_check_stalls (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
+scheduler_check_stalls (scheduler_t *scheduler,
+                        executor_t *executor,
+                        const executor_report_t *report,
+                        gint64 now_us)
 {
   for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
     {
@@ -142,7 +145,8 @@
       if (run->state != RUN_ALIVE || run->task == NULL || run->last_progress_us == 0
           || run->task->step->spec->long_running || run->task->stall_restarts >= STALL_RESTARTS_MAX)
         continue;
-      if (!is_stalled (scheduler, run, now_us))
+      if (!is_stalled (scheduler, run, now_us)
+          || scheduler_run_evidence (report, run) == RUN_NOT_TOLD)
         continue;
       run->task->stall_restarts++;
       scheduler_eject_executor (scheduler, executor, "stalled", now_us);
--- a/src/decide/scheduler_reports.c
+++ b/src/decide/scheduler_reports.c
@@ -229,7 +229,7 @@
 }
 
 static bool
-is_reported (const executor_report_t *report, const run_t *run)
+is_listed_as_running (const executor_report_t *report, const run_t *run)
 {
   for (guint i = 0; i < report->running_count; i++)
     {
@@ -241,11 +241,37 @@
   return false;
 }
 
+run_evidence_t
+scheduler_run_evidence (const executor_report_t *report, const run_t *run)
+{
+  if (is_listed_as_running (report, run))
+    return RUN_LISTED;
+  return report->has_more_ends ? RUN_NOT_TOLD : RUN_ABSENT;
+}
+
+/* Reports from the mark on were requested when the start orders of the run could not be carried out
+ * any more.  What they have started is known on this incarnation, or has ended with a former one.
+ */
+static void
+settle_starts (executor_t *executor, const executor_report_t *report)
+{
+  for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, executor_node);
+
+      if (run->is_settling && report->mark >= run->mark)
+        scheduler_start_settled (run);
+    }
+}
+
 /* Stops runs of an earlier leader that the executor does not report: a delayed order may still
  * start them.  Those that no task needs any more are gone: the executor knows this leader and
  * refuses the orders of earlier ones. */
 static void
-stop_unreported_runs (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
+stop_unreported_runs (scheduler_t *scheduler,
+                      executor_t *executor,
+                      const executor_report_t *report,
+                      gint64 now_us)
 {
   list_node_t *next;
 
@@ -254,15 +280,18 @@
       run_t *run = LIST_ENTRY (node, run_t, executor_node);
 
       next = node->next;
-      if (run->state == RUN_RESTORED && run->task == NULL)
+      if (run->state != RUN_RESTORED)
+        continue;
+      if (run->task == NULL)
         scheduler_remove_run (scheduler, run, now_us);
-      else if (run->state == RUN_RESTORED && !scheduler_restart_restored (scheduler, run, now_us))
+      else if (scheduler_run_evidence (report, run) == RUN_ABSENT
+               && !scheduler_restart_restored (scheduler, run, now_us))
         scheduler_stop_run (scheduler, run, now_us);
     }
 }
 
-/* Removes runs whose stop was confirmed before this report was requested, unless the report
- * still lists them. */
+/* Removes runs whose stop was confirmed before this report was requested and that are gone by it.
+ */
 static void
 remove_stopped_runs (scheduler_t *scheduler,
                      executor_t *executor,
@@ -276,8 +305,8 @@
       run_t *run = LIST_ENTRY (node, run_t, executor_node);
 
       next = node->next;
-      if (run->state == RUN_STOPPED && report->mark >= run->mark && !is_reported (report, run)
-          && scheduler_run_may_be_gone (run))
+      if (run->state == RUN_STOPPED && report->mark >= run->mark
+          && scheduler_run_evidence (report, run) == RUN_ABSENT && scheduler_run_may_be_gone (run))
         {
           scheduler_remove_run (scheduler, run, now_us);
           /* Removing the run may have changed the rest of the list: start over. */
@@ -358,8 +387,10 @@
   scheduler_expect_former_starts (scheduler, now_us);
   handle_ends (scheduler, executor, report, now_us);
   handle_running (scheduler, executor, report, now_us);
-  stop_unreported_runs (scheduler, executor, now_us);
-  scheduler_check_stalls (scheduler, executor, now_us);
+  executor->has_more_ends = report->has_more_ends;
+  settle_starts (executor, report);
+  stop_unreported_runs (scheduler, executor, report, now_us);
+  scheduler_check_stalls (scheduler, executor, report, now_us);
   remove_stopped_runs (scheduler, executor, report, now_us);
   release_acks (executor, now_us);
   if (!g_queue_is_empty (&executor->pending_acks))
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -711,8 +711,15 @@
   return run->start_order == 0 && until_us > 0 && until_us <= now_us;
 }
 
-/* The run is stopped.  Asks for a report that tells whether
- * it is gone. */
+/* Whether no stop order is to be confirmed first. */
+static bool
+is_settled_by_report (const run_t *run)
+{
+  return run->state == RUN_RESTORED || run->state == RUN_ALIVE || run->state == RUN_STOPPED;
+}
+
+/* The run is stopped, or the time of its start orders is over.  Asks for a report that tells what
+ * has become of it. */
 static void
 expect_report (scheduler_t *scheduler, run_t *run, gint64 now_us)
 {
@@ -878,7 +885,7 @@
             break;
           if (run->state == RUN_STOPPING && run->stop_order == 0 && run->retry_at_us <= now_us)
             send_stop (scheduler, run, now_us);
-          else if (run->state == RUN_STOPPED && !run->is_settling && is_time_over (run, now_us))
+          else if (is_settled_by_report (run) && !run->is_settling && is_time_over (run, now_us))
             expect_report (scheduler, run, now_us);
         }
     }
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -68,14 +68,15 @@
   gint64 unsettled_until_us;    /* the start order may be carried out until then; 0: it was, or was
                                  * never sent */
   gint64 former_until_us; /* the same for that of an earlier leader, if another one was sent */
-  bool is_settling;       /* its time is over, and reports from `mark` on tell whether it was */
+  bool is_settling;       /* their time is over, and reports from `mark` on tell what they did */
   gint64 late_renewal_until_us; /* calls for a former incarnation may renew its lease until then; 0:
                                  * not any more */
   gint64 running_since_us;      /* when it was first known to run; 0: not known to have started */
   gint64 retry_at_us;           /* when to send a failed stop order again; 0: none has failed */
   guint percent;                /* completed part of its work, as last reported */
   gint64 last_progress_us;      /* when `percent` last changed; 0: never reported */
-  guint64 mark; /* RUN_STOPPED: reports with at least this mark were requested after the stop */
+  /* RUN_STOPPED or is_settling: reports with at least this mark were requested after that. */
+  guint64 mark;
   bool was_reported;      /* a report has listed it as running */
   bool is_restored;       /* an earlier leader started it */
   gint64 placed_born;     /* is_restored: on this incarnation; 0: not known */
@@ -267,6 +268,7 @@
   bool is_assigned;           /* an entry VM has been assigned to send hold requests to it */
   gint64 lease_expiry_us;     /* no lease granted so far is valid after this */
   guint64 last_seen_end;      /* ends up to this number are processed */
+  bool has_more_ends;         /* it may have ended more runs than the last report listed */
   guint64 acked;              /* ends up to this number may be acknowledged */
   GQueue pending_acks;        /* pending_ack_t */
   guint64 mark;               /* increased when a stop is confirmed */
@@ -437,6 +439,18 @@
                                   gint64 born,
                                   gint64 now_us);
 
+/* scheduler_reports.c */
+/* What a report tells of a run that is known on the executor. */
+typedef enum
+{
+  RUN_LISTED,  /* it runs */
+  RUN_ABSENT,  /* it does not run, and no end of it is still to be listed */
+  RUN_NOT_TOLD /* it does not run, but its end may be among those that are still to be listed */
+} run_evidence_t;
+
+/* To be called after the ends in the report have been handled. */
+run_evidence_t scheduler_run_evidence (const executor_report_t *report, const run_t *run);
+
 /* scheduler_open.c */
 /* Lists the executors that can run a task in `open_executors`: those with the most free CPU first,
  * and among equal ones those that were known first. */
@@ -487,6 +501,8 @@
 bool scheduler_starts_repeat (const step_t *step);
 /* Until when a start order of the run may be carried out beside the one that was. */
 gint64 scheduler_repeated_until_us (const run_t *run, gint64 now_us);
+/* No start order of the run can be carried out any more. */
+void scheduler_start_settled (run_t *run);
 /* A report lists the run: one start order of it has been carried out. */
 void scheduler_start_carried_out (run_t *run, gint64 now_us);
 /* Until when start orders of the run may be carried out that have no result; 0: there are none. */
@@ -547,7 +563,11 @@
 
 /* scheduler_progress.c */
 void scheduler_record_progress (executor_t *executor, run_t *run, guint percent, gint64 now_us);
-void scheduler_check_stalls (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
+/* Stops the executor's runs that have made no progress for too long by this report. */
+void scheduler_check_stalls (scheduler_t *scheduler,
+                             executor_t *executor,
+                             const executor_report_t *report,
+                             gint64 now_us);
 void scheduler_eject_executor (scheduler_t *scheduler,
                                executor_t *executor,
                                const char *reason,
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -443,6 +443,7 @@
   report.reached = rows != NULL;
   report.born = rows != NULL ? rows->born : 0;
   report.fenced = answer->outcome == ORDER_FENCED;
+  report.more_ends = rows != NULL && rows->has_more_ends;
   send_report (call->executor->agent, &report, rows);
 }
 
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -146,6 +146,7 @@
     .mark = message->mark,
     .running = running,
     .ended = ended,
+    .has_more_ends = message->more_ends,
   };
 
   if (assignment == NULL || assignment->vm != vm)
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -3296,7 +3296,7 @@
   (ProtobufCMessageInit) mimosastair__assign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mimosastair__report__field_descriptors[11] =
 {
   {
     "executor",
@@ -3418,6 +3418,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more_ends",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__Report, more_ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__report__field_indices_by_name[] = {
   5,   /* field[5] = age_us */
@@ -3427,6 +3439,7 @@
   9,   /* field[9] = fence_step */
   7,   /* field[7] = fenced */
   2,   /* field[2] = mark */
+  10,   /* field[10] = more_ends */
   6,   /* field[6] = reached */
   8,   /* field[8] = renewed */
   3,   /* field[3] = running */
@@ -3434,7 +3447,7 @@
 static const ProtobufCIntRange mimosastair__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mimosastair__report__descriptor =
 {
@@ -3444,7 +3457,7 @@
   "Mimosastair__Report",
   "mimosastair",
   sizeof(Mimosastair__Report),
-  10,
+  11,
   mimosastair__report__field_descriptors,
   mimosastair__report__field_indices_by_name,
   1,  mimosastair__report__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -513,10 +513,14 @@
    * that the token of the hold request was made with
    */
   uint32_t fence_step;
+  /*
+   * the executor may have ended more runs than `ended` lists
+   */
+  protobuf_c_boolean more_ends;
 };
 #define MIMOSASTAIR__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mimosastair__StartOrder
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -39,6 +39,7 @@
  *    own token are always carried out;
  *  - series: executors start again several times in a row, and are missing in the registry for a
  *    time;
+ *  - short-lists: executors list one to three ends at a time;
  *  - learn: has leaders learn run times. */
 #include "decide/fence_token.h"
 #include "decide/lease_validity.h"
@@ -245,6 +246,7 @@
   guint running_count;
   reported_end_t *ended;
   guint ended_count;
+  bool has_more_ends;
   bool dirty[JOB_COUNT];
   int finished[JOB_COUNT];
   task_progress_t progress[JOB_COUNT][TASKS_MAX];
@@ -288,6 +290,8 @@
 
 static bool has_series;
 
+static bool has_short_lists;
+
 static bool learns_run_times;
 
 /* ---- Random numbers. */
@@ -1139,6 +1143,13 @@
     }
 }
 
+/* How many ends an executor lists at a time. */
+static guint
+ends_listed_max (const simulation_t *sim)
+{
+  return has_short_lists ? 1 + (guint) (sim->seed % 3) : ENDS_MAX;
+}
+
 static void
 fill_report (simulation_t *sim, model_executor_t *executor, event_t *report)
 {
@@ -1164,6 +1175,9 @@
 
       if (end->number <= executor->acked)
         continue;
+      report->has_more_ends = report->ended_count == ends_listed_max (sim);
+      if (report->has_more_ends)
+        return;
       report->ended[report->ended_count++]
           = (reported_end_t){ .number = end->number,
                               .task = make_task_ref (end->job, end->index),
@@ -1364,6 +1378,7 @@
     .running_count = event->running_count,
     .ended = event->ended,
     .ended_count = event->ended_count,
+    .has_more_ends = event->has_more_ends,
   };
   guint step = leader != NULL ? leader->fence_step[event->executor] : 0;
   gint64 delay_us = (20 + random_below (sim, 400)) * MS;
@@ -2210,6 +2225,7 @@
       has_reassignments &= strcmp (argv[i], "no-moves") != 0;
       has_late_calls &= strcmp (argv[i], "no-late-calls") != 0;
       has_series |= strcmp (argv[i], "series") == 0;
+      has_short_lists |= strcmp (argv[i], "short-lists") == 0;
       learns_run_times |= strcmp (argv[i], "learn") == 0;
     }
   for (guint64 i = 0; i < count && failed < 5; i++)
