--- a/src/decide/scheduler_batches.c
+++ b/src/decide/scheduler_batches.c
@@ -8,6 +8,7 @@
   if (list_is_linked (&job->dirty_node) || job->is_ended)
     return;
   list_push_back (&scheduler->dirty_jobs, &job->dirty_node);
+  scheduler->is_batch_needed = true;
   scheduler->ops->save_progress (job->spec->id, scheduler->data);
 }
 
@@ -51,9 +52,16 @@
 {
   while (!list_is_empty (&scheduler->dirty_jobs))
     list_remove (scheduler->dirty_jobs.next);
+  scheduler->is_batch_needed = false;
   return scheduler->batch++;
 }
 
+guint64
+scheduler_last_batch (const scheduler_t *scheduler)
+{
+  return scheduler->is_batch_needed ? scheduler->batch : scheduler->batch - 1;
+}
+
 void
 scheduler_acknowledge_stored (scheduler_t *scheduler, executor_t *executor)
 {
--- a/src/decide/scheduler_ends.c
+++ b/src/decide/scheduler_ends.c
@@ -23,6 +23,7 @@
     }
   scheduler_log (scheduler, "job_ended", "job=%s queue=%s state=%s", job->spec->id,
                  job->queue->name, job_state_name (state));
+  scheduler->is_batch_needed = true;
   scheduler->ops->finish (job->spec->id, state, scheduler->data);
 }
 
--- a/src/decide/scheduler_reports.c
+++ b/src/decide/scheduler_reports.c
@@ -162,7 +162,7 @@
       ack->not_before_us = ack_not_before_us (scheduler, executor, end, now_us);
       handle_end (scheduler, executor, end, now_us);
       /* Only ends that change the stored progress wait for a batch. */
-      ack->batch = end->how == END_DONE || end->how == END_FAILED ? scheduler->batch
+      ack->batch = end->how == END_DONE || end->how == END_FAILED ? scheduler_last_batch (scheduler)
                                                                   : scheduler->stored_batch;
       g_queue_push_tail (&executor->pending_acks, ack);
       if (!list_is_linked (&executor->ack_node))
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -341,6 +341,7 @@
   guint64 next_placement;
   GArray *planned;        /* run_t *, planned in the current round */
   guint64 batch;          /* the batch that is being filled */
+  bool is_batch_needed;   /* it has changes to store */
   guint64 stored_batch;   /* batches up to this one are stored */
   guint advice_slots;     /* calls for advice that may be sent now */
   guint slow_slots;       /* slow ones among them */
@@ -375,6 +376,8 @@
 /* scheduler_batches.c: batches in which progress and ends of jobs are stored. */
 /* Has the job's progress stored with the current batch. */
 void scheduler_mark_dirty (scheduler_t *scheduler, job_t *job);
+/* The batch with which all changes so far are stored. */
+guint64 scheduler_last_batch (const scheduler_t *scheduler);
 /* Acknowledges the executor's ends that are stored. */
 void scheduler_acknowledge_stored (scheduler_t *scheduler, executor_t *executor);
 
--- a/tests/partial_ends.c
+++ b/tests/partial_ends.c
@@ -17,7 +17,8 @@
 static void
 report_part (fixture_t *fixture, const reported_run_t *running, guint running_count)
 {
-  reported_end_t end = { .number = 1, .task = task_ref (OTHER_JOB, 0), .run = 1, .how = END_STOPPED };
+  reported_end_t end
+      = { .number = 1, .task = task_ref (OTHER_JOB, 0), .run = 1, .how = END_STOPPED };
   executor_report_t message = {
     .executor = "e1",
     .is_reachable = true,
@@ -189,6 +190,31 @@
   fixture_free (fixture);
 }
 
+/* The job has ended with another member of the gang, so that no batch follows. */
+static void
+test_lost_end_that_changes_nothing_is_acknowledged (void)
+{
+  fixture_t *fixture = fixture_new (0, LEADER_LEASE_MS * MS);
+  job_spec_t *spec = make_job_spec (1, 2, 1000);
+  reported_end_t ends[] = { { .number = 1, .task = task_ref (1, 0), .run = 1, .how = END_DONE },
+                            { .number = 2, .task = task_ref (1, 1), .run = 1, .how = END_DONE } };
+  const issued_order_t *start;
+
+  spec->steps[0].gang = true;
+  add_ready_executor (fixture, "e1");
+  add_job (fixture, spec, false);
+  step (fixture);
+  while ((start = next_issued (fixture, 's')) != NULL)
+    scheduler_order_result (fixture->scheduler, start->order, ORDER_OK, fixture->now_us);
+  report (fixture, "e1", 1, fixture->mark, NULL, 0, &ends[0], 1);
+  CU_ASSERT_EQUAL (fixture->acked, 0);
+  scheduler_batch_stored (fixture->scheduler, scheduler_batch_begin (fixture->scheduler));
+  CU_ASSERT_EQUAL (fixture->acked, 1);
+  report (fixture, "e1", 1, fixture->mark, NULL, 0, &ends[1], 1);
+  CU_ASSERT_EQUAL (fixture->acked, 2);
+  fixture_free (fixture);
+}
+
 /* The end of a new run would be listed last. */
 static void
 test_lost_no_start_behind_long_list (void)
@@ -215,6 +241,8 @@
     { "twice_end_beyond_list_after_hand_over", test_twice_end_beyond_list_after_hand_over },
     { "lost_list_goes_on_after_hand_over", test_lost_list_goes_on_after_hand_over },
     { "lost_list_goes_on_after_unanswered_start", test_lost_list_goes_on_after_unanswered_start },
+    { "lost_end_that_changes_nothing_is_acknowledged",
+      test_lost_end_that_changes_nothing_is_acknowledged },
     { "lost_no_start_behind_long_list", test_lost_no_start_behind_long_list },
   };
 
