--- a/src/decide/scheduler.c
+++ b/src/decide/scheduler.c
@@ -51,6 +51,10 @@
   scheduler->touched = g_ptr_array_new ();
   scheduler->reserving = g_ptr_array_new ();
   list_init (&scheduler->acking);
+  list_init (&scheduler->open_placements);
+  scheduler->abandoned_starts = g_array_new (FALSE, FALSE, sizeof (abandoned_start_t));
+  scheduler->may_former_repeat = epoch > 0;
+  scheduler->may_repeat = epoch > 0;
   scheduler->runs_by_order = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
   scheduler->advice_calls
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, advice_call_free);
@@ -132,6 +136,7 @@
   g_hash_table_unref (scheduler->queues);
   g_hash_table_unref (scheduler->advice_calls);
   g_hash_table_unref (scheduler->placements);
+  g_array_unref (scheduler->abandoned_starts);
   g_array_unref (scheduler->planned);
   executor_speeds_free (scheduler->speeds);
   workspace_accounts_free (scheduler->accounts);
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -168,6 +168,8 @@
   guint run;
   const char *executor;
   gint64 born;                 /* the incarnation of the executor; 0: not known */
+  bool is_start_known;         /* restored: that has answered the start, or listed the run */
+  bool is_steady;              /* restored: and grants no lease longer than executor_lease_us */
   const char *workspace;       /* NULL: none */
   resource_vector_t resources; /* that it takes; set with a workspace only */
 } placed_run_t;
@@ -310,6 +312,27 @@
                                   guint count,
                                   gint64 now_us);
 
+/* What is known of the starts of this leader.  The start of a run is known once the incarnation in
+ * its record has answered the order or listed the run.  Let go of with settled_starts_clear(). */
+typedef struct
+{
+  guint64 below;       /* starts of placements from this number on are not covered */
+  GArray *open;        /* guint64: placements with starts that are not known */
+  GPtrArray *unsteady; /* ids of executors whose leases may be as long as they accept; borrowed */
+  bool may_repeat;     /* a run that has been started may be started by another order */
+} settled_starts_t;
+
+void
+scheduler_get_settled_starts (scheduler_t *scheduler, settled_starts_t *settled, gint64 now_us);
+void settled_starts_clear (settled_starts_t *settled);
+
+/* Counts the starts that have become known. */
+guint64 scheduler_known_starts (const scheduler_t *scheduler);
+
+/* Sets whether earlier leaders may have ordered a start more than once; they may unless this is
+ * called.  To be called before the first report. */
+void scheduler_set_former_repeats (scheduler_t *scheduler, bool may_former_repeat);
+
 /* To be called when the placement is stored; issues its start orders. */
 void scheduler_placement_stored (scheduler_t *scheduler, guint64 number, gint64 now_us);
 
--- a/src/decide/scheduler_executors.c
+++ b/src/decide/scheduler_executors.c
@@ -208,6 +208,27 @@
     }
 }
 
+/* Runs of an earlier leader that are known to have been on a former incarnation have ended with it.
+ */
+static void
+end_former_runs (scheduler_t *scheduler, executor_t *executor, gint64 now_us)
+{
+  list_node_t *node = executor->runs.next;
+
+  while (node != &executor->runs)
+    {
+      run_t *run = LIST_ENTRY (node, run_t, executor_node);
+
+      node = node->next;
+      if (!run->is_start_known || run->placed_born >= executor->born)
+        continue;
+      scheduler_log_lost_run (scheduler, run, "executor_restarted", now_us);
+      scheduler_remove_run (scheduler, run, now_us);
+      /* Removing the run may have changed the rest of the list: start over. */
+      node = executor->runs.next;
+    }
+}
+
 void
 scheduler_begin_incarnation (scheduler_t *scheduler,
                              executor_t *executor,
@@ -222,6 +243,7 @@
   if (former_born == 0)
     {
       expect_late_starts (scheduler, executor, now_us);
+      end_former_runs (scheduler, executor, now_us);
       scheduler_send_terms (scheduler, executor);
       return;
     }
--- a/src/decide/scheduler_leases.c
+++ b/src/decide/scheduler_leases.c
@@ -47,7 +47,9 @@
   if (executor->has_seen_fence || executor->is_out_of_steps)
     return;
   executor->has_seen_fence = true;
-  scheduler_extend_lease_expiry_by_max (scheduler, executor, now_us);
+  executor->token_seen_us = now_us;
+  if (executor->former_steady_born != executor->born)
+    scheduler_extend_lease_expiry_by_max (scheduler, executor, now_us);
   for (list_node_t *node = executor->runs.next; node != &executor->runs; node = node->next)
     LIST_ENTRY (node, run_t, executor_node)->late_renewal_until_us = 0;
   scheduler_log (scheduler, "executor_token_seen",
@@ -56,6 +58,15 @@
                  (executor->lease_expiry_us - now_us) / 1000);
 }
 
+bool
+scheduler_is_steady (const scheduler_t *scheduler, const executor_t *executor, gint64 now_us)
+{
+  if (executor->born != 0 && executor->former_steady_born == executor->born)
+    return true;
+  return executor->has_seen_fence
+         && lease_end_us (lease_max_us (scheduler), executor->token_seen_us) <= now_us;
+}
+
 /* The latest time at which a start order that was sent by `sent_us` is carried out by the
  * incarnation that it is for: after that its lease has expired, and it is refused. */
 static gint64
@@ -90,7 +101,9 @@
 void
 scheduler_expect_late_renewal (const scheduler_t *scheduler, run_t *run, gint64 now_us)
 {
-  if (!run->executor->has_seen_fence)
+  const executor_t *executor = run->executor;
+
+  if (!executor->has_seen_fence && executor->former_seen_born != executor->born)
     run->late_renewal_until_us = scheduler_late_call_lease_end_us (scheduler, now_us);
 }
 
@@ -105,9 +118,14 @@
 void
 scheduler_expect_former_starts (scheduler_t *scheduler, gint64 now_us)
 {
-  if (scheduler->former_starts_until_us == 0)
-    scheduler->former_starts_until_us
-        = now_us + scheduler->limits.leader_lease_us + call_delay_max_us;
+  if (scheduler->former_starts_until_us == 0 && scheduler->may_former_repeat)
+    scheduler->former_starts_until_us = scheduler_repeats_end_us (scheduler, now_us);
+}
+
+gint64
+scheduler_repeats_end_us (const scheduler_t *scheduler, gint64 now_us)
+{
+  return now_us + scheduler->limits.leader_lease_us + call_delay_max_us;
 }
 
 gint64
@@ -304,7 +322,8 @@
     {
       const run_t *run = LIST_ENTRY (node, run_t, executor_node);
 
-      if (run->state == RUN_RESTORED || !scheduler_run_is_of_known_incarnation (run))
+      if ((run->state == RUN_RESTORED && !run->is_start_known)
+          || !scheduler_run_is_of_known_incarnation (run))
         return true;
     }
   return false;
--- a/src/decide/scheduler_reports.c
+++ b/src/decide/scheduler_reports.c
@@ -123,7 +123,7 @@
   const run_t *run = scheduler_find_run (executor, &end->task, end->run);
   const task_t *task = scheduler_find_task (scheduler, &end->task);
 
-  if (scheduler->epoch == 0 || (run != NULL && !run->is_restored))
+  if (scheduler->epoch == 0 || (run != NULL && (!run->is_restored || run->is_start_known)))
     return 0;
   if (task != NULL && !scheduler_starts_repeat (task->step))
     return 0;
@@ -215,6 +215,8 @@
       scheduler_run_began (run, now_us);
       run->was_reported = true;
       scheduler_start_carried_out (run, now_us);
+      if (run->start_sent_us > 0 && run->placed_born == executor->born)
+        scheduler_start_known (scheduler, run);
       if (run->task != NULL)
         scheduler_task_survived_start (scheduler, run->task, executor);
       if (run->state == RUN_RESTORED && run->task != NULL)
@@ -284,8 +286,11 @@
         continue;
       if (run->task == NULL)
         scheduler_remove_run (scheduler, run, now_us);
-      else if (scheduler_run_evidence (report, run) == RUN_ABSENT
-               && !scheduler_restart_restored (scheduler, run, now_us))
+      else if (scheduler_run_evidence (report, run) != RUN_ABSENT)
+        continue;
+      else if (run->is_start_known && run->placed_born == executor->born)
+        scheduler_remove_run (scheduler, run, now_us);
+      else if (!scheduler_restart_restored (scheduler, run, now_us))
         scheduler_stop_run (scheduler, run, now_us);
     }
 }
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -203,10 +203,12 @@
 
 /* Adds the run to the placement; the result borrows from the run's job. */
 static placed_run_t
-place_run (placement_t *placement, run_t *run)
+place_run (scheduler_t *scheduler, placement_t *placement, run_t *run)
 {
   run->placement = placement;
+  run->placed_born = run->executor->born;
   list_push_back (&placement->runs, &run->placement_node);
+  scheduler_expect_start (scheduler, run);
   return (placed_run_t){ .task = run->ref,
                          .run = run->number,
                          .executor = run->executor->id,
@@ -219,7 +221,7 @@
 scheduler_store_adopted (scheduler_t *scheduler, run_t *run)
 {
   placement_t *placement = placement_new (scheduler, scheduler->next_placement++);
-  placed_run_t placed = place_run (placement, run);
+  placed_run_t placed = place_run (scheduler, placement, run);
 
   /* Until the incarnation has seen its token, a late call may renew the lease after a change of
    * leader too, as if it were to start the run. */
@@ -240,7 +242,7 @@
   placed = g_new0 (placed_run_t, scheduler->planned->len);
   placement = placement_new (scheduler, scheduler->next_placement++);
   for (guint i = 0; i < scheduler->planned->len; i++)
-    placed[i] = place_run (placement, g_array_index (scheduler->planned, run_t *, i));
+    placed[i] = place_run (scheduler, placement, g_array_index (scheduler->planned, run_t *, i));
   scheduler->ops->place (placement->number, placed, scheduler->planned->len, scheduler->data);
   g_array_set_size (scheduler->planned, 0);
 }
@@ -318,6 +320,7 @@
     return false;
   run->former_until_us = run->unsettled_until_us;
   run->unsettled_until_us = 0;
+  scheduler_note_restarted (scheduler, now_us);
   send_start (scheduler, run, now_us);
   return true;
 }
@@ -396,6 +399,28 @@
   scheduler_note_start_unsettled (run, sent_us);
 }
 
+/* VMs may act for the earlier leader until its lease, as they know it, has expired. */
+static void
+restore_start (scheduler_t *scheduler, run_t *run, const placed_run_t *placed, gint64 now_us)
+{
+  executor_t *executor = run->executor;
+  gint64 acting_until_us = now_us + scheduler->limits.leader_lease_us;
+
+  run->is_start_known = placed->is_start_known && placed->born != 0;
+  if (!run->is_start_known)
+    {
+      note_restored_start (run, acting_until_us);
+      scheduler_extend_lease_expiry_by_max (scheduler, executor, acting_until_us);
+      return;
+    }
+  executor->former_seen_born = MAX (executor->former_seen_born, placed->born);
+  scheduler_extend_lease_expiry (scheduler, executor, acting_until_us);
+  if (placed->is_steady)
+    executor->former_steady_born = MAX (executor->former_steady_born, placed->born);
+  else
+    scheduler_extend_lease_expiry_by_max (scheduler, executor, now_us);
+}
+
 void
 scheduler_restore_placement (
     scheduler_t *scheduler, guint64 placement, const placed_run_t *runs, guint count, gint64 now_us)
@@ -422,11 +447,9 @@
       run->state = RUN_RESTORED;
       run->is_restored = true;
       run->placed_born = runs[i].born;
-      note_restored_start (run, now_us + scheduler->limits.leader_lease_us);
       run->placement = restored;
       list_push_back (&restored->runs, &run->placement_node);
-      scheduler_extend_lease_expiry_by_max (scheduler, executor,
-                                            now_us + scheduler->limits.leader_lease_us);
+      restore_start (scheduler, run, &runs[i], now_us);
     }
   if (list_is_empty (&restored->runs))
     delete_placement (scheduler, restored);
@@ -442,6 +465,7 @@
   guint number = run->number;
 
   scheduler_untime_run (run);
+  scheduler_abandon_start (scheduler, run, now_us);
   clear_order (scheduler, &run->start_order);
   clear_order (scheduler, &run->stop_order);
   workspace_account_remove_run (run->account, &run->resources);
@@ -541,6 +565,7 @@
     case RUN_PLANNED:
       /* No start order was sent, and none will be.  The run is removed once the placement is
        * stored. */
+      scheduler_start_known (scheduler, run);
       run->state = RUN_WITHDRAWN;
       return;
     case RUN_STARTING:
@@ -628,6 +653,8 @@
     }
   if (outcome != ORDER_NOT_SENT && outcome != ORDER_EXECUTOR_RESTARTED)
     scheduler_note_start_unanswered (scheduler, run->executor, now_us);
+  if (outcome != ORDER_NO_ANSWER && !run->has_former_token)
+    scheduler_start_known (scheduler, run);
   /* One that a report lists has been carried out, but not both if there were two. */
   if (outcome == ORDER_NO_ANSWER && (!run->was_reported || run->former_until_us > 0))
     scheduler_note_start_unsettled (run, MAX (now_us, run->sent_until_us));
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -77,9 +77,12 @@
   gint64 last_progress_us;      /* when `percent` last changed; 0: never reported */
   /* RUN_STOPPED or is_settling: reports with at least this mark were requested after that. */
   guint64 mark;
-  bool was_reported;      /* a report has listed it as running */
-  bool is_restored;       /* an earlier leader started it */
-  gint64 placed_born;     /* is_restored: on this incarnation; 0: not known */
+  bool was_reported;   /* a report has listed it as running */
+  bool is_restored;    /* an earlier leader started it */
+  gint64 placed_born;  /* the incarnation in its record; 0: not known */
+  bool has_open_start; /* what its start order did on that incarnation is not known */
+  /* is_restored: an earlier leader knew that; the run was on placed_born or nowhere. */
+  bool is_start_known;
   bool has_former_token;  /* its order carried the token of a former incarnation */
   bool has_lower_token;   /* its order carried a lower one than the incarnation may have seen */
   bool has_turn;          /* its step had a turn when it was placed */
@@ -254,6 +257,9 @@
   bool has_seen_fence;  /* it has answered a call with a token of this incarnation */
   bool is_out_of_steps; /* its incarnations can no longer be told apart by tokens */
   gint64 born_known_us; /* since when that incarnation is known */
+  gint64 token_seen_us; /* since when it is known to have seen its token; has_seen_fence */
+  gint64 former_seen_born;   /* an incarnation that has seen its token of an earlier leader */
+  gint64 former_steady_born; /* one whose leases were all granted with such a token */
   /* The incarnation that wrote the registry entry: service, labels, rack, capacity and whether it
    * drains.  The next one may be of another kind. */
   gint64 entry_born;
@@ -304,8 +310,17 @@
 {
   guint64 number;
   list_node_t runs; /* that are not known to be gone */
+  guint open_start_count;
+  list_node_t open_node; /* linked while there are such starts */
 };
 
+/* A placement that was deleted while a start of it was not known. */
+typedef struct
+{
+  guint64 placement;
+  gint64 until_us; /* its record is deleted by then */
+} abandoned_start_t;
+
 struct scheduler
 {
   scheduler_limits_t limits;
@@ -313,6 +328,12 @@
   gint64 first_round_us;         /* 0: none yet, so that nothing can have started */
   gint64 former_starts_until_us; /* those of earlier leaders may be carried out until then; 0: not
                                   * known yet */
+  bool may_former_repeat;        /* earlier leaders may have ordered a start more than once */
+  bool may_repeat;               /* so may this one, or there may be such orders of earlier ones */
+  gint64 repeats_until_us;       /* such orders of this one may be carried out until then */
+  list_node_t open_placements;   /* placement_t, with starts that are not known */
+  GArray *abandoned_starts;      /* abandoned_start_t */
+  guint64 known_starts;          /* starts that became known */
   const scheduler_ops_t *ops;
   void *data;
   const desired_state_t *desired;
@@ -426,6 +447,17 @@
 /* Stores the run, which is known from a report only, for the next leader. */
 void scheduler_store_adopted (scheduler_t *scheduler, run_t *run);
 
+/* scheduler_settled.c */
+/* The start order of a run that has a placement is to be sent. */
+void scheduler_expect_start (scheduler_t *scheduler, run_t *run);
+/* It was answered by the incarnation in the record, or that has listed the run, or it was not sent.
+ */
+void scheduler_start_known (scheduler_t *scheduler, run_t *run);
+/* The run is given up. */
+void scheduler_abandon_start (scheduler_t *scheduler, run_t *run, gint64 now_us);
+/* The start of a run of an earlier leader is ordered once more. */
+void scheduler_note_restarted (scheduler_t *scheduler, gint64 now_us);
+
 /* scheduler_executors.c */
 executor_t *scheduler_find_executor (const scheduler_t *scheduler, const char *id);
 bool scheduler_executor_is_usable (const executor_t *executor, gint64 now_us);
@@ -486,6 +518,10 @@
 /* The incarnation has answered a call with its own token: calls that were meant for a former one
  * have no effect from now on. */
 void scheduler_note_fence_seen (scheduler_t *scheduler, executor_t *executor, gint64 now_us);
+/* Whether no lease of the incarnation was granted by a call that was meant for a former one. */
+bool scheduler_is_steady (const scheduler_t *scheduler, const executor_t *executor, gint64 now_us);
+/* When a start order that a VM may send until its leadership expires is no longer carried out. */
+gint64 scheduler_repeats_end_us (const scheduler_t *scheduler, gint64 now_us);
 /* A start order got no answer, which was sent by `sent_us`. */
 void scheduler_note_start_unanswered (const scheduler_t *scheduler,
                                       executor_t *executor,
--- a/src/entry/keys.h
+++ b/src/entry/keys.h
@@ -7,6 +7,7 @@
 #define KEYS_PROGRESS_PREFIX "run/"    /* run/ID: Progress */
 #define KEYS_END_PREFIX "end/"         /* end/ID: Ended */
 #define KEYS_PLACEMENT_PREFIX "place/" /* place/FENCE-NUMBER: Placement */
+#define KEYS_SETTLED_STARTS KEYS_PLACEMENT_PREFIX "settled" /* SettledStarts */
 #define KEYS_BATCH_COUNTER "batch"     /* counter that serializes the leader's batches */
 #define KEYS_CANCEL_SUFFIX ".x"
 
--- a/src/entry/leader.c
+++ b/src/entry/leader.c
@@ -34,6 +34,7 @@
   g_hash_table_unref (leader->room.reservations);
   g_queue_clear_full (&leader->ended_job_order, g_free);
   leader_refusals_clear (&leader->refusals);
+  g_clear_pointer (&leader->settled.former, leader_settled_free);
   scheduler_free (leader->scheduler);
   g_free (leader);
 }
--- a/src/entry/leader_load.c
+++ b/src/entry/leader_load.c
@@ -181,22 +181,23 @@
 {
   gsize size;
   const guint8 *bytes = g_bytes_get_data (value, &size);
+  const char *key = g_ptr_array_index (leader->inherited_placement_keys, (guint) number - 1);
   Mimosastair__Placement *message = mimosastair__placement__unpack (NULL, size, bytes);
   g_autofree placed_run_t *runs = NULL;
   guint count = 0;
 
   if (message == NULL)
     {
-      LOG_WARN (
-          "bad_record", "key=%s",
-          (const char *) g_ptr_array_index (leader->inherited_placement_keys, (guint) number - 1));
+      LOG_WARN ("bad_record", "key=%s", key);
       return;
     }
   runs = g_new0 (placed_run_t, message->n_runs);
   for (gsize i = 0; i < message->n_runs; i++)
     {
-      if (codec_read_placed_run (message, i, &runs[count]))
-        count++;
+      if (!codec_read_placed_run (message, i, &runs[count]))
+        continue;
+      leader_apply_settled (leader, key, &runs[count]);
+      count++;
     }
   scheduler_restore_placement (leader->scheduler, number, runs, count, clock_now_us ());
   mimosastair__placement__free_unpacked (message, NULL);
@@ -359,6 +360,12 @@
 {
   leader_t *leader = data;
 
+  if (strcmp (item->key, KEYS_SETTLED_STARTS) == 0)
+    {
+      if (!item->deleted)
+        leader_load_settled (leader, item->value, item->value_bytes);
+      return;
+    }
   if (item->deleted || leader->inherited_placement_keys->len + 1 >= RESTORED_PLACEMENT_LIMIT)
     return;
   g_ptr_array_add (leader->inherited_placement_keys, g_strdup (item->key));
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -68,6 +68,14 @@
   gint64 lost_us;    /* when the store was first found unhealthy; 0: it is healthy */
 } leader_store_watch_t;
 
+/* Which starts have an outcome that is known. */
+typedef struct
+{
+  Mimosastair__SettledStarts *former; /* of the last leader; NULL: not known */
+  guint64 known_starts;               /* as of the record that was last written */
+  bool is_written;
+} leader_settled_t;
+
 /* Room that is reserved for jobs while they are stored. */
 typedef struct
 {
@@ -104,6 +112,7 @@
   bool is_closing;
   gint64 started_us;
   leader_store_watch_t store_watch;
+  leader_settled_t settled;
   list_node_t vms;
   GHashTable *assignments; /* executor id -> assignment_t */
   GHashTable *open_orders; /* order -> vm_t that carries it out */
@@ -181,6 +190,15 @@
 /* leader_store.c: steps down when the store answers other VMs only. */
 gboolean leader_check_store (gpointer data);
 
+/* leader_settled.c: the record of starts whose outcome is known. */
+/* Takes the record of the last leader.  To be called before placements are restored. */
+void leader_load_settled (leader_t *leader, const guint8 *bytes, gsize size);
+/* Sets what the last leader knew of the start of a run in the placement with this key. */
+void leader_apply_settled (const leader_t *leader, const char *key, placed_run_t *run);
+void leader_settled_free (Mimosastair__SettledStarts *message);
+/* Writes the record of this leader if more is known. */
+void leader_write_settled (leader_t *leader, gint64 now_us);
+
 /* leader_refusals.c: work beyond the shares that is refused while the fleet is full. */
 void leader_check_refusals (leader_t *leader, gint64 now_us);
 /* Adds what is refused to the pong, whose additions borrow from the leader; free them with
--- a/src/entry/leader_vms.c
+++ b/src/entry/leader_vms.c
@@ -383,6 +383,8 @@
   leader_check_refusals (leader, now_us);
   check_larger_vm (leader, now_us);
   check_refused (leader, now_us);
+  if (leader_may_act (leader))
+    leader_write_settled (leader, now_us);
   if (leader_may_act (leader) && now_us - leader->started_us > CONNECT_DELAY_MS * 1000)
     leader_assign_executors (leader);
   return G_SOURCE_CONTINUE;
--- a/src/entry/placement_writer.h
+++ b/src/entry/placement_writer.h
@@ -34,5 +34,12 @@
                              const placed_run_t *runs,
                              guint count);
 
+/* Stores the record of settled starts with the next placements or, if there are none for
+ * `delay_ms`, by itself.  Takes ownership of `value`.  An older record may replace a newer one. */
+void placement_writer_write_settled (placement_writer_t *writer,
+                                     guint8 *value,
+                                     gsize value_bytes,
+                                     guint delay_ms);
+
 /* Key of a placement's record; free with g_free(). */
 char *placement_writer_key (const placement_writer_t *writer, guint64 placement);
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &mimosastair__placement__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mimosastair__settled_placements__init
+                     (Mimosastair__SettledPlacements         *message)
+{
+  static const Mimosastair__SettledPlacements init_value = MIMOSASTAIR__SETTLED_PLACEMENTS__INIT;
+  *message = init_value;
+}
+size_t mimosastair__settled_placements__get_packed_size
+                     (const Mimosastair__SettledPlacements *message)
+{
+  assert(message->base.descriptor == &mimosastair__settled_placements__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__settled_placements__pack
+                     (const Mimosastair__SettledPlacements *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__settled_placements__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__settled_placements__pack_to_buffer
+                     (const Mimosastair__SettledPlacements *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__settled_placements__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__SettledPlacements *
+       mimosastair__settled_placements__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__SettledPlacements *)
+     protobuf_c_message_unpack (&mimosastair__settled_placements__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__settled_placements__free_unpacked
+                     (Mimosastair__SettledPlacements *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__settled_placements__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mimosastair__settled_starts__init
+                     (Mimosastair__SettledStarts         *message)
+{
+  static const Mimosastair__SettledStarts init_value = MIMOSASTAIR__SETTLED_STARTS__INIT;
+  *message = init_value;
+}
+size_t mimosastair__settled_starts__get_packed_size
+                     (const Mimosastair__SettledStarts *message)
+{
+  assert(message->base.descriptor == &mimosastair__settled_starts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mimosastair__settled_starts__pack
+                     (const Mimosastair__SettledStarts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mimosastair__settled_starts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mimosastair__settled_starts__pack_to_buffer
+                     (const Mimosastair__SettledStarts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mimosastair__settled_starts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mimosastair__SettledStarts *
+       mimosastair__settled_starts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mimosastair__SettledStarts *)
+     protobuf_c_message_unpack (&mimosastair__settled_starts__descriptor,
+                                allocator, len, data);
+}
+void   mimosastair__settled_starts__free_unpacked
+                     (Mimosastair__SettledStarts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mimosastair__settled_starts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mimosastair__ended__init
                      (Mimosastair__Ended         *message)
 {
@@ -2319,6 +2409,147 @@
   (ProtobufCMessageInit) mimosastair__placement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mimosastair__settled_placements__field_descriptors[3] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__SettledPlacements, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "below",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__SettledPlacements, below),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Mimosastair__SettledPlacements, n_open),
+    offsetof(Mimosastair__SettledPlacements, open),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__settled_placements__field_indices_by_name[] = {
+  1,   /* field[1] = below */
+  0,   /* field[0] = fence */
+  2,   /* field[2] = open */
+};
+static const ProtobufCIntRange mimosastair__settled_placements__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mimosastair__settled_placements__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.SettledPlacements",
+  "SettledPlacements",
+  "Mimosastair__SettledPlacements",
+  "mimosastair",
+  sizeof(Mimosastair__SettledPlacements),
+  3,
+  mimosastair__settled_placements__field_descriptors,
+  mimosastair__settled_placements__field_indices_by_name,
+  1,  mimosastair__settled_placements__number_ranges,
+  (ProtobufCMessageInit) mimosastair__settled_placements__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mimosastair__settled_starts__field_descriptors[4] =
+{
+  {
+    "epoch",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__SettledStarts, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "may_repeat",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__SettledStarts, may_repeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placements",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mimosastair__SettledStarts, n_placements),
+    offsetof(Mimosastair__SettledStarts, placements),
+    &mimosastair__settled_placements__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unsteady",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mimosastair__SettledStarts, n_unsteady),
+    offsetof(Mimosastair__SettledStarts, unsteady),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mimosastair__settled_starts__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+  1,   /* field[1] = may_repeat */
+  2,   /* field[2] = placements */
+  3,   /* field[3] = unsteady */
+};
+static const ProtobufCIntRange mimosastair__settled_starts__number_ranges[1 + 1] =
+{
+  { 11, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mimosastair__settled_starts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mimosastair.SettledStarts",
+  "SettledStarts",
+  "Mimosastair__SettledStarts",
+  "mimosastair",
+  sizeof(Mimosastair__SettledStarts),
+  4,
+  mimosastair__settled_starts__field_descriptors,
+  mimosastair__settled_starts__field_indices_by_name,
+  1,  mimosastair__settled_starts__number_ranges,
+  (ProtobufCMessageInit) mimosastair__settled_starts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mimosastair__ended__field_descriptors[2] =
 {
   {
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct Mimosastair__Progress Mimosastair__Progress;
 typedef struct Mimosastair__PlacedRun Mimosastair__PlacedRun;
 typedef struct Mimosastair__Placement Mimosastair__Placement;
+typedef struct Mimosastair__SettledPlacements Mimosastair__SettledPlacements;
+typedef struct Mimosastair__SettledStarts Mimosastair__SettledStarts;
 typedef struct Mimosastair__Ended Mimosastair__Ended;
 typedef struct Mimosastair__Epoch Mimosastair__Epoch;
 typedef struct Mimosastair__Claim Mimosastair__Claim;
@@ -217,6 +219,53 @@
     , 0,NULL, 0,NULL }
 
 
+/*
+ * Placements of one leader whose starts have an outcome that is known: all below `below` but `open`.
+ */
+struct  Mimosastair__SettledPlacements
+{
+  ProtobufCMessage base;
+  /*
+   * of the leader, as in the keys
+   */
+  int64_t fence;
+  uint64_t below;
+  size_t n_open;
+  uint64_t *open;
+};
+#define MIMOSASTAIR__SETTLED_PLACEMENTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__settled_placements__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * Record place/settled: starts whose outcome is known.  To leaders of earlier versions, a placement
+ * without runs, which they delete.  Field numbers are not those of Placement.
+ */
+struct  Mimosastair__SettledStarts
+{
+  ProtobufCMessage base;
+  /*
+   * of the leader that wrote it; only the next one may rely on it
+   */
+  uint32_t epoch;
+  /*
+   * a run that has been started may be started by another order
+   */
+  protobuf_c_boolean may_repeat;
+  size_t n_placements;
+  Mimosastair__SettledPlacements **placements;
+  /*
+   * executors whose leases may be as long as they accept
+   */
+  size_t n_unsteady;
+  char **unsteady;
+};
+#define MIMOSASTAIR__SETTLED_STARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mimosastair__settled_starts__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
 /*
  * Record end/ID: the final state of a job, stored when the job has ended.
  */
@@ -916,6 +965,44 @@
 void   mimosastair__placement__free_unpacked
                      (Mimosastair__Placement *message,
                       ProtobufCAllocator *allocator);
+/* Mimosastair__SettledPlacements methods */
+void   mimosastair__settled_placements__init
+                     (Mimosastair__SettledPlacements         *message);
+size_t mimosastair__settled_placements__get_packed_size
+                     (const Mimosastair__SettledPlacements   *message);
+size_t mimosastair__settled_placements__pack
+                     (const Mimosastair__SettledPlacements   *message,
+                      uint8_t             *out);
+size_t mimosastair__settled_placements__pack_to_buffer
+                     (const Mimosastair__SettledPlacements   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__SettledPlacements *
+       mimosastair__settled_placements__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__settled_placements__free_unpacked
+                     (Mimosastair__SettledPlacements *message,
+                      ProtobufCAllocator *allocator);
+/* Mimosastair__SettledStarts methods */
+void   mimosastair__settled_starts__init
+                     (Mimosastair__SettledStarts         *message);
+size_t mimosastair__settled_starts__get_packed_size
+                     (const Mimosastair__SettledStarts   *message);
+size_t mimosastair__settled_starts__pack
+                     (const Mimosastair__SettledStarts   *message,
+                      uint8_t             *out);
+size_t mimosastair__settled_starts__pack_to_buffer
+                     (const Mimosastair__SettledStarts   *message,
+                      ProtobufCBuffer     *buffer);
+Mimosastair__SettledStarts *
+       mimosastair__settled_starts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mimosastair__settled_starts__free_unpacked
+                     (Mimosastair__SettledStarts *message,
+                      ProtobufCAllocator *allocator);
 /* Mimosastair__Ended methods */
 void   mimosastair__ended__init
                      (Mimosastair__Ended         *message);
@@ -1449,6 +1536,12 @@
 typedef void (*Mimosastair__Placement_Closure)
                  (const Mimosastair__Placement *message,
                   void *closure_data);
+typedef void (*Mimosastair__SettledPlacements_Closure)
+                 (const Mimosastair__SettledPlacements *message,
+                  void *closure_data);
+typedef void (*Mimosastair__SettledStarts_Closure)
+                 (const Mimosastair__SettledStarts *message,
+                  void *closure_data);
 typedef void (*Mimosastair__Ended_Closure)
                  (const Mimosastair__Ended *message,
                   void *closure_data);
@@ -1542,6 +1635,8 @@
 extern const ProtobufCMessageDescriptor mimosastair__progress__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__placed_run__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__placement__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__settled_placements__descriptor;
+extern const ProtobufCMessageDescriptor mimosastair__settled_starts__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__ended__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__epoch__descriptor;
 extern const ProtobufCMessageDescriptor mimosastair__claim__descriptor;
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -61,6 +61,9 @@
   RUNS_MAX = 8,
   ENDS_MAX = 256,
   PLACEMENTS_MAX = 256,
+  SETTLED_OPEN_MAX = 64,
+  SETTLED_ENTRIES_MAX = 16,
+  SETTLED_DELAY_MAX_MS = 400,
   LARGE_CPU_MILLI = 4500, /* of an executor; its incarnations differ */
   SMALL_CPU_MILLI = 3000,
   ATTEMPTS = 2,
@@ -159,6 +162,26 @@
   guint count;
 } stored_placement_t;
 
+/* Placements of one leader whose starts are known. */
+typedef struct
+{
+  gint64 fence;
+  guint64 below;
+  guint64 open[SETTLED_OPEN_MAX];
+  guint open_count;
+} settled_entry_t;
+
+/* The record of settled starts. */
+typedef struct
+{
+  bool is_stored;
+  guint epoch;
+  bool may_repeat;
+  bool is_unsteady[EXECUTOR_COUNT];
+  settled_entry_t entries[SETTLED_ENTRIES_MAX]; /* the last one is of the leader that wrote it */
+  guint entry_count;
+} settled_record_t;
+
 typedef struct
 {
   simulation_t *sim;
@@ -171,6 +194,7 @@
   int finished[JOB_COUNT];           /* job_state_t + 1; 0: not finished */
   guint64 deletions[PLACEMENTS_MAX]; /* numbers of placements to delete */
   guint deletion_count;
+  settled_record_t former_settled; /* of the last leader, if it may be relied on */
   bool is_writing;
   bool is_deposed;
   /* The incarnation that calls are for, and whose ends `acked` counts, and its number. */
@@ -200,6 +224,7 @@
   EVENT_BATCH,            /* a batch is assembled, or the store applies it */
   EVENT_PLACEMENT,        /* the store applies a placement */
   EVENT_PLACEMENT_RESULT, /* the store's answer arrives */
+  EVENT_SETTLED,          /* the store applies the record of settled starts */
   EVENT_STEP,
   EVENT_ELECTION,
   EVENT_CRASH_LEADERS,
@@ -256,6 +281,7 @@
   guint placed_count;
   guint64 deletions[PLACEMENTS_MAX];
   guint deletion_count;
+  settled_record_t *settled;
 } event_t;
 
 struct simulation
@@ -274,6 +300,7 @@
   gint64 revision;
   guint epoch;
   stored_placement_t placements[PLACEMENTS_MAX];
+  settled_record_t settled;
   desired_state_t *desired;
   guint64 seed;
   const char *violation;
@@ -357,6 +384,7 @@
 {
   g_free (event->running);
   g_free (event->ended);
+  g_free (event->settled);
   g_free (event);
 }
 
@@ -1514,6 +1542,91 @@
   answer->placement = event->placement;
 }
 
+static void
+fill_settled (model_leader_t *leader, settled_record_t *record)
+{
+  settled_starts_t settled;
+  settled_entry_t *own;
+
+  *record = leader->former_settled;
+  if (record->entry_count == SETTLED_ENTRIES_MAX)
+    memmove (&record->entries[0], &record->entries[1],
+             --record->entry_count * sizeof record->entries[0]);
+  own = &record->entries[record->entry_count++];
+  scheduler_get_settled_starts (leader->scheduler, &settled, leader->sim->now_us);
+  record->is_stored = true;
+  record->epoch = leader->epoch;
+  record->may_repeat = settled.may_repeat;
+  memset (record->is_unsteady, 0, sizeof record->is_unsteady);
+  for (guint i = 0; i < settled.unsteady->len; i++)
+    record->is_unsteady[executor_index (g_ptr_array_index (settled.unsteady, i))] = true;
+  own->fence = leader->fence;
+  own->below = settled.below;
+  own->open_count = MIN (settled.open->len, SETTLED_OPEN_MAX);
+  if (settled.open->len > SETTLED_OPEN_MAX)
+    abort ();
+  memcpy (own->open, settled.open->data, own->open_count * sizeof own->open[0]);
+  settled_starts_clear (&settled);
+}
+
+/* The record is written some time later; an older one may replace a newer one. */
+static void
+write_settled (model_leader_t *leader)
+{
+  guint64 drawn
+      = (leader->sim->serial + leader->sim->seed) * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15);
+  gint64 delay_ms = (gint64) (drawn >> 40) % SETTLED_DELAY_MAX_MS;
+  event_t *event = push_leader_event (leader, EVENT_SETTLED, (1 + delay_ms) * MS);
+
+  event->settled = g_new0 (settled_record_t, 1);
+  fill_settled (leader, event->settled);
+}
+
+static void
+handle_settled (simulation_t *sim, const event_t *event)
+{
+  const model_leader_t *leader = event_leader (sim, event);
+
+  if (leader != NULL && leader->is_elected)
+    sim->settled = *event->settled;
+}
+
+static bool
+is_start_known (const settled_record_t *record, const stored_placement_t *stored)
+{
+  for (guint i = 0; i < record->entry_count; i++)
+    {
+      const settled_entry_t *entry = &record->entries[i];
+      bool is_open = stored->number >= entry->below;
+
+      if (entry->fence != stored->fence)
+        continue;
+      for (guint k = 0; k < entry->open_count; k++)
+        is_open |= entry->open[k] == stored->number;
+      return !is_open;
+    }
+  return false;
+}
+
+/* Restores a stored placement, with what the last leader knew of its starts. */
+static void
+restore_placement (model_leader_t *leader, guint index)
+{
+  simulation_t *sim = leader->sim;
+  const stored_placement_t *stored = &sim->placements[index];
+  const settled_record_t *record = &leader->former_settled;
+  placed_run_t runs[JOB_COUNT * TASKS_MAX];
+
+  memcpy (runs, stored->runs, sizeof runs);
+  for (guint i = 0; i < stored->count; i++)
+    {
+      runs[i].is_start_known = is_start_known (record, stored);
+      runs[i].is_steady
+          = runs[i].is_start_known && !record->is_unsteady[executor_index (runs[i].executor)];
+    }
+  scheduler_restore_placement (leader->scheduler, index + 1, runs, stored->count, sim->now_us);
+}
+
 static void
 apply_batch (model_leader_t *leader, const event_t *event)
 {
@@ -1783,13 +1896,15 @@
   leader->scheduler = scheduler_new (&limits, leader->epoch, &ops, leader);
   scheduler_set_desired (leader->scheduler, sim->desired);
   load_jobs (leader);
+  if (sim->settled.is_stored && sim->settled.epoch + 1 == leader->epoch)
+    {
+      leader->former_settled = sim->settled;
+      scheduler_set_former_repeats (leader->scheduler, sim->settled.may_repeat);
+    }
   for (guint i = 0; i < PLACEMENTS_MAX; i++)
     {
-      const stored_placement_t *stored = &sim->placements[i];
-
-      if (stored->is_stored)
-        scheduler_restore_placement (leader->scheduler, i + 1, stored->runs, stored->count,
-                                     sim->now_us);
+      if (sim->placements[i].is_stored)
+        restore_placement (leader, i);
     }
   list_executors (leader);
   schedule_step (leader, MS);
@@ -1961,6 +2076,9 @@
     case EVENT_BATCH:
       handle_batch (sim, event);
       return;
+    case EVENT_SETTLED:
+      handle_settled (sim, event);
+      return;
     case EVENT_PLACEMENT:
       handle_placement (sim, event);
       return;
@@ -1980,6 +2098,7 @@
               = push_leader_event (leader, EVENT_STEP, MAX (next_us - sim->now_us, 100 * MS));
 
           again->batch = 1;
+          write_settled (leader);
         }
       return;
     case EVENT_ELECTION:
