--- a/src/backend/executor_sessions.c
+++ b/src/backend/executor_sessions.c
@@ -507,6 +507,7 @@
 void
 executor_sessions_send_order (executor_sessions_t *sessions,
                               const incarnation_t *incarnation,
+                              bool is_checked,
                               guint timeout_ms,
                               const session_order_t *order,
                               void *data)
@@ -519,7 +520,7 @@
   call->deadline_us = clock_now_us () + (gint64) timeout_ms * 1000;
   call->callbacks = *order;
   call->data = data;
-  claim_order (call, order_granted);
+  claim_order (call, is_checked ? check_granted : order_granted);
 }
 
 /* ---- Hold requests. */
--- a/src/backend/executor_sessions.h
+++ b/src/backend/executor_sessions.h
@@ -44,11 +44,12 @@
   void (*done) (session_order_end_t end, void *data);
 } session_order_t;
 
-/* Sends an order to the incarnation.  Where no connection on which it has answered is to be
- * expected, a check goes first on the connection that the order then uses.  `order` is copied; its
- * `done` is called exactly once, after this function has returned. */
+/* Sends an order to the incarnation.  With `is_checked`, and where no connection on which it has
+ * answered is to be expected, a check goes first on the connection that the order then uses.
+ * `order` is copied; its `done` is called exactly once, after this function has returned. */
 void executor_sessions_send_order (executor_sessions_t *sessions,
                                    const incarnation_t *incarnation,
+                                   bool is_checked,
                                    guint timeout_ms,
                                    const session_order_t *order,
                                    void *data);
--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -134,6 +134,7 @@
   const text_digest_t *text_digest; /* of `spec` */
   const char *checkpoint;           /* "" if there is none */
   const char *ticket;               /* "" if there is none */
+  bool is_checked;                  /* not to be sent unless the executor answers another call */
 } start_order_t;
 
 typedef struct
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -258,6 +258,14 @@
   return &job->text_digest;
 }
 
+/* Whether the task would wait too long if its start got no answer: it has to run again within
+ * seconds, or there is no ticket that limits how late the order is carried out. */
+static bool
+needs_check (const step_t *step)
+{
+  return step->spec->long_running || !step->job->queue->advice.is_needed;
+}
+
 static void
 send_start (scheduler_t *scheduler, run_t *run, gint64 now_us)
 {
@@ -274,6 +282,7 @@
     .text_digest = job_text_digest (task->step->job),
     .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
     .ticket = ticket != NULL ? ticket : "",
+    .is_checked = needs_check (task->step),
   };
 
   run->state = RUN_STARTING;
@@ -386,16 +395,15 @@
                   account);
 }
 
-/* VMs may send the start order of the earlier leader until `sent_us`, with a ticket that they had
- * by then.
- */
+/* VMs may send the start order of the earlier leader until `sent_us`, with a ticket that it had when
+ * it still led, so before `now_us`. */
 static void
-note_restored_start (run_t *run, gint64 sent_us)
+note_restored_start (run_t *run, gint64 sent_us, gint64 now_us)
 {
   const advice_terms_t *terms = run->task != NULL ? &run->task->step->job->queue->advice : NULL;
 
   if (terms != NULL && terms->is_needed)
-    run->ticket_until_us = scheduler_ticket_end_us (terms, sent_us + terms->valid_us);
+    run->ticket_until_us = scheduler_ticket_end_us (terms, now_us + terms->valid_us);
   scheduler_note_start_unsettled (run, sent_us);
 }
 
@@ -409,7 +417,7 @@
   run->is_start_known = placed->is_start_known && placed->born != 0;
   if (!run->is_start_known)
     {
-      note_restored_start (run, acting_until_us);
+      note_restored_start (run, acting_until_us, now_us);
       scheduler_extend_lease_expiry_by_max (scheduler, executor, acting_until_us);
       return;
     }
--- a/src/entry/agent.c
+++ b/src/entry/agent.c
@@ -801,7 +801,8 @@
   executor_start_t order = { .run = message->run,
                              .spec = take_text (agent, message),
                              .checkpoint = message->checkpoint,
-                             .ticket = message->ticket };
+                             .ticket = message->ticket,
+                             .is_checked = message->checked };
   executor_target_t target;
   guint step;
   order_outcome_t outcome = check_incarnation (executor, message->born);
--- a/src/entry/leader_orders.c
+++ b/src/entry/leader_orders.c
@@ -122,6 +122,7 @@
   fill_text (&message, vm, order);
   message.checkpoint = (char *) order->checkpoint;
   message.ticket = (char *) order->ticket;
+  message.checked = order->is_checked;
   frame.n_start = 1;
   frame.start = &list;
   /* The VM applies what is sent only: an order that is not must leave no trace here. */
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -3695,7 +3695,7 @@
   (ProtobufCMessageInit) mimosastair__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mimosastair__start_order__field_descriptors[12] =
 {
   {
     "order",
@@ -3829,9 +3829,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "checked",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mimosastair__StartOrder, checked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mimosastair__start_order__field_indices_by_name[] = {
   2,   /* field[2] = born */
+  11,   /* field[11] = checked */
   6,   /* field[6] = checkpoint */
   1,   /* field[1] = executor */
   10,   /* field[10] = fence_step */
@@ -3846,7 +3859,7 @@
 static const ProtobufCIntRange mimosastair__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mimosastair__start_order__descriptor =
 {
@@ -3856,7 +3869,7 @@
   "Mimosastair__StartOrder",
   "mimosastair",
   sizeof(Mimosastair__StartOrder),
-  11,
+  12,
   mimosastair__start_order__field_descriptors,
   mimosastair__start_order__field_indices_by_name,
   1,  mimosastair__start_order__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -595,10 +595,14 @@
    * that its token is made with; 0: that of other calls
    */
   uint32_t fence_step;
+  /*
+   * sent only once the executor has answered another call
+   */
+  protobuf_c_boolean checked;
 };
 #define MIMOSASTAIR__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__start_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0 }
 
 
 struct  Mimosastair__StopOrder
--- a/tests/scheduler_fixture.h
+++ b/tests/scheduler_fixture.h
@@ -29,6 +29,7 @@
   guint run;
   gint64 born;
   char ticket[32];
+  bool is_checked;
   guint candidate_count;
   gint64 expected_us;
   char candidate_ids[16][16];
@@ -83,6 +84,7 @@
   entry->index = order->task.index;
   entry->run = order->run;
   entry->born = order->born;
+  entry->is_checked = order->is_checked;
   g_strlcpy (entry->executor, order->executor, sizeof entry->executor);
   g_strlcpy (entry->job, order->task.job, sizeof entry->job);
   g_strlcpy (entry->ticket, order->ticket, sizeof entry->ticket);
