--- a/src/entry/leader_load.c
+++ b/src/entry/leader_load.c
@@ -260,6 +260,7 @@
   g_hash_table_remove_all (leader->progress);
   watcher_set_pause_ms (leader->jobs_watcher, JOBS_WATCH_PAUSE_MS);
   scheduler_stats (leader->scheduler, &stats);
+  leader_write_settled (leader, clock_now_us ());
   LOG_INFO ("decider_loaded", "jobs=%u placements=%u after_ms=%" G_GINT64_FORMAT, stats.jobs,
             leader->inherited_placement_keys->len, (clock_now_us () - leader->started_us) / 1000);
   leader->registry_watcher
--- a/src/entry/leader_settled.c
+++ b/src/entry/leader_settled.c
@@ -113,7 +113,7 @@
 }
 
 static void
-write_record (leader_t *leader, const settled_starts_t *settled)
+write_record (leader_t *leader, const settled_starts_t *settled, guint delay_ms)
 {
   Mimosastair__SettledStarts message = MIMOSASTAIR__SETTLED_STARTS__INIT;
   Mimosastair__SettledPlacements own = MIMOSASTAIR__SETTLED_PLACEMENTS__INIT;
@@ -136,20 +136,22 @@
   size = mimosastair__settled_starts__get_packed_size (&message);
   packed = g_malloc (size);
   mimosastair__settled_starts__pack (&message, packed);
-  placement_writer_write_settled (leader->placement_writer, packed, size, write_delay_ms);
+  placement_writer_write_settled (leader->placement_writer, packed, size, delay_ms);
 }
 
 void
 leader_write_settled (leader_t *leader, gint64 now_us)
 {
   guint64 known_starts = scheduler_known_starts (leader->scheduler);
+  bool is_first = !leader->settled.is_written;
   settled_starts_t settled;
 
-  if (leader->settled.is_written && leader->settled.known_starts == known_starts)
+  if (!is_first && leader->settled.known_starts == known_starts)
     return;
   leader->settled.known_starts = known_starts;
   leader->settled.is_written = true;
   scheduler_get_settled_starts (leader->scheduler, &settled, now_us);
-  write_record (leader, &settled);
+  /* The next leader may rely on no record of former ones, so the first one is not delayed. */
+  write_record (leader, &settled, is_first ? 0 : write_delay_ms);
   settled_starts_clear (&settled);
 }
