--- a/src/decide/scheduler_reports.c
+++ b/src/decide/scheduler_reports.c
@@ -284,11 +284,9 @@
       next = node->next;
       if (run->state != RUN_RESTORED)
         continue;
-      if (run->task == NULL)
-        scheduler_remove_run (scheduler, run, now_us);
-      else if (scheduler_run_evidence (report, run) != RUN_ABSENT)
+      if (run->task != NULL && scheduler_run_evidence (report, run) != RUN_ABSENT)
         continue;
-      else if (run->is_start_known && run->placed_born == executor->born)
+      if (run->task == NULL || (run->is_start_known && run->placed_born == executor->born))
         scheduler_remove_run (scheduler, run, now_us);
       else if (!scheduler_restart_restored (scheduler, run, now_us))
         scheduler_stop_run (scheduler, run, now_us);
