--- a/src/entry/leader_settled.c
+++ b/src/entry/leader_settled.c
@@ -146,7 +146,8 @@
   bool is_first = !leader->settled.is_written;
   settled_starts_t settled;
 
-  if (!is_first && leader->settled.known_starts == known_starts)
+  if (leader->placement_writer == NULL
+      || (!is_first && leader->settled.known_starts == known_starts))
     return;
   leader->settled.known_starts = known_starts;
   leader->settled.is_written = true;
