--- a/src/decide/scheduler.h
+++ b/src/decide/scheduler.h
@@ -313,12 +313,19 @@
                                   guint count,
                                   gint64 now_us);
 
+/* The start of a run: its placement, and its index there. */
+typedef struct
+{
+  guint64 placement;
+  guint run;
+} open_start_t;
+
 /* What is known of the starts of this leader.  The start of a run is known once the incarnation in
  * its record has answered the order or listed the run.  Let go of with settled_starts_clear(). */
 typedef struct
 {
   guint64 below;       /* starts of placements from this number on are not covered */
-  GArray *open;        /* guint64: placements with starts that are not known */
+  GArray *open;        /* open_start_t: the others that are not known */
   GPtrArray *unsteady; /* ids of executors whose leases may be as long as they accept; borrowed */
   bool may_repeat;     /* a run that has been started may be started by another order */
 } settled_starts_t;
--- a/src/decide/scheduler_reports.c
+++ b/src/decide/scheduler_reports.c
@@ -287,7 +287,11 @@
       if (run->task != NULL && scheduler_run_evidence (report, run) != RUN_ABSENT)
         continue;
       if (run->task == NULL || (run->is_start_known && run->placed_born == executor->born))
-        scheduler_remove_run (scheduler, run, now_us);
+        {
+          scheduler_remove_run (scheduler, run, now_us);
+          /* Removing the run may have changed the rest of the list: start over. */
+          next = executor->runs.next;
+        }
       else if (!scheduler_restart_restored (scheduler, run, now_us))
         scheduler_stop_run (scheduler, run, now_us);
     }
--- a/src/decide/scheduler_runs.c
+++ b/src/decide/scheduler_runs.c
@@ -203,9 +203,10 @@
 
 /* Adds the run to the placement; the result borrows from the run's job. */
 static placed_run_t
-place_run (scheduler_t *scheduler, placement_t *placement, run_t *run)
+place_run (scheduler_t *scheduler, placement_t *placement, guint index, run_t *run)
 {
   run->placement = placement;
+  run->placement_index = index;
   run->placed_born = run->executor->born;
   list_push_back (&placement->runs, &run->placement_node);
   scheduler_expect_start (scheduler, run);
@@ -221,7 +222,7 @@
 scheduler_store_adopted (scheduler_t *scheduler, run_t *run)
 {
   placement_t *placement = placement_new (scheduler, scheduler->next_placement++);
-  placed_run_t placed = place_run (scheduler, placement, run);
+  placed_run_t placed = place_run (scheduler, placement, 0, run);
 
   /* Until the incarnation has seen its token, a late call may renew the lease after a change of
    * leader too, as if it were to start the run. */
@@ -242,7 +243,7 @@
   placed = g_new0 (placed_run_t, scheduler->planned->len);
   placement = placement_new (scheduler, scheduler->next_placement++);
   for (guint i = 0; i < scheduler->planned->len; i++)
-    placed[i] = place_run (scheduler, placement, g_array_index (scheduler->planned, run_t *, i));
+    placed[i] = place_run (scheduler, placement, i, g_array_index (scheduler->planned, run_t *, i));
   scheduler->ops->place (placement->number, placed, scheduler->planned->len, scheduler->data);
   g_array_set_size (scheduler->planned, 0);
 }
--- a/src/decide/scheduler_settled.c
+++ b/src/decide/scheduler_settled.c
@@ -5,10 +5,6 @@
  * known stays known, so an outdated record tells too little, never too much. */
 #include "decide/scheduler_state.h"
 
-/* The record of a placement whose last run is gone is deleted within this time, or this leader can
- * no longer write. */
-static const gint64 deletion_max_us = 60 * G_USEC_PER_SEC;
-
 void
 scheduler_expect_start (scheduler_t *scheduler, run_t *run)
 {
@@ -34,14 +30,19 @@
   scheduler->known_starts++;
 }
 
+/* Its record may outlive the run.  Once no order for it can be carried out, and what one has
+ * started by then is gone, the run is nowhere, which is known as well. */
 void
 scheduler_abandon_start (scheduler_t *scheduler, run_t *run, gint64 now_us)
 {
-  abandoned_start_t abandoned = { .until_us = now_us + deletion_max_us };
+  gint64 sent_us = now_us + scheduler->limits.leader_lease_us;
+  abandoned_start_t abandoned;
 
   if (!run->has_open_start)
     return;
-  abandoned.placement = run->placement->number;
+  abandoned.start.placement = run->placement->number;
+  abandoned.start.run = run->placement_index;
+  abandoned.until_us = scheduler_late_call_lease_end_us (scheduler, sent_us);
   g_array_append_val (scheduler->abandoned_starts, abandoned);
   close_start (run);
 }
@@ -87,6 +88,19 @@
   return false;
 }
 
+static void
+append_open (const placement_t *placement, GArray *open)
+{
+  for (const list_node_t *node = placement->runs.next; node != &placement->runs; node = node->next)
+    {
+      const run_t *run = LIST_ENTRY (node, run_t, placement_node);
+      open_start_t start = { .placement = placement->number, .run = run->placement_index };
+
+      if (run->has_open_start)
+        g_array_append_val (open, start);
+    }
+}
+
 static void
 append_abandoned (scheduler_t *scheduler, GArray *open, gint64 now_us)
 {
@@ -102,7 +116,7 @@
           g_array_remove_index_fast (scheduler->abandoned_starts, i);
           continue;
         }
-      g_array_append_val (open, abandoned->placement);
+      g_array_append_val (open, abandoned->start);
       i++;
     }
 }
@@ -111,12 +125,12 @@
 scheduler_get_settled_starts (scheduler_t *scheduler, settled_starts_t *settled, gint64 now_us)
 {
   *settled = (settled_starts_t){ .below = scheduler->next_placement,
-                                 .open = g_array_new (FALSE, FALSE, sizeof (guint64)),
+                                 .open = g_array_new (FALSE, FALSE, sizeof (open_start_t)),
                                  .unsteady = g_ptr_array_new (),
                                  .may_repeat = may_repeat (scheduler, now_us) };
   for (list_node_t *node = scheduler->open_placements.next; node != &scheduler->open_placements;
        node = node->next)
-    g_array_append_val (settled->open, LIST_ENTRY (node, placement_t, open_node)->number);
+    append_open (LIST_ENTRY (node, placement_t, open_node), settled->open);
   append_abandoned (scheduler, settled->open, now_us);
   for (guint i = 0; i < scheduler->executor_list->len; i++)
     {
--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -91,6 +91,7 @@
   gint64 remaining_us;    /* learned, as of remaining_at_us */
   gint64 remaining_at_us; /* 0: not yet */
   placement_t *placement; /* NULL: the run was adopted from a report only to be stopped */
+  guint placement_index;  /* in that record */
   list_node_t placement_node;
   list_node_t task_node;
   list_node_t executor_node;
@@ -314,11 +315,11 @@
   list_node_t open_node; /* linked while there are such starts */
 };
 
-/* A placement that was deleted while a start of it was not known. */
+/* A start that was not known when its run was given up. */
 typedef struct
 {
-  guint64 placement;
-  gint64 until_us; /* its record is deleted by then */
+  open_start_t start;
+  gint64 until_us; /* the run may be somewhere until then */
 } abandoned_start_t;
 
 struct scheduler
--- a/src/entry/leader_load.c
+++ b/src/entry/leader_load.c
@@ -196,7 +196,7 @@
     {
       if (!codec_read_placed_run (message, i, &runs[count]))
         continue;
-      leader_apply_settled (leader, key, &runs[count]);
+      leader_apply_settled (leader, key, (guint) i, &runs[count]);
       count++;
     }
   scheduler_restore_placement (leader->scheduler, number, runs, count, clock_now_us ());
--- a/src/entry/leader_settled.c
+++ b/src/entry/leader_settled.c
@@ -52,7 +52,7 @@
 }
 
 static bool
-is_start_known (const Mimosastair__SettledStarts *settled, const char *key)
+is_start_known (const Mimosastair__SettledStarts *settled, const char *key, guint index)
 {
   const Mimosastair__SettledPlacements *placements;
   gint64 fence;
@@ -62,24 +62,25 @@
       != 2)
     return false;
   placements = find_placements (settled, fence);
-  if (placements == NULL || number >= placements->below)
+  if (placements == NULL || number >= placements->below
+      || placements->n_open_placements != placements->n_open_runs)
     return false;
-  for (gsize i = 0; i < placements->n_open; i++)
+  for (gsize i = 0; i < placements->n_open_runs; i++)
     {
-      if (placements->open[i] == number)
+      if (placements->open_placements[i] == number && placements->open_runs[i] == index)
         return false;
     }
   return true;
 }
 
 void
-leader_apply_settled (const leader_t *leader, const char *key, placed_run_t *run)
+leader_apply_settled (const leader_t *leader, const char *key, guint index, placed_run_t *run)
 {
   const Mimosastair__SettledStarts *settled = leader->settled.former;
 
   if (settled == NULL)
     return;
-  run->is_start_known = is_start_known (settled, key);
+  run->is_start_known = is_start_known (settled, key, index);
   run->is_steady = run->is_start_known;
   for (gsize i = 0; i < settled->n_unsteady && run->is_steady; i++)
     run->is_steady = strcmp (settled->unsteady[i], run->executor) != 0;
@@ -112,6 +113,27 @@
     }
 }
 
+/* Fills the entry of this leader, whose lists are allocated. */
+static void
+fill_own (const leader_t *leader,
+          const settled_starts_t *settled,
+          Mimosastair__SettledPlacements *own)
+{
+  own->fence = leader->config.fence;
+  own->below = settled->below;
+  own->n_open_placements = settled->open->len;
+  own->n_open_runs = settled->open->len;
+  own->open_placements = g_new (uint64_t, settled->open->len);
+  own->open_runs = g_new (uint32_t, settled->open->len);
+  for (guint i = 0; i < settled->open->len; i++)
+    {
+      const open_start_t *start = &g_array_index (settled->open, open_start_t, i);
+
+      own->open_placements[i] = start->placement;
+      own->open_runs[i] = start->run;
+    }
+}
+
 static void
 write_record (leader_t *leader, const settled_starts_t *settled, guint delay_ms)
 {
@@ -123,10 +145,7 @@
 
   add_former (leader, entries);
   g_ptr_array_add (entries, &own);
-  own.fence = leader->config.fence;
-  own.below = settled->below;
-  own.n_open = settled->open->len;
-  own.open = (guint64 *) (void *) settled->open->data;
+  fill_own (leader, settled, &own);
   message.epoch = leader->config.epoch;
   message.may_repeat = settled->may_repeat;
   message.n_placements = entries->len;
@@ -137,6 +156,8 @@
   packed = g_malloc (size);
   mimosastair__settled_starts__pack (&message, packed);
   placement_writer_write_settled (leader->placement_writer, packed, size, delay_ms);
+  g_free (own.open_placements);
+  g_free (own.open_runs);
 }
 
 void
--- a/src/entry/leader_state.h
+++ b/src/entry/leader_state.h
@@ -193,8 +193,9 @@
 /* leader_settled.c: the record of starts whose outcome is known. */
 /* Takes the record of the last leader.  To be called before placements are restored. */
 void leader_load_settled (leader_t *leader, const guint8 *bytes, gsize size);
-/* Sets what the last leader knew of the start of a run in the placement with this key. */
-void leader_apply_settled (const leader_t *leader, const char *key, placed_run_t *run);
+/* Sets what the last leader knew of the start of the run with this index in the placement with this
+ * key. */
+void leader_apply_settled (const leader_t *leader, const char *key, guint index, placed_run_t *run);
 void leader_settled_free (Mimosastair__SettledStarts *message);
 /* Writes the record of this leader if more is known. */
 void leader_write_settled (leader_t *leader, gint64 now_us);
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2409,7 +2409,7 @@
   (ProtobufCMessageInit) mimosastair__placement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mimosastair__settled_placements__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mimosastair__settled_placements__field_descriptors[4] =
 {
   {
     "fence",
@@ -2436,12 +2436,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "open",
+    "open_placements",
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    offsetof(Mimosastair__SettledPlacements, n_open),
-    offsetof(Mimosastair__SettledPlacements, open),
+    offsetof(Mimosastair__SettledPlacements, n_open_placements),
+    offsetof(Mimosastair__SettledPlacements, open_placements),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open_runs",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Mimosastair__SettledPlacements, n_open_runs),
+    offsetof(Mimosastair__SettledPlacements, open_runs),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -2451,12 +2463,13 @@
 static const unsigned mimosastair__settled_placements__field_indices_by_name[] = {
   1,   /* field[1] = below */
   0,   /* field[0] = fence */
-  2,   /* field[2] = open */
+  2,   /* field[2] = open_placements */
+  3,   /* field[3] = open_runs */
 };
 static const ProtobufCIntRange mimosastair__settled_placements__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mimosastair__settled_placements__descriptor =
 {
@@ -2466,7 +2479,7 @@
   "Mimosastair__SettledPlacements",
   "mimosastair",
   sizeof(Mimosastair__SettledPlacements),
-  3,
+  4,
   mimosastair__settled_placements__field_descriptors,
   mimosastair__settled_placements__field_indices_by_name,
   1,  mimosastair__settled_placements__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -220,7 +220,7 @@
 
 
 /*
- * Placements of one leader whose starts have an outcome that is known: all below `below` but `open`.
+ * Starts of one leader whose outcome is known: all of placements below `below`, but some.
  */
 struct  Mimosastair__SettledPlacements
 {
@@ -230,12 +230,17 @@
    */
   int64_t fence;
   uint64_t below;
-  size_t n_open;
-  uint64_t *open;
+  /*
+   * The others: the placement of each, and the index of the run in it.
+   */
+  size_t n_open_placements;
+  uint64_t *open_placements;
+  size_t n_open_runs;
+  uint32_t *open_runs;
 };
 #define MIMOSASTAIR__SETTLED_PLACEMENTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mimosastair__settled_placements__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/scheduler_fixture.h
+++ b/tests/scheduler_fixture.h
@@ -55,6 +55,7 @@
   job_state_t end_state;
   guint finish_count;
   guint64 unstored_placement; /* the latest; 0: none */
+  guint64 last_placement;
   placed_run_t placed;        /* the first run of the latest placement; strings are borrowed */
   guint64 deleted_placement;
   bool delays_placements; /* the test calls scheduler_placement_stored() itself */
@@ -174,7 +175,7 @@
 {
   fixture_t *fixture = data;
 
-  fixture->unstored_placement = placement;
+  fixture->unstored_placement = fixture->last_placement = placement;
   fixture->placed = runs[0];
 }
 
--- a/tests/schedules.c
+++ b/tests/schedules.c
@@ -167,7 +167,7 @@
 {
   gint64 fence;
   guint64 below;
-  guint64 open[SETTLED_OPEN_MAX];
+  open_start_t open[SETTLED_OPEN_MAX];
   guint open_count;
 } settled_entry_t;
 
@@ -1592,7 +1592,7 @@
 }
 
 static bool
-is_start_known (const settled_record_t *record, const stored_placement_t *stored)
+is_start_known (const settled_record_t *record, const stored_placement_t *stored, guint run)
 {
   for (guint i = 0; i < record->entry_count; i++)
     {
@@ -1602,7 +1602,7 @@
       if (entry->fence != stored->fence)
         continue;
       for (guint k = 0; k < entry->open_count; k++)
-        is_open |= entry->open[k] == stored->number;
+        is_open |= entry->open[k].placement == stored->number && entry->open[k].run == run;
       return !is_open;
     }
   return false;
@@ -1620,7 +1620,7 @@
   memcpy (runs, stored->runs, sizeof runs);
   for (guint i = 0; i < stored->count; i++)
     {
-      runs[i].is_start_known = is_start_known (record, stored);
+      runs[i].is_start_known = is_start_known (record, stored, i);
       runs[i].is_steady
           = runs[i].is_start_known && !record->is_unsteady[executor_index (runs[i].executor)];
     }
--- a/tests/settled_starts.c
+++ b/tests/settled_starts.c
@@ -213,9 +213,35 @@
   order = expect_issued (fixture, 'x');
   scheduler_order_result (fixture->scheduler, order->order, ORDER_OK, fixture->now_us);
   report (fixture, "e1", 1, fixture->mark, NULL, 0, NULL, 0);
-  /* The run is gone; its record may still be found. */
+  /* The run is gone; its record may still be found, and its order carried out. */
+  CU_ASSERT_NOT_EQUAL (fixture->deleted_placement, 0);
+  fixture->now_us += (LEADER_LEASE_MS + CALL_DELAY_MAX_MS + LEASE_MAX_MS) * MS;
   expect_open (fixture, 1);
   CU_ASSERT_EQUAL (scheduler_known_starts (fixture->scheduler), 0);
+  fixture->now_us += LEASE_MAX_MS * MS;
+  expect_open (fixture, 0);
+  fixture_free (fixture);
+}
+
+/* What is known is known of each run, not of its placement. */
+static void
+test_lost_open_start_holds_back_no_other (void)
+{
+  fixture_t *fixture = fixture_new_with_limits (0, &limits);
+  const issued_order_t *order;
+  settled_starts_t settled;
+
+  add_ready_executor (fixture, "e1");
+  add_job (fixture, make_job_spec (1, 3, 1000), false);
+  step (fixture);
+  expect_open (fixture, 3);
+  while ((order = next_issued (fixture, 's')) != NULL)
+    scheduler_order_result (fixture->scheduler, order->order,
+                            order->index == 1 ? ORDER_NO_ANSWER : ORDER_OK, fixture->now_us);
+  scheduler_get_settled_starts (fixture->scheduler, &settled, fixture->now_us);
+  CU_ASSERT_EQUAL_FATAL (settled.open->len, 1);
+  CU_ASSERT_EQUAL (g_array_index (settled.open, open_start_t, 0).run, 1);
+  settled_starts_clear (&settled);
   fixture_free (fixture);
 }
 
@@ -270,6 +296,7 @@
     { "lost_restart_around_hand_over", test_lost_restart_around_hand_over },
     { "lost_acknowledgements_after_hand_over", test_lost_acknowledgements_after_hand_over },
     { "twice_unanswered_start_stays_open", test_twice_unanswered_start_stays_open },
+    { "lost_open_start_holds_back_no_other", test_lost_open_start_holds_back_no_other },
     { "answered_or_listed_start_is_known", test_answered_or_listed_start_is_known },
     { "twice_start_listed_by_next_incarnation_stays_open",
       test_twice_start_listed_by_next_incarnation_stays_open },
