--- a/tests/executor_calls.c
+++ b/tests/executor_calls.c
@@ -14,7 +14,8 @@
   WAIT_MS = 100,
   STOPS = 8, /* at a time to a silent executor: more than it may have connections */
   CPU_PER_CALL_US = 1000,
-  QUEUE_LENGTH = 2 /* connections that fill the queue of a listener */
+  QUEUE_LENGTH = 2,     /* connections that fill the queue of a listener */
+  ENDS_PER_ANSWER = 500 /* an executor lists no more */
 };
 
 typedef struct
@@ -147,6 +148,73 @@
   g_main_loop_unref (fixture.loop);
 }
 
+/* Answers as an executor with this many ends (`data`) to list. */
+static void
+answer_with_ends (http_request_t *request, void *data)
+{
+  GString *body = g_string_new ("{\"clock-ms\":1,\"born\":1,\"running\":[],\"ended\":[");
+
+  for (guint number = 1; number <= *(const guint *) data; number++)
+    g_string_append_printf (body, "%s[%u,\"0000000000000001.0.0.%u\",1,\"done\",\"\"]",
+                            number > 1 ? "," : "", number, number);
+  g_string_append (body, "]}");
+  http_respond_text (request, 200, "application/json", g_string_free (body, FALSE));
+}
+
+typedef struct
+{
+  GMainLoop *loop;
+  guint ended_count;
+  bool has_more_ends;
+} listed_t;
+
+static void
+ends_listed (const executor_answer_t *answer G_GNUC_UNUSED,
+             const executor_report_t *report,
+             void *data)
+{
+  listed_t *listed = data;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (report);
+  listed->ended_count = report->ended_count;
+  listed->has_more_ends = report->has_more_ends;
+  g_main_loop_quit (listed->loop);
+}
+
+/* Guards against tasks that run twice as their ends are beyond those listed (review/12). */
+static void
+test_twice_full_list_may_go_on (void)
+{
+  http_limits_t limits = { .listener = "test",
+                           .connections = 4,
+                           .header_bytes = 16 * 1024,
+                           .body_bytes = 64 * 1024,
+                           .read_timeout_ms = 5000 };
+  error_info_t error = { .kind = ERROR_NONE };
+
+  for (guint count = ENDS_PER_ANSWER - 1; count <= ENDS_PER_ANSWER; count++)
+    {
+      http_server_t *server
+          = http_server_new ("127.0.0.1:0", &limits, answer_with_ends, &count, &error);
+      g_autofree char *address = NULL;
+      executor_calls_t *calls = executor_calls_new ();
+      executor_target_t target = { .executor = "e" };
+      executor_hold_t hold = { .wait_ms = 0 };
+      listed_t listed = { .loop = g_main_loop_new (NULL, FALSE) };
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+      address = g_strdup_printf ("127.0.0.1:%u", http_server_port (server));
+      target.address = address;
+      executor_hold (calls, &target, &hold, ends_listed, &listed);
+      g_main_loop_run (listed.loop);
+      CU_ASSERT_EQUAL (listed.ended_count, count);
+      CU_ASSERT_EQUAL (listed.has_more_ends, count == ENDS_PER_ANSWER);
+      executor_calls_free (calls);
+      http_server_free (server);
+      g_main_loop_unref (listed.loop);
+    }
+}
+
 int
 main (void)
 {
@@ -157,6 +225,7 @@
     return 1;
   suite = CU_add_suite ("executor_calls", NULL, NULL);
   CU_add_test (suite, "silent executors cost little", test_silent_executors_cost_little);
+  CU_add_test (suite, "twice: a full list may go on", test_twice_full_list_may_go_on);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
