--- a/src/decide/scheduler_state.h
+++ b/src/decide/scheduler_state.h
@@ -412,14 +412,16 @@
 void scheduler_finish_job_if_done (scheduler_t *scheduler, job_t *job);
 
 /* scheduler_runs.c */
-/* Whether the placement is being stored: no start order was sent. */
-/* Logs that the run is given up; `reason` is a word.  `start` in the line is how its start is
- * known: "reported", "answered", "restored" or "unanswered". */
-void scheduler_log_lost_run (const scheduler_t *scheduler,
-                             const run_t *run,
-                             const char *reason,
-                             gint64 now_us);
-bool scheduler_run_is_planned (const run_t *run);
+/* What a run of the task takes. */
+resource_vector_t scheduler_task_resources (const task_t *task);
+/* Adds a run that takes these resources and counts for this account. */
+run_t *scheduler_add_run (scheduler_t *scheduler,
+                          task_t *task,
+                          const task_ref_t *ref,
+                          executor_t *executor,
+                          guint number,
+                          resource_vector_t resources,
+                          workspace_account_t *account);
 run_t *scheduler_run_new (scheduler_t *scheduler,
                           task_t *task,
                           const task_ref_t *ref,
@@ -429,24 +431,42 @@
 /* The executor's capacity has changed: so has what runs of unknown jobs take. */
 void scheduler_resize_unknown_runs (executor_t *executor);
 void scheduler_remove_run (scheduler_t *scheduler, run_t *run, gint64 now_us);
-void scheduler_stop_run (scheduler_t *scheduler, run_t *run, gint64 now_us);
-void scheduler_resend_stop (scheduler_t *scheduler, run_t *run, gint64 now_us);
-void scheduler_stop_gang (scheduler_t *scheduler, step_t *step, guint number, gint64 now_us);
 run_t *scheduler_find_run (const executor_t *executor, const task_ref_t *ref, guint number);
-void scheduler_retry_stops (scheduler_t *scheduler, gint64 now_us);
-/* Stops gangs a member of which has not answered its start order in time. */
-void scheduler_stop_late_gangs (scheduler_t *scheduler, gint64 now_us);
+/* Whether the placement is being stored: no start order was sent. */
+bool scheduler_run_is_planned (const run_t *run);
+/* Logs that the run is given up; `reason` is a word.  `start` in the line is how its start is
+ * known: "reported", "answered", "restored" or "unanswered". */
+void scheduler_log_lost_run (const scheduler_t *scheduler,
+                             const run_t *run,
+                             const char *reason,
+                             gint64 now_us);
+
+/* scheduler_placements.c */
 void scheduler_plan_run (scheduler_t *scheduler, run_t *run);
 void scheduler_store_planned (scheduler_t *scheduler);
-/* The VM with the start order of the run is lost, and may act until its leadership expires. */
-void scheduler_start_vm_lost (const scheduler_t *scheduler, run_t *run, gint64 now_us);
+/* Stores the run, which is known from a report only, for the next leader. */
+void scheduler_store_adopted (scheduler_t *scheduler, run_t *run);
+/* The run is gone; its record is deleted with the last one in it. */
+void scheduler_release_placement (scheduler_t *scheduler, run_t *run);
+
+/* scheduler_orders.c */
+/* Forgets an order, which is the run's start or stop order. */
+void scheduler_clear_order (scheduler_t *scheduler, guint64 *order);
+/* Orders the start of a run whose placement is stored. */
+void scheduler_send_start (scheduler_t *scheduler, run_t *run, gint64 now_us);
 /* Orders the start of a run of an earlier leader again, which the executor does not list.  Returns
  * false if that is not possible. */
 bool scheduler_restart_restored (scheduler_t *scheduler, run_t *run, gint64 now_us);
+void scheduler_stop_run (scheduler_t *scheduler, run_t *run, gint64 now_us);
+void scheduler_resend_stop (scheduler_t *scheduler, run_t *run, gint64 now_us);
+void scheduler_stop_gang (scheduler_t *scheduler, step_t *step, guint number, gint64 now_us);
+/* The VM with the start order of the run is lost, and may act until its leadership expires. */
+void scheduler_start_vm_lost (const scheduler_t *scheduler, run_t *run, gint64 now_us);
 /* The run has ended, though not well, but another start order of it may be carried out. */
 void scheduler_run_ended_unsettled (scheduler_t *scheduler, run_t *run, gint64 now_us);
-/* Stores the run, which is known from a report only, for the next leader. */
-void scheduler_store_adopted (scheduler_t *scheduler, run_t *run);
+void scheduler_retry_stops (scheduler_t *scheduler, gint64 now_us);
+/* Stops gangs a member of which has not answered its start order in time. */
+void scheduler_stop_late_gangs (scheduler_t *scheduler, gint64 now_us);
 
 /* scheduler_settled.c */
 /* The start order of a run that has a placement is to be sent. */
